Lay the workspace, shared types and contracts

Weighed: one large crate against small layered ones; small ones let pure decision logic be tested, replayed and embedded without the daemon's dependencies. Ownership follows neighbour leases (docs/OWNERSHIP.md); the pure crates take time and seeds as arguments.

--- /dev/null
+++ b/crates/rattanarch_cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators' program.
+fn main() {}
--- /dev/null
+++ b/crates/rattanarch_language/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' query and command language.
--- /dev/null
+++ b/crates/rattanarch_ownership/src/action.rs
@@ -0,0 +1,37 @@
+//! What a node wants done.
+
+use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
+use rattanarch_types::Record;
+use rattanarch_types::SliceId;
+
+use crate::Message;
+
+/// What the daemon carries out for its node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send to a member; a lost one is sent again by a later tick.
+    Send {
+        /// Member to send to; its address stands in the record.
+        to: BootId,
+        /// What to send.
+        message: Message,
+    },
+    /// Replace the record on condition that the stored version is `version - 1`; answer with
+    /// [`Event::Written`](crate::Event::Written).
+    Write(Record),
+    /// Read the record from the platform; answer with [`Event::Record`](crate::Event::Record).
+    Read,
+    /// Start no more requests for these slices and hot keys, which [`Serving`](crate::Serving)
+    /// already refuses, and answer with [`Event::Quiet`](crate::Event::Quiet) once none runs.
+    Quiesce {
+        /// Slices to be quiet.
+        slices: Vec<SliceId>,
+        /// Hot keys to be quiet.
+        hot: Vec<KeyHash>,
+    },
+    /// This member was taken over: join again under a new boot id, with a new node.
+    Rejoin,
+    /// Everything is released and the member has left; only after [`Event::Stop`](crate::Event::Stop).
+    Left,
+}
--- /dev/null
+++ b/crates/rattanarch_ownership/src/event.rs
@@ -0,0 +1,72 @@
+//! What a node is told.
+
+use std::collections::BTreeMap;
+
+use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
+use rattanarch_types::Record;
+use rattanarch_types::SliceId;
+use rattanarch_types::WriteId;
+
+use crate::Message;
+
+/// What the daemon tells its node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Time has passed; sent at least every tenth of a heartbeat.
+    Tick,
+    /// A record was read from the platform or a peer; older ones than the applied are ignored.
+    Record(Record),
+    /// A peer's message, its origin proved by the codec.
+    Message {
+        /// Member that sent it.
+        from: BootId,
+        /// What it sent.
+        message: Message,
+    },
+    /// The end of an [`Action::Write`](crate::Action::Write).
+    Written {
+        /// Copied from the written record.
+        write_id: WriteId,
+        /// How it ended.
+        outcome: WriteOutcome,
+    },
+    /// No request for these slices and hot keys runs any more, at the daemon or its upstream.
+    Quiet {
+        /// Slices that were to be quiet.
+        slices: Vec<SliceId>,
+        /// Hot keys that were to be quiet.
+        hot: Vec<KeyHash>,
+    },
+    /// What operators want of the members, by the configuration.
+    Intent {
+        /// Members that are out, themselves or by their data centre: they take no slices and no
+        /// witness duty, and release what they have.
+        barred: Vec<BootId>,
+        /// Members declared lost by an operator.
+        lost: Vec<BootId>,
+    },
+    /// Requests a second by slice and hot key, measured by this daemon.
+    Load {
+        /// Requests a second of owned slices.
+        slices: BTreeMap<SliceId, u32>,
+        /// Requests a second of the hottest owned keys.
+        keys: BTreeMap<KeyHash, u32>,
+    },
+    /// The process is to stop: release everything and leave.
+    Stop,
+}
+
+/// How a conditional update ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WriteOutcome {
+    /// The platform accepted it.
+    Accepted,
+    /// Another write came first; the record that stands now.
+    Conflict(Record),
+    /// No answer came: it may have taken effect, now or later. The daemon reads back until the
+    /// platform answers and reports that as a new [`Event::Record`].
+    Unknown,
+    /// The platform did not take it: it was unreachable before any byte was sent.
+    Failed,
+}
--- /dev/null
+++ b/crates/rattanarch_ownership/src/serving.rs
@@ -0,0 +1,70 @@
+//! What the request path may do, as of one moment.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+use rattanarch_types::slice_of;
+
+/// Snapshot of a node for the request path, published after each step.
+#[derive(Clone, Debug, Default)]
+pub struct Serving {
+    /// Member that this is of; 0 before it has joined.
+    pub me: BootId,
+    /// Applied record.
+    pub record: Arc<Record>,
+    /// End of the lease; requests start only strictly before it.
+    pub until: Option<Moment>,
+    /// Slices that are being released: owned by the record, refused all the same.
+    pub held: Arc<BTreeSet<u16>>,
+    /// Hot keys that are being released.
+    pub held_hot: Arc<BTreeSet<KeyHash>>,
+}
+
+/// Why a request for a key may not start here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Refusal {
+    /// Another member owns the key.
+    #[error("the key is owned by member {0:#x}")]
+    Elsewhere(BootId),
+    /// No member owns the key.
+    #[error("the key has no owner")]
+    Unowned,
+    /// The lease has ended and is not yet renewed.
+    #[error("the owner's lease has ended")]
+    LeaseEnded,
+    /// The key is on its way to another owner.
+    #[error("the key is moving to another owner")]
+    Moving,
+}
+
+impl Serving {
+    /// Whether a request for the key whose hash is `hash` may start at `now`.
+    ///
+    /// # Errors
+    /// Why it may not; every [`Refusal`] is a true "not run".
+    pub fn check(&self, now: Moment, hash: KeyHash) -> Result<(), Refusal> {
+        match self.record.owner_of(hash) {
+            None => return Err(Refusal::Unowned),
+            Some(owner) if owner != self.me => return Err(Refusal::Elsewhere(owner)),
+            Some(_) => {}
+        }
+        if self.until.is_none_or(|until| now >= until) {
+            return Err(Refusal::LeaseEnded);
+        }
+        if self.is_held(hash) {
+            return Err(Refusal::Moving);
+        }
+        Ok(())
+    }
+
+    fn is_held(&self, hash: KeyHash) -> bool {
+        if self.record.hot.contains_key(&hash) {
+            return self.held_hot.contains(&hash);
+        }
+        self.held.contains(&slice_of(hash, self.record.slice_count()))
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure placement: which upstream owns which slice, and who witnesses whom.
--- /dev/null
+++ b/crates/rattanarch_platform/src/lib.rs
@@ -0,0 +1,13 @@
+//! Client for the platform's object API, as `docs/PLATFORM-API.md` states it.
+//!
+//! Every call blocks its thread and ends within the client's timeout. Errors say whether a write
+//! may have taken effect.
+
+mod client;
+mod error;
+mod object;
+
+pub use client::Platform;
+pub use error::PlatformError;
+pub use object::Object;
+pub use object::Put;
--- /dev/null
+++ b/crates/rattanarch_types/src/lib.rs
@@ -0,0 +1,46 @@
+//! Vocabulary shared by every rattanarch crate.
+//!
+//! A *firm* runs *services*. A service is divided into *slices* of its key space, and each slice
+//! has at most one *owner*: a *member* of the service, which is one life of an instance, named by
+//! its [`BootId`]. The [`Record`] of a service says who owns what; the [`Configuration`] of a firm
+//! says what its operators want. Both live in the platform's object API and change only by
+//! conditional update.
+//!
+//! This crate holds plain data and no I/O, no clock and no randomness.
+
+mod configuration;
+mod ids;
+mod instant;
+mod key;
+mod member;
+mod record;
+mod route;
+mod verdict;
+
+pub use configuration::Configuration;
+pub use configuration::DataCentre;
+pub use configuration::Service;
+pub use configuration::Sharing;
+pub use configuration::Standing;
+pub use ids::BootId;
+pub use ids::DataCentreName;
+pub use ids::Fence;
+pub use ids::FirmName;
+pub use ids::InstanceId;
+pub use ids::OperatorName;
+pub use ids::ServiceName;
+pub use ids::SliceId;
+pub use ids::Version;
+pub use ids::WriteId;
+pub use instant::Moment;
+pub use key::KeyHash;
+pub use key::hash_key;
+pub use key::slice_of;
+pub use member::Member;
+pub use record::Record;
+pub use record::RecordError;
+pub use route::KeySource;
+pub use route::Priority;
+pub use route::Route;
+pub use verdict::Verdict;
+pub use verdict::VerdictError;
--- /dev/null
+++ b/crates/rattanarch_types/src/member.rs
@@ -0,0 +1,38 @@
+//! One life of an instance in a service.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::BootId;
+use crate::DataCentreName;
+use crate::InstanceId;
+use crate::Version;
+
+/// A member of a service: a daemon and the upstream beside it, from its join until it leaves, is
+/// taken over, or rejoins under a new boot id.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Slot that the daemon runs in. At most one member of a record has a given instance.
+    pub instance: InstanceId,
+    /// Data centre from the daemon's settings.
+    pub data_centre: DataCentreName,
+    /// Where peers send lease datagrams (UDP) and open bulk connections (TCP).
+    pub peer: SocketAddr,
+    /// Where callers and forwarding daemons reach it over HTTP.
+    pub caller: SocketAddr,
+    /// Concurrent requests that its upstream bears when warm; at least 1.
+    pub slots: u16,
+    /// Record version at which this member joined or last changed `witnesses`.
+    ///
+    /// Witnesses acknowledge leases of a term, never of a record version, so that a change that
+    /// does not concern this member leaves its lease alone.
+    pub term: Version,
+    /// Members that renew this member's lease; a majority of them is needed.
+    ///
+    /// Never contains the member itself. Empty only while fewer than two members exist.
+    pub witnesses: Vec<BootId>,
+    /// Whether the member is on its way out: it takes no slices and no witness duty.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/crates/rattanarch_types/src/record.rs
@@ -0,0 +1,145 @@
+//! The ownership record of one service.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::BootId;
+use crate::KeyHash;
+use crate::Member;
+use crate::ServiceName;
+use crate::SliceId;
+use crate::Version;
+use crate::WriteId;
+use crate::slice_of;
+
+/// Who owns what in one service; one object in the platform, changed only by conditional update.
+///
+/// A service without keys has no slices and uses only `members`.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// Service that the record is of.
+    pub service: ServiceName,
+    /// One more than the version that the write replaced; equals the platform's object version.
+    pub version: Version,
+    /// Unique to the write that made this version.
+    pub write_id: WriteId,
+    /// Lives of instances in the service. Map keys are unique over all records.
+    pub members: BTreeMap<BootId, Member>,
+    /// Owner of each slice, by slice id; `None` before the first member joins or while every
+    /// former owner is gone. Each owner is a key of `members`.
+    pub owners: Vec<Option<BootId>>,
+    /// Owners of hot keys, which override the owner of the key's slice. Each owner is a key of
+    /// `members`.
+    pub hot: BTreeMap<KeyHash, BootId>,
+}
+
+/// A record that breaks one of its invariants.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum RecordError {
+    /// A slice belongs to a boot id that is no member.
+    #[error("slice {slice} of service {service:?} is owned by {owner:#x}, which is no member")]
+    OwnerUnknown {
+        /// Service of the record.
+        service: ServiceName,
+        /// Slice with the bad owner.
+        slice: SliceId,
+        /// The owner that is no member.
+        owner: BootId,
+    },
+    /// A hot key belongs to a boot id that is no member.
+    #[error("hot key {key:#x} of service {service:?} is owned by {owner:#x}, which is no member")]
+    HotOwnerUnknown {
+        /// Service of the record.
+        service: ServiceName,
+        /// Hash of the key with the bad owner.
+        key: KeyHash,
+        /// The owner that is no member.
+        owner: BootId,
+    },
+    /// Two members share one instance.
+    #[error("instance {instance:?} is twice a member of service {service:?}")]
+    InstanceTwice {
+        /// Service of the record.
+        service: ServiceName,
+        /// The instance that stands twice.
+        instance: String,
+    },
+    /// A member witnesses itself.
+    #[error("member {member:#x} of service {service:?} is its own witness")]
+    OwnWitness {
+        /// Service of the record.
+        service: ServiceName,
+        /// The member.
+        member: BootId,
+    },
+}
+
+impl Record {
+    /// An empty record at version 0, which no store holds yet.
+    pub fn new(service: impl Into<ServiceName>, slices: SliceId) -> Self {
+        Self { service: service.into(), owners: vec![None; usize::from(slices)], ..Self::default() }
+    }
+
+    /// Number of slices; 0 for a service without keys.
+    pub fn slice_count(&self) -> SliceId {
+        self.owners.len() as SliceId
+    }
+
+    /// Owner of the key whose hash is `hash`.
+    pub fn owner_of(&self, hash: KeyHash) -> Option<BootId> {
+        if let Some(owner) = self.hot.get(&hash) {
+            return Some(*owner);
+        }
+        let slice = slice_of(hash, self.slice_count());
+        self.owners.get(usize::from(slice)).copied().flatten()
+    }
+
+    /// Slices that `member` owns, in order.
+    pub fn slices_of(&self, member: BootId) -> impl Iterator<Item = SliceId> + '_ {
+        let owned = self.owners.iter().enumerate().filter(move |(_, o)| **o == Some(member));
+        owned.map(|(slice, _)| slice as SliceId)
+    }
+
+    /// Checks every invariant of the record.
+    ///
+    /// # Errors
+    /// The first invariant found broken; see [`RecordError`].
+    pub fn check(&self) -> Result<(), RecordError> {
+        self.check_owners()?;
+        self.check_members()
+    }
+
+    fn check_owners(&self) -> Result<(), RecordError> {
+        for (slice, owner) in self.owners.iter().enumerate() {
+            let Some(owner) = *owner else { continue };
+            if !self.members.contains_key(&owner) {
+                let service = self.service.clone();
+                return Err(RecordError::OwnerUnknown { service, slice: slice as SliceId, owner });
+            }
+        }
+        for (&key, &owner) in &self.hot {
+            if !self.members.contains_key(&owner) {
+                let service = self.service.clone();
+                return Err(RecordError::HotOwnerUnknown { service, key, owner });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_members(&self) -> Result<(), RecordError> {
+        let mut seen = std::collections::BTreeSet::new();
+        for (&member, state) in &self.members {
+            let service = self.service.clone();
+            if !seen.insert(&state.instance) {
+                let instance = state.instance.clone();
+                return Err(RecordError::InstanceTwice { service, instance });
+            }
+            if state.witnesses.contains(&member) {
+                return Err(RecordError::OwnWitness { service, member });
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_types/src/route.rs
@@ -0,0 +1,82 @@
+//! How a service's requests are read.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Where the key of a request stands.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum KeySource {
+    /// The `rattanarch-key` request header.
+    Header,
+    /// A segment of the path after the service's name, counted from 0.
+    Segment(u8),
+}
+
+/// Which requests go first when an upstream is busy.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Priority {
+    /// May wait: reservations and deposits.
+    Deferrable,
+    /// The default.
+    #[default]
+    Normal,
+    /// Goes first: stock checks, spot conditions, map downloads.
+    Urgent,
+}
+
+/// Rule for the requests of a service whose path starts with `prefix`; the longest prefix wins.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Route {
+    /// Start of the path after `/{service}`; begins with `/`.
+    pub prefix: String,
+    /// Where the key stands; ignored for services without keys.
+    pub key: KeySource,
+    /// Which requests go first when an upstream is busy.
+    pub priority: Priority,
+    /// Longest time from the caller's first byte to its answer's first byte.
+    pub timeout: Duration,
+}
+
+impl Default for Route {
+    fn default() -> Self {
+        Self {
+            prefix: "/".to_owned(),
+            key: KeySource::Header,
+            priority: Priority::Normal,
+            timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+impl Route {
+    /// Sets the path prefix.
+    pub fn with_prefix(mut self, prefix: impl Into<String>) -> Self {
+        self.prefix = prefix.into();
+        self
+    }
+
+    /// Sets where the key stands.
+    pub fn with_key(mut self, key: KeySource) -> Self {
+        self.key = key;
+        self
+    }
+
+    /// Sets the priority.
+    pub fn with_priority(mut self, priority: Priority) -> Self {
+        self.priority = priority;
+        self
+    }
+
+    /// Sets the timeout.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Wire types and the authenticated codec between daemons.
--- /dev/null
+++ b/crates/rattanarchd/src/main.rs
@@ -0,0 +1,2 @@
+//! The daemon.
+fn main() {}
--- /dev/null
+++ b/crates/rattanarchd/src/process/clock.rs
@@ -0,0 +1,20 @@
+//! The daemon's clock.
+
+use std::time::Duration;
+
+use rattanarch_types::Moment;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+/// Reads `CLOCK_BOOTTIME`, which counts the time that the machine was suspended: a lease must not
+/// outlast a suspension that its holder did not notice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock;
+
+impl Clock {
+    /// The time now, since the machine's start.
+    pub fn now(self) -> Moment {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+    }
+}
--- /dev/null
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! What lives for one request.
