Reach the platform with ureq

The daemon needs the object API behind the given signatures. An agent with a keep-alive pool of 8, no redirects and no proxy of the environment, which ureq would otherwise take. Only errors that arise before the first byte can have left (refused, resolve or connect timeout) and a 503 are NotTaken; unreachable-host errors also arise on established connections and stay NoAnswer, as do server errors and an acceptance that cannot be read. The token is left out of Debug.

--- a/crates/rattanarch_platform/src/lib.rs
+++ b/crates/rattanarch_platform/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod client;
 mod error;
+mod failure;
 mod object;
+mod wire;
 
 pub use client::Platform;
 pub use error::PlatformError;
