Give the configuration the newest audit entries

Cause: a change and its audit entry in two objects can part: a crash or a lost answer between the two writes leaves a change without an entry. Ruled out: entry first (entries of changes that never happened), entry after (lost ones). One conditional update of one object carries both. Peers can pass on copies without the trail (without_trail); the field defaults to empty when absent.

--- a/crates/rattanarch_types/src/configuration.rs
+++ b/crates/rattanarch_types/src/configuration.rs
@@ -13,6 +13,7 @@
 use crate::Route;
 use crate::ServiceName;
 use crate::SliceId;
+use crate::Trail;
 use crate::Version;
 use crate::WriteId;
 
@@ -84,4 +85,23 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Data centres by name.
     pub data_centres: BTreeMap<DataCentreName, DataCentre>,
+    /// Newest entries of the audit trail; empty in copies that peers pass on.
+    #[serde(default)]
+    pub trail: Trail,
+}
+
+impl Configuration {
+    /// A copy for peers, which need no audit entries.
+    ///
+    /// The trail is most of a small configuration's bytes, and commands read the platform's copy.
+    pub fn without_trail(&self) -> Self {
+        Self {
+            firm: self.firm.clone(),
+            version: self.version,
+            write_id: self.write_id,
+            services: self.services.clone(),
+            data_centres: self.data_centres.clone(),
+            trail: Trail::default(),
+        }
+    }
 }
--- /dev/null
+++ b/crates/rattanarch_types/src/object.rs
@@ -0,0 +1,69 @@
+//! What an operator's command is about.
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::BootId;
+use crate::DataCentreName;
+use crate::InstanceId;
+use crate::ServiceName;
+
+/// Part of a firm's configuration that a command changes.
+#[derive(Clone, Debug, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Object {
+    /// A service with everything in it.
+    #[display("service {_0}")]
+    Service(ServiceName),
+    /// One routing rule of a service.
+    #[display("route {prefix} of service {service}")]
+    Route {
+        /// Service of the rule.
+        service: ServiceName,
+        /// Path prefix of the rule.
+        prefix: String,
+    },
+    /// One instance of a service.
+    #[display("upstream {instance} of service {service}")]
+    Instance {
+        /// Service of the instance.
+        service: ServiceName,
+        /// The instance.
+        instance: InstanceId,
+    },
+    /// One life of an instance of a service.
+    #[display("boot id {boot:#x} of service {service}")]
+    Life {
+        /// Service of the instance.
+        service: ServiceName,
+        /// The life.
+        boot: BootId,
+    },
+    /// A data centre.
+    #[display("data centre {_0}")]
+    DataCentre(DataCentreName),
+}
+
+impl Object {
+    /// Whether a change of one may contradict a change of the other: they are the same, or one
+    /// contains the other.
+    pub fn overlaps(&self, other: &Self) -> bool {
+        self == other || self.contains(other) || other.contains(self)
+    }
+
+    fn contains(&self, other: &Self) -> bool {
+        matches!(self, Self::Service(name) if other.service() == Some(name))
+    }
+
+    /// Service that it belongs to; `None` for a data centre.
+    pub fn service(&self) -> Option<&ServiceName> {
+        match self {
+            Self::Service(service)
+            | Self::Route { service, .. }
+            | Self::Instance { service, .. }
+            | Self::Life { service, .. } => Some(service),
+            Self::DataCentre(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_types/src/trail.rs
@@ -0,0 +1,55 @@
+//! The newest part of a firm's audit trail.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::FirmName;
+use crate::Object;
+use crate::OperatorName;
+use crate::Version;
+use crate::WriteId;
+
+/// Position of an entry in a firm's audit trail, from 0, without gaps.
+pub type Serial = u64;
+
+/// One accepted change of a firm's configuration.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entry {
+    /// Position in the firm's trail.
+    pub serial: Serial,
+    /// When the daemon wrote it, by its wall clock, in ms since the Unix epoch.
+    pub time_ms: u64,
+    /// Who gave the command.
+    pub operator: OperatorName,
+    /// Firm of the operator; `None` for the shared rota.
+    pub firm: Option<FirmName>,
+    /// The command in the operators' language.
+    pub command: String,
+    /// What it changed.
+    pub object: Object,
+    /// Configuration version that it was applied to.
+    pub before: Version,
+    /// Configuration version that it made; `before` + 1.
+    pub after: Version,
+    /// Write id of that version.
+    pub write_id: WriteId,
+}
+
+/// Entries that are not yet only in audit pages.
+///
+/// They stand in the configuration itself, so that one conditional update stores the change and
+/// its entry. Serials rise by one from `start`.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Trail {
+    /// Serial of the first entry; all before it are in audit pages.
+    pub start: Serial,
+    /// Entries, oldest first.
+    pub entries: Vec<Entry>,
+}
+
+impl Trail {
+    /// Serial that the next entry gets.
+    pub fn next(&self) -> Serial {
+        self.start + self.entries.len() as Serial
+    }
+}
