--- /dev/null
+++ b/crates/rattanarch_config/src/answer.rs
@@ -0,0 +1,131 @@
+//! What the operators' program and a daemon say to each other, as JSON.
+
+use rattanarch_types::Entry;
+use rattanarch_types::FirmName;
+use rattanarch_types::Version;
+use rattanarch_types::WriteId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Table;
+
+/// Body of `POST /operate`.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Request {
+    /// One statement of the operators' language.
+    pub statement: String,
+    /// Configuration version that a command is for; any other is refused.
+    pub expected: Option<Version>,
+    /// Configuration version that the operator saw; a later change of the same object is refused.
+    pub seen: Option<Version>,
+    /// Whether the risk of a command is accepted, as by the word `twice`.
+    pub confirmed: bool,
+    /// The write id of an earlier answer, to repeat a command whose outcome is unknown.
+    pub write_id: Option<WriteId>,
+}
+
+/// How many members of one service report a configuration version at or above a wanted one.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Coverage {
+    /// Members whose version this daemon knows to be at or above it.
+    pub reported: usize,
+    /// Members of the service that this daemon is in.
+    pub members: usize,
+    /// Services of the firm that this daemon has no reports of.
+    pub unseen: Vec<String>,
+}
+
+impl Coverage {
+    /// Whether the version is known to be in force at all members that this daemon can see.
+    pub fn is_full(&self) -> bool {
+        self.members > 0 && self.reported == self.members
+    }
+}
+
+/// Body of the answer to `POST /operate`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(tag = "outcome", rename_all = "kebab-case")]
+pub enum Answer {
+    /// A query was answered.
+    Table {
+        /// Firm that it was about.
+        firm: FirmName,
+        /// The rows.
+        table: Table,
+        /// Configuration version that it shows.
+        version: Version,
+        /// Age of the oldest part of it, in ms; 0 when just read from the platform.
+        age_ms: u64,
+        /// Why the answer is not fresh, or is not whole.
+        notes: Vec<String>,
+    },
+    /// A command is stored. It is in force where `coverage` says.
+    Accepted {
+        /// Firm whose configuration changed.
+        firm: FirmName,
+        /// Version that it made.
+        version: Version,
+        /// Write id of that version.
+        write_id: WriteId,
+        /// Where it is in force, as of the answer.
+        coverage: Coverage,
+        /// Warnings.
+        notes: Vec<String>,
+    },
+    /// The configuration already was as the command wants it.
+    AlreadySo {
+        /// Firm of the configuration.
+        firm: FirmName,
+        /// Version at which it was so.
+        version: Version,
+        /// Where that version is in force, as of the answer.
+        coverage: Coverage,
+    },
+    /// What a command would do.
+    DryRun {
+        /// Firm of the configuration.
+        firm: FirmName,
+        /// Version that it was tried on.
+        version: Version,
+        /// What would change and move.
+        effects: Vec<String>,
+    },
+    /// A command is not accepted and will not be.
+    NotAccepted {
+        /// Why.
+        reason: String,
+        /// The change that came first, for a lost race.
+        winner: Option<Box<Entry>>,
+        /// Whether saying it twice would get it accepted.
+        risk: bool,
+    },
+    /// A command may have been stored, or may still be; repeat it with its write id.
+    Unknown {
+        /// Write id to repeat it with.
+        write_id: WriteId,
+        /// What went wrong.
+        reason: String,
+    },
+    /// A condition was checked.
+    Condition {
+        /// Whether it holds.
+        met: bool,
+        /// What it was checked against.
+        detail: String,
+    },
+    /// A query could not be answered.
+    Failed {
+        /// Why.
+        reason: String,
+    },
+    /// The statement is not in the language.
+    Malformed {
+        /// What is wrong.
+        reason: String,
+        /// Column of the fault in the statement, from 1.
+        column: usize,
+        /// Nearest word that would fit.
+        nearest: Option<String>,
+    },
+}
--- /dev/null
+++ b/crates/rattanarch_config/src/edit.rs
@@ -0,0 +1,290 @@
+//! How each command changes a configuration, its version and trail left alone.
+
+use std::time::Duration;
+
+use rattanarch_types::BootId;
+use rattanarch_types::Configuration;
+use rattanarch_types::DataCentre;
+use rattanarch_types::Object;
+use rattanarch_types::Route;
+use rattanarch_types::Service;
+use rattanarch_types::Sharing;
+use rattanarch_types::Standing;
+
+use crate::Command;
+use crate::CommandError;
+use crate::RouteChange;
+
+/// Most services of a firm. With the limits below, a configuration stays far below the platform's
+/// 1 MiB in any use that fits its fleet; the daemon checks the size itself.
+const SERVICE_LIMIT: usize = 256;
+/// Most data centres of a firm.
+const DATA_CENTRE_LIMIT: usize = 256;
+/// Most routing rules of a service.
+const ROUTE_LIMIT: usize = 64;
+/// Most instances of a service that are out.
+const OUT_LIMIT: usize = 1_024;
+/// Most lives of a service that are declared lost.
+const LOST_LIMIT: usize = 1_024;
+/// Longest name, in bytes.
+const NAME_LIMIT: usize = 64;
+/// Longest path prefix, in bytes.
+const PREFIX_LIMIT: usize = 256;
+/// Longest timeout of a rule.
+const TIMEOUT_LIMIT: Duration = Duration::from_secs(3_600);
+/// Most slices of a service.
+const SLICE_LIMIT: u16 = 4_096;
+
+type Edited = Result<(), CommandError>;
+
+/// Makes `next` what `command` wants; leaves it equal when it already is.
+pub(crate) fn edit(next: &mut Configuration, command: &Command, confirmed: bool) -> Edited {
+    match command {
+        Command::CreateService { service, sharing, route } => {
+            create_service(next, service, *sharing, *route)
+        }
+        Command::ChangeService { service, route } => change_route(next, service, "/", *route),
+        Command::RemoveService { service } => remove_service(next, service, confirmed),
+        Command::CreateDataCentre { name, region } => create_data_centre(next, name, region),
+        Command::ChangeDataCentre { name, region } => {
+            check_name(region)?;
+            data_centre(next, name)?.region.clone_from(region);
+            Ok(())
+        }
+        Command::RemoveDataCentre { name } => remove_data_centre(next, name),
+        Command::CreateRoute { service, prefix, route } => {
+            create_route(next, service, prefix, *route)
+        }
+        Command::ChangeRoute { service, prefix, route } => {
+            change_route(next, service, prefix, *route)
+        }
+        Command::RemoveRoute { service, prefix } => remove_route(next, service, prefix, confirmed),
+        Command::SetDataCentre { name, standing } => {
+            set_data_centre(next, name, *standing, confirmed)
+        }
+        Command::SetInstance { service, instance, standing } => {
+            set_instance(next, service, instance, *standing)
+        }
+        Command::DeclareLost { service, boot } => declare_lost(next, service, *boot, confirmed),
+    }
+}
+
+fn create_service(
+    next: &mut Configuration,
+    name: &str,
+    sharing: Sharing,
+    change: RouteChange,
+) -> Edited {
+    check_name(name)?;
+    check_slices(name, sharing)?;
+    let route = changed(Route::default(), change)?;
+    let Some(service) = next.services.get(name) else {
+        check_room("services", next, next.services.len(), SERVICE_LIMIT)?;
+        let service = Service { sharing, routes: vec![route], ..Service::default() };
+        next.services.insert(name.to_owned(), service);
+        return Ok(());
+    };
+    if service.sharing == sharing && service.routes.contains(&route) {
+        return Ok(());
+    }
+    Err(exists(next, Object::Service(name.to_owned())))
+}
+
+fn remove_service(next: &mut Configuration, name: &str, confirmed: bool) -> Edited {
+    if next.services.contains_key(name) && !confirmed {
+        return Err(CommandError::Removal(name.to_owned()));
+    }
+    next.services.remove(name);
+    Ok(())
+}
+
+fn create_data_centre(next: &mut Configuration, name: &str, region: &str) -> Edited {
+    check_name(name)?;
+    check_name(region)?;
+    let Some(found) = next.data_centres.get(name) else {
+        check_room("data centres", next, next.data_centres.len(), DATA_CENTRE_LIMIT)?;
+        let data_centre = DataCentre { region: region.to_owned(), standing: Standing::In };
+        next.data_centres.insert(name.to_owned(), data_centre);
+        return Ok(());
+    };
+    if found.region == region {
+        return Ok(());
+    }
+    Err(exists(next, Object::DataCentre(name.to_owned())))
+}
+
+fn remove_data_centre(next: &mut Configuration, name: &str) -> Edited {
+    match next.data_centres.get(name) {
+        Some(found) if found.standing == Standing::In => {
+            Err(CommandError::InService(name.to_owned()))
+        }
+        _ => {
+            next.data_centres.remove(name);
+            Ok(())
+        }
+    }
+}
+
+fn set_data_centre(
+    next: &mut Configuration,
+    name: &str,
+    standing: Standing,
+    confirmed: bool,
+) -> Edited {
+    let others = next.data_centres.iter().filter(|(other, _)| *other != name);
+    let others_in = others.filter(|(_, other)| other.standing == Standing::In).count();
+    let firm = next.firm.clone();
+    let found = data_centre(next, name)?;
+    let is_last = standing == Standing::Out && found.standing == Standing::In && others_in == 0;
+    if is_last && !confirmed {
+        return Err(CommandError::LastDataCentre { name: name.to_owned(), firm });
+    }
+    found.standing = standing;
+    Ok(())
+}
+
+fn set_instance(
+    next: &mut Configuration,
+    name: &str,
+    instance: &str,
+    standing: Standing,
+) -> Edited {
+    check_name(instance)?;
+    let out = service(next, name)?.out.len();
+    if standing == Standing::Out {
+        check_room("instances that are out", next, out, OUT_LIMIT)?;
+    }
+    let service = service(next, name)?;
+    match standing {
+        Standing::Out => service.out.insert(instance.to_owned()),
+        Standing::In => service.out.remove(instance),
+    };
+    Ok(())
+}
+
+fn declare_lost(next: &mut Configuration, name: &str, boot: BootId, confirmed: bool) -> Edited {
+    let lost = &service(next, name)?.lost;
+    if lost.contains(&boot) {
+        return Ok(());
+    }
+    if !confirmed {
+        return Err(CommandError::LossUnproved(boot));
+    }
+    let lost = lost.len();
+    check_room("lives declared lost", next, lost, LOST_LIMIT)?;
+    service(next, name)?.lost.insert(boot);
+    Ok(())
+}
+
+fn create_route(next: &mut Configuration, name: &str, prefix: &str, change: RouteChange) -> Edited {
+    check_prefix(prefix)?;
+    let route = changed(Route::default().with_prefix(prefix), change)?;
+    let routes = &service(next, name)?.routes;
+    let found = routes.iter().find(|found| found.prefix == prefix);
+    match found {
+        Some(found) if *found == route => Ok(()),
+        Some(_) => Err(exists(next, route_object(name, prefix))),
+        None => {
+            let routes = routes.len();
+            check_room("rules of a service", next, routes, ROUTE_LIMIT)?;
+            service(next, name)?.routes.push(route);
+            Ok(())
+        }
+    }
+}
+
+fn change_route(next: &mut Configuration, name: &str, prefix: &str, change: RouteChange) -> Edited {
+    let firm = next.firm.clone();
+    let routes = &mut service(next, name)?.routes;
+    let Some(route) = routes.iter_mut().find(|route| route.prefix == prefix) else {
+        return Err(CommandError::Missing { object: route_object(name, prefix), firm });
+    };
+    *route = changed(route.clone(), change)?;
+    Ok(())
+}
+
+fn remove_route(next: &mut Configuration, name: &str, prefix: &str, confirmed: bool) -> Edited {
+    let routes = &mut service(next, name)?.routes;
+    let is_last = routes.iter().all(|route| route.prefix == prefix) && !routes.is_empty();
+    if is_last && !confirmed {
+        return Err(CommandError::NoPlace(name.to_owned()));
+    }
+    routes.retain(|route| route.prefix != prefix);
+    Ok(())
+}
+
+fn changed(mut route: Route, change: RouteChange) -> Result<Route, CommandError> {
+    if let Some(key) = change.key {
+        route.key = key;
+    }
+    if let Some(priority) = change.priority {
+        route.priority = priority;
+    }
+    if let Some(timeout) = change.timeout {
+        if timeout < Duration::from_millis(1) || timeout > TIMEOUT_LIMIT {
+            return Err(CommandError::Timeout);
+        }
+        route.timeout = timeout;
+    }
+    Ok(route)
+}
+
+fn service<'a>(next: &'a mut Configuration, name: &str) -> Result<&'a mut Service, CommandError> {
+    let firm = &next.firm;
+    next.services.get_mut(name).ok_or_else(|| CommandError::Missing {
+        object: Object::Service(name.to_owned()),
+        firm: firm.clone(),
+    })
+}
+
+fn data_centre<'a>(
+    next: &'a mut Configuration,
+    name: &str,
+) -> Result<&'a mut DataCentre, CommandError> {
+    let firm = &next.firm;
+    next.data_centres.get_mut(name).ok_or_else(|| CommandError::Missing {
+        object: Object::DataCentre(name.to_owned()),
+        firm: firm.clone(),
+    })
+}
+
+fn route_object(service: &str, prefix: &str) -> Object {
+    Object::Route { service: service.to_owned(), prefix: prefix.to_owned() }
+}
+
+fn exists(next: &Configuration, object: Object) -> CommandError {
+    CommandError::Exists { object, firm: next.firm.clone() }
+}
+
+fn check_room(what: &'static str, next: &Configuration, count: usize, limit: usize) -> Edited {
+    if count < limit {
+        return Ok(());
+    }
+    Err(CommandError::Full { what, firm: next.firm.clone(), limit })
+}
+
+fn check_name(name: &str) -> Edited {
+    let is_good = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
+    if !name.is_empty() && name.len() <= NAME_LIMIT && name.chars().all(is_good) {
+        return Ok(());
+    }
+    Err(CommandError::Name(name.to_owned()))
+}
+
+fn check_prefix(prefix: &str) -> Edited {
+    let is_good = |c: char| c.is_ascii_graphic();
+    let fits = prefix.starts_with('/') && prefix.len() <= PREFIX_LIMIT;
+    if fits && prefix.chars().all(is_good) {
+        return Ok(());
+    }
+    Err(CommandError::Prefix(prefix.to_owned()))
+}
+
+fn check_slices(service: &str, sharing: Sharing) -> Edited {
+    match sharing {
+        Sharing::Keyed(slices) if !(1..=SLICE_LIMIT).contains(&slices) => {
+            Err(CommandError::Slices { service: service.to_owned(), slices })
+        }
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_config/src/held.rs
@@ -0,0 +1,32 @@
+//! What a daemon knows of one stored object.
+
+use rattanarch_types::Version;
+
+/// Newest known version of an object. It never goes back to a lower one.
+#[derive(Clone, Debug, Default)]
+pub struct Held<T> {
+    version: Version,
+    value: Option<T>,
+}
+
+impl<T> Held<T> {
+    /// Takes `value` if its version is higher than the held one; says whether it did.
+    pub fn offer(&mut self, version: Version, value: T) -> bool {
+        let is_newer = self.value.is_none() || version > self.version;
+        if is_newer {
+            self.version = version;
+            self.value = Some(value);
+        }
+        is_newer
+    }
+
+    /// Version of the held value; 0 before there is one.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The held value.
+    pub fn get(&self) -> Option<&T> {
+        self.value.as_ref()
+    }
+}
