--- a/crates/rattanarch_wire/src/bulk.rs
+++ b/crates/rattanarch_wire/src/bulk.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Knowledge;
 use crate::WireRecord;
 
 /// Asks a member for what it holds above the given versions.
@@ -32,4 +33,6 @@
     pub record: Option<WireRecord>,
     /// The configuration, if newer than asked for.
     pub configuration: Option<Configuration>,
+    /// What the answering member holds, also when nothing is newer.
+    pub knowledge: Knowledge,
 }
--- /dev/null
+++ b/crates/rattanarchd/src/version/intent.rs
@@ -0,0 +1,28 @@
+//! What a configuration wants of the members of a record.
+
+use rattanarch_types::BootId;
+use rattanarch_types::Configuration;
+use rattanarch_types::Member;
+use rattanarch_types::Record;
+use rattanarch_types::Standing;
+
+/// Members that take no new work: out themselves, or in a data centre that is out.
+pub(crate) fn barred_members(configuration: &Configuration, record: &Record) -> Vec<BootId> {
+    let is_barred = |member: &Member| is_barred(configuration, &record.service, member);
+    let barred = record.members.iter().filter(|(_, member)| is_barred(member));
+    barred.map(|(boot, _)| *boot).collect()
+}
+
+/// Members that an operator has declared lost.
+pub(crate) fn lost_members(configuration: &Configuration, record: &Record) -> Vec<BootId> {
+    let Some(service) = configuration.services.get(&record.service) else { return Vec::new() };
+    service.lost.iter().copied().filter(|boot| record.members.contains_key(boot)).collect()
+}
+
+/// Whether a member of `service` takes no new work.
+pub(crate) fn is_barred(configuration: &Configuration, service: &str, member: &Member) -> bool {
+    let data_centre = configuration.data_centres.get(&member.data_centre);
+    let data_centre_out = data_centre.is_some_and(|it| it.standing == Standing::Out);
+    let service = configuration.services.get(service);
+    data_centre_out || service.is_some_and(|it| it.out.contains(&member.instance))
+}
--- /dev/null
+++ b/crates/rattanarchd/src/version/watchers.rs
@@ -0,0 +1,30 @@
+//! Which members watch the platform.
+
+use std::collections::BTreeSet;
+
+use rattanarch_types::BootId;
+use rattanarch_types::Record;
+use rattanarch_types::hash_key;
+
+/// Members of a service that watch the platform; the others learn from them by gossip. Two, in
+/// different data centres where there are any, so that the loss of one does not delay a change.
+const WATCHERS: usize = 2;
+
+/// Whether `me` watches the platform on behalf of the members of `record`.
+///
+/// A process that is no member has nobody to learn from, and watches.
+pub(crate) fn is_watcher(record: &Record, me: BootId) -> bool {
+    if !record.members.contains_key(&me) {
+        return true;
+    }
+    watchers(record).contains(&me)
+}
+
+fn watchers(record: &Record) -> Vec<BootId> {
+    let mut ranked: Vec<_> = record.members.iter().collect();
+    ranked.sort_by_key(|(boot, _)| (hash_key(&format!("watcher/{boot:x}")), **boot));
+    let mut data_centres = BTreeSet::new();
+    let (first, rest): (Vec<_>, Vec<_>) =
+        ranked.into_iter().partition(|(_, member)| data_centres.insert(&member.data_centre));
+    first.into_iter().chain(rest).take(WATCHERS).map(|(boot, _)| *boot).collect()
+}
