Join, take unowned slices and renew leases: a thin node

A first version for the daemon: joins by conditional update, self-succession after Event::Fenced, leases counted from the send of requests, acknowledgements by witnesses, platform answers in place of a lease for a member without witnesses.

Contract changes: Event::Record has read_sent; Event::Fenced is new (never sent: the node waits until its old life is taken over); Renew and Ack carry the sender's load, so that hot keys can go to a less loaded member; Message is Copy.

--- /dev/null
+++ b/crates/rattanarch_ownership/src/acks.rs
@@ -0,0 +1,54 @@
+//! Acknowledgements of one term of an owner.
+
+use std::collections::BTreeMap;
+
+use rattanarch_types::BootId;
+use rattanarch_types::Moment;
+use rattanarch_types::Version;
+
+/// Newest acknowledgement of each witness for one term.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Acks {
+    /// Term that is acknowledged.
+    pub(crate) term: Version,
+    /// Since when it may be acknowledged.
+    began: Moment,
+    /// Who may acknowledge it.
+    pub(crate) witnesses: Vec<BootId>,
+    /// Send time of the newest acknowledged request, by witness.
+    sent: BTreeMap<BootId, Moment>,
+}
+
+impl Acks {
+    pub(crate) fn new(began: Moment, term: Version, witnesses: Vec<BootId>) -> Self {
+        Self { term, began, witnesses, sent: BTreeMap::new() }
+    }
+
+    /// Takes an acknowledgement; one of another term or from no witness is ignored.
+    pub(crate) fn take(&mut self, from: BootId, term: Version, sent: Moment) {
+        if term != self.term || !self.witnesses.contains(&from) {
+            return;
+        }
+        let newest = self.sent.entry(from).or_default();
+        *newest = sent.max(*newest);
+    }
+
+    /// Send time that a majority has acknowledged, or a later one; `None` without a majority, and
+    /// without witnesses.
+    pub(crate) fn majority(&self) -> Option<Moment> {
+        let mut sent: Vec<_> = self.sent.values().copied().collect();
+        sent.sort_unstable_by(|a, b| b.cmp(a));
+        sent.get(majority_of(self.witnesses.len())?.checked_sub(1)?).copied()
+    }
+
+    /// Witnesses whose newest acknowledged request was sent before `moment`.
+    pub(crate) fn silent(&self, moment: Moment) -> Vec<BootId> {
+        let newest = |id: &BootId| self.sent.get(id).copied().unwrap_or_default().max(self.began);
+        self.witnesses.iter().copied().filter(|id| newest(id) < moment).collect()
+    }
+}
+
+/// Least count that is more than half of `count`; `None` for none.
+pub(crate) fn majority_of(count: usize) -> Option<usize> {
+    (count > 0).then_some(count / 2 + 1)
+}
--- /dev/null
+++ b/crates/rattanarch_ownership/src/backoff.rs
@@ -0,0 +1,37 @@
+//! Pauses between updates that meet conflicts.
+
+use std::time::Duration;
+
+use rattanarch_types::Moment;
+
+use crate::draws::Draws;
+
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_280);
+
+/// Exponential backoff with jitter.
+#[derive(Debug, Default)]
+pub(crate) struct Backoff {
+    failures: u32,
+    until: Moment,
+}
+
+impl Backoff {
+    /// Whether the pause is over.
+    pub(crate) fn is_over(&self, now: Moment) -> bool {
+        now >= self.until
+    }
+
+    /// Starts the next, longer pause and returns its end.
+    pub(crate) fn fail(&mut self, now: Moment, draws: &mut Draws) -> Moment {
+        let factor = 1 << self.failures.min(6);
+        self.failures += 1;
+        self.until = now + draws.jitter((FIRST_PAUSE * factor).min(LONGEST_PAUSE));
+        self.until
+    }
+
+    /// Ends the pause.
+    pub(crate) fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -0,0 +1,217 @@
+//! What every stage of a member's life has.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use rattanarch_types::BootId;
+use rattanarch_types::Member;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+use rattanarch_types::WriteId;
+
+use crate::Action;
+use crate::Message;
+use crate::Rules;
+use crate::Timing;
+use crate::WriteOutcome;
+use crate::attempt::ANSWER_TIMEOUT;
+use crate::attempt::Attempt;
+use crate::backoff::Backoff;
+use crate::contact::Contact;
+use crate::draws::Draws;
+
+/// The applied record, the one update on its way, and the actions of the current step.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) me: BootId,
+    pub(crate) member: Member,
+    pub(crate) timing: Timing,
+    pub(crate) rules: Rules,
+    pub(crate) draws: Draws,
+    /// Applied record; its version only rises. `None` until the first is known.
+    pub(crate) record: Option<Arc<Record>>,
+    /// When `record` was applied.
+    pub(crate) applied: Moment,
+    pub(crate) contact: Contact,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) backoff: Backoff,
+    /// Members that operators want out.
+    pub(crate) barred: BTreeSet<BootId>,
+    /// Members declared lost, and when this node learned of it.
+    pub(crate) lost: BTreeMap<BootId, Moment>,
+    /// Whether the upstream has fenced off older processes of this slot.
+    pub(crate) fenced: bool,
+    /// When this process last came back from a pause: silence before it is no evidence.
+    pub(crate) awake: Moment,
+    /// Last known requests a second of members, this one included.
+    pub(crate) loads: BTreeMap<BootId, u32>,
+    pub(crate) out: Vec<Action>,
+}
+
+impl Core {
+    pub(crate) fn new(me: BootId, member: Member, timing: Timing, seed: u64) -> Self {
+        Self {
+            me,
+            member,
+            timing,
+            rules: Rules::default(),
+            draws: Draws::new(seed),
+            record: None,
+            applied: Moment::ZERO,
+            contact: Contact::default(),
+            attempt: None,
+            backoff: Backoff::default(),
+            barred: BTreeSet::new(),
+            lost: BTreeMap::new(),
+            fenced: false,
+            awake: Moment::ZERO,
+            loads: BTreeMap::new(),
+            out: Vec::new(),
+        }
+    }
+
+    /// This member in the applied record.
+    pub(crate) fn own(&self) -> Option<&Member> {
+        self.record.as_ref()?.members.get(&self.me)
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        self.record.as_ref().map(|record| record.version).unwrap_or_default()
+    }
+
+    pub(crate) fn send(&mut self, to: BootId, message: Message) {
+        self.out.push(Action::Send { to, message });
+    }
+
+    /// Asks the platform for the record, unless it was asked a moment ago.
+    pub(crate) fn read(&mut self, now: Moment) {
+        if self.contact.ask(now, self.timing.heartbeat / 2) {
+            self.out.push(Action::Read);
+        }
+    }
+
+    /// Asks for the record if a peer has applied a newer one.
+    pub(crate) fn catch_up(&mut self, now: Moment, version: u64) {
+        if version > self.version() {
+            self.read(now);
+        }
+    }
+
+    /// Applies `record` if it is newer, and ends the attempt that it settles.
+    pub(crate) fn apply(&mut self, now: Moment, record: Record) {
+        let newer = self.record.as_ref().is_none_or(|old| record.version > old.version);
+        if !newer && self.rules.rising_versions {
+            return;
+        }
+        let settled = |attempt: &mut Attempt| attempt.record.version <= record.version;
+        self.attempt.take_if(settled);
+        self.record = Some(Arc::new(record));
+        self.applied = now;
+    }
+
+    /// Takes a record that the platform or a peer sent.
+    pub(crate) fn learn(&mut self, now: Moment, record: Record, read_sent: Option<Moment>) {
+        let version = record.version;
+        self.apply(now, record);
+        let Some(sent) = read_sent else { return };
+        self.contact.answer(sent);
+        if version == self.version() {
+            self.confirm_unwitnessed(sent);
+        }
+    }
+
+    /// Notes that the platform showed this member without witnesses, if the applied record does.
+    fn confirm_unwitnessed(&mut self, sent: Moment) {
+        if self.own().is_some_and(|own| own.witnesses.is_empty()) {
+            self.contact.unwitnessed = self.contact.unwitnessed.max(Some(sent));
+        }
+    }
+
+    /// Whether a new update may be sent now.
+    pub(crate) fn can_write(&self, now: Moment) -> bool {
+        self.attempt.is_none() && self.record.is_some() && self.backoff.is_over(now)
+    }
+
+    /// Whether the update `write_id` may still take effect.
+    pub(crate) fn is_pending(&self, write_id: WriteId) -> bool {
+        self.attempt.as_ref().is_some_and(|attempt| attempt.record.write_id == write_id)
+    }
+
+    /// A copy of the applied record with the version and write id of the next update.
+    pub(crate) fn draft(&mut self) -> Record {
+        let mut record = self.record.as_deref().cloned().unwrap_or_default();
+        record.version += 1;
+        record.write_id = self.draws.id();
+        record
+    }
+
+    /// Sends the update `record`, made from [`Core::draft`].
+    pub(crate) fn write(&mut self, now: Moment, record: Record) {
+        self.out.push(Action::Write(record.clone()));
+        let again = now + ANSWER_TIMEOUT;
+        self.attempt = Some(Attempt { record, sent: now, unsure: false, again });
+    }
+
+    /// Takes the end of an update; one of an attempt already settled is ignored.
+    pub(crate) fn written(&mut self, now: Moment, write_id: WriteId, outcome: WriteOutcome) {
+        if !self.is_pending(write_id) {
+            if let WriteOutcome::Conflict(record) = outcome {
+                self.apply(now, record);
+            }
+            return;
+        }
+        match outcome {
+            WriteOutcome::Accepted => self.accept(now),
+            WriteOutcome::Conflict(record) => self.lose(now, record),
+            WriteOutcome::Unknown => self.doubt(now),
+            WriteOutcome::Failed => self.fail(now),
+        }
+    }
+
+    fn accept(&mut self, now: Moment) {
+        let Some(attempt) = self.attempt.take() else { return };
+        self.backoff.reset();
+        self.contact.answer(attempt.sent);
+        self.apply(now, attempt.record);
+        self.confirm_unwitnessed(attempt.sent);
+    }
+
+    fn lose(&mut self, now: Moment, record: Record) {
+        self.backoff.fail(now, &mut self.draws);
+        if let Some(attempt) = &self.attempt {
+            self.contact.answer(attempt.sent);
+        }
+        self.apply(now, record);
+    }
+
+    fn doubt(&mut self, now: Moment) {
+        let again = self.backoff.fail(now, &mut self.draws);
+        if !self.rules.settle_lost_answers {
+            self.attempt = None;
+        }
+        if let Some(attempt) = &mut self.attempt {
+            attempt.unsure = true;
+            attempt.again = again;
+        }
+    }
+
+    fn fail(&mut self, now: Moment) {
+        if self.attempt.as_ref().is_some_and(|attempt| attempt.unsure) {
+            return self.doubt(now);
+        }
+        self.backoff.fail(now, &mut self.draws);
+        self.attempt = None;
+    }
+
+    /// Sends an update without an answer again.
+    pub(crate) fn resend(&mut self, now: Moment) {
+        let Some(attempt) = &mut self.attempt else { return };
+        if now < attempt.again {
+            return;
+        }
+        attempt.unsure = true;
+        attempt.again = now + ANSWER_TIMEOUT;
+        self.out.push(Action::Write(attempt.record.clone()));
+    }
+}
--- a/crates/rattanarch_ownership/src/event.rs
+++ b/crates/rattanarch_ownership/src/event.rs
@@ -4,6 +4,7 @@
 
 use rattanarch_types::BootId;
 use rattanarch_types::KeyHash;
+use rattanarch_types::Moment;
 use rattanarch_types::Record;
 use rattanarch_types::SliceId;
 use rattanarch_types::WriteId;
@@ -15,8 +16,18 @@
 pub enum Event {
     /// Time has passed; sent at least every tenth of a heartbeat.
     Tick,
-    /// A record was read from the platform or a peer; older ones than the applied are ignored.
-    Record(Record),
+    /// A record was read; older ones than the applied are ignored. A service without a record has
+    /// an empty one at version 0.
+    Record {
+        /// What was read.
+        record: Record,
+        /// When the read was sent, if the platform itself answered it; `None` if a peer did, or
+        /// if the answer came by a watch that was sent long ago.
+        read_sent: Option<Moment>,
+    },
+    /// The upstream beside this daemon has taken a fence of this process: it runs nothing for an
+    /// older process in the same slot any more. Never sent for an upstream that checks no fences.
+    Fenced,
     /// A peer's message, its origin proved by the codec.
     Message {
         /// Member that sent it.
--- /dev/null
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -0,0 +1,71 @@
+//! Before a node is a member.
+
+use rattanarch_placement::choose_witnesses;
+use rattanarch_placement::fill;
+use rattanarch_types::BootId;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+
+use crate::core::Core;
+
+/// A node that is not yet a member.
+#[derive(Debug, Default)]
+pub(crate) struct Joining {
+    /// Older life of the same instance, which must end first.
+    pub(crate) old: Option<BootId>,
+}
+
+impl Joining {
+    /// Reads the record, then writes this node into it.
+    pub(crate) fn advance(&mut self, core: &mut Core, now: Moment) {
+        let Some(record) = core.record.clone() else { return core.read(now) };
+        let old = old_life(&record, &core.member.instance);
+        self.old = old.filter(|old| !may_succeed(core, &record, *old));
+        if self.old.is_some() {
+            return core.read(now);
+        }
+        if core.can_write(now) {
+            let draft = draft(core, old);
+            core.write(now, draft);
+        }
+    }
+}
+
+/// The member that is an older life of `instance`.
+fn old_life(record: &Record, instance: &str) -> Option<BootId> {
+    record.members.iter().find(|(_, member)| member.instance == instance).map(|(id, _)| *id)
+}
+
+/// Whether this node may take the place of its old life: the upstream refuses that one's work, or
+/// it owns nothing.
+fn may_succeed(core: &Core, record: &Record, old: BootId) -> bool {
+    let owns = record.owners.contains(&Some(old)) || record.hot.values().any(|id| *id == old);
+    core.fenced || !owns
+}
+
+/// The next record, with this node in it and in the place of `old`.
+fn draft(core: &mut Core, old: Option<BootId>) -> Record {
+    let mut record = core.draft();
+    if let Some(old) = old {
+        succeed(&mut record, old, core.me);
+    }
+    let mut member = core.member.clone();
+    member.term = record.version;
+    member.witnesses = Vec::new();
+    member.leaving = false;
+    record.members.insert(core.me, member);
+    let witnesses = choose_witnesses(&record, core.me, &core.barred);
+    if let Some(own) = record.members.get_mut(&core.me) {
+        own.witnesses = witnesses;
+    }
+    fill(&mut record, &core.barred);
+    record
+}
+
+fn succeed(record: &mut Record, old: BootId, me: BootId) {
+    record.members.remove(&old);
+    let slices = record.owners.iter_mut().flatten();
+    for owner in slices.chain(record.hot.values_mut()).filter(|owner| **owner == old) {
+        *owner = me;
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_ownership/src/lease.rs
@@ -0,0 +1,93 @@
+//! Owner side: the lease that witnesses renew.
+
+use std::time::Duration;
+
+use rattanarch_types::BootId;
+use rattanarch_types::Moment;
+use rattanarch_types::Version;
+
+use crate::Message;
+use crate::acks::Acks;
+use crate::core::Core;
+
+/// The lease of a member under its term in force.
+#[derive(Debug, Default)]
+pub(crate) struct Lease {
+    /// Acknowledgements of the term in force.
+    pub(crate) acks: Acks,
+    /// When the next requests are due.
+    next: Moment,
+    /// Whether a witness refuses the term in force, so that only a new term helps.
+    pub(crate) refused: bool,
+}
+
+impl Lease {
+    /// Follows the applied record; a new term starts without acknowledgements, unless `ready` has
+    /// some for it.
+    pub(crate) fn follow(&mut self, core: &Core, ready: Option<&Acks>) {
+        let Some(own) = core.own() else { return };
+        if own.term == self.acks.term {
+            return;
+        }
+        self.refused = false;
+        self.acks = match ready {
+            Some(ready) if ready.term == own.term => ready.clone(),
+            _ => Acks::new(core.applied, own.term, own.witnesses.clone()),
+        };
+    }
+
+    /// Whether requests are due; the next ones are then due a heartbeat later.
+    pub(crate) fn is_due(&mut self, core: &Core, now: Moment) -> bool {
+        if now < self.next {
+            return false;
+        }
+        self.next = now + core.timing.heartbeat;
+        true
+    }
+
+    /// Makes the next requests due at once.
+    pub(crate) fn hurry(&mut self) {
+        self.next = Moment::ZERO;
+    }
+
+    /// Takes a refusal of terms up to `sealed`.
+    pub(crate) fn refuse(&mut self, sealed: Version) {
+        self.refused |= sealed >= self.acks.term;
+    }
+
+    /// End of the lease under the term in force.
+    pub(crate) fn until(&self, core: &Core) -> Option<Moment> {
+        let own = core.own()?;
+        if !own.witnesses.is_empty() {
+            return Some(self.acks.majority()? + core.timing.lease);
+        }
+        if !core.rules.confirm_unwitnessed {
+            return Some(Duration::MAX);
+        }
+        Some(core.contact.unwitnessed? + core.timing.lease)
+    }
+}
+
+/// Sends a lease request for the term of `acks` to each of its witnesses.
+pub(crate) fn request(core: &mut Core, now: Moment, acks: &Acks) {
+    let load = core.loads.get(&core.me).copied().unwrap_or_default();
+    let record = core.version();
+    for to in acks.witnesses.clone() {
+        core.send(to, Message::Renew { term: acks.term, sent: now, record, load });
+    }
+}
+
+/// Takes an acknowledgement into `acks`.
+pub(crate) fn acknowledge(
+    core: &Core,
+    now: Moment,
+    acks: &mut Acks,
+    from: BootId,
+    term: Version,
+    sent: Moment,
+) {
+    let counted = if core.rules.count_from_send { sent } else { now };
+    if sent <= now {
+        acks.take(from, term, counted);
+    }
+}
--- a/crates/rattanarch_ownership/src/lib.rs
+++ b/crates/rattanarch_ownership/src/lib.rs
@@ -5,18 +5,32 @@
 //! the [`Action`]s it returns. Unit tests, property tests, replayed model traces and the daemon
 //! run the same code. `docs/OWNERSHIP.md` states the argument for its safety.
 
+mod acks;
 mod action;
+mod attempt;
+mod backoff;
+mod contact;
+mod core;
+mod draws;
 mod event;
+mod joining;
+mod lease;
+mod life;
+mod membership;
 mod message;
 mod node;
+mod rules;
 mod serving;
 mod timing;
+mod witness;
 
 pub use action::Action;
 pub use event::Event;
 pub use event::WriteOutcome;
 pub use message::Message;
 pub use node::Node;
+#[doc(hidden)]
+pub use rules::Rules;
 pub use serving::Refusal;
 pub use serving::Serving;
 pub use timing::Timing;
--- a/crates/rattanarch_ownership/src/message.rs
+++ b/crates/rattanarch_ownership/src/message.rs
@@ -7,7 +7,7 @@
 use rattanarch_types::Version;
 
 /// A message from one member to another; lost, repeated and reordered ones do no harm.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Message {
     /// An owner asks a witness to acknowledge its lease.
     Renew {
@@ -17,6 +17,8 @@
         sent: Moment,
         /// Record version that the owner has applied.
         record: Version,
+        /// Requests a second that the owner serves.
+        load: u32,
     },
     /// A witness acknowledges a lease.
     Ack {
@@ -26,6 +28,8 @@
         sent: Moment,
         /// Record version that the witness has applied.
         record: Version,
+        /// Requests a second that the witness serves as an owner.
+        load: u32,
     },
     /// A witness has promised not to acknowledge this term, or knows that it ended.
     Refused {
--- /dev/null
+++ b/crates/rattanarch_ownership/src/rules.rs
@@ -0,0 +1,42 @@
+//! Safety rules that tests remove one at a time.
+
+/// The rules of the protocol, each in force. Only tests put one out of force, to show that a check
+/// finds the harm.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rules {
+    /// A lease is counted from the send of its request, not from the acknowledgement's receipt.
+    pub count_from_send: bool,
+    /// A sealer waits until the last acknowledgements have lapsed.
+    pub wait_out_seal: bool,
+    /// A witness that has promised a seal acknowledges the term no more.
+    pub keep_promises: bool,
+    /// A restarted or rejoining process draws a new boot id.
+    pub new_boot_ids: bool,
+    /// While a change of witnesses is not settled, both sets must acknowledge.
+    pub joint_sets: bool,
+    /// A node applies a record only if its version is higher.
+    pub rising_versions: bool,
+    /// Released slices stay held until the update is settled.
+    pub hold_until_settled: bool,
+    /// An update whose answer was lost may still take effect.
+    pub settle_lost_answers: bool,
+    /// A member without witnesses serves only for a lease after a platform answer.
+    pub confirm_unwitnessed: bool,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            count_from_send: true,
+            wait_out_seal: true,
+            keep_promises: true,
+            new_boot_ids: true,
+            joint_sets: true,
+            rising_versions: true,
+            hold_until_settled: true,
+            settle_lost_answers: true,
+            confirm_unwitnessed: true,
+        }
+    }
+}
--- a/crates/rattanarch_ownership/src/serving.rs
+++ b/crates/rattanarch_ownership/src/serving.rs
@@ -20,7 +20,7 @@
     pub until: Option<Moment>,
     /// Slices that are being released: owned by the record, refused all the same.
     pub held: Arc<BTreeSet<u16>>,
-    /// Hot keys that are being released.
+    /// Hot keys that are being released, or split out of their slice.
     pub held_hot: Arc<BTreeSet<KeyHash>>,
 }
 
@@ -62,9 +62,10 @@
     }
 
     fn is_held(&self, hash: KeyHash) -> bool {
-        if self.record.hot.contains_key(&hash) {
-            return self.held_hot.contains(&hash);
+        if self.held_hot.contains(&hash) {
+            return true;
         }
-        self.held.contains(&slice_of(hash, self.record.slice_count()))
+        let split = self.record.hot.contains_key(&hash);
+        !split && self.held.contains(&slice_of(hash, self.record.slice_count()))
     }
 }
