Seal and take over lost owners, replace witnesses, release and leave

What cannot be written is not begun: seals, releases and changes of witnesses need an answer of the platform within the last heartbeat, so that an outage does not cost the service of those that only paused.

--- /dev/null
+++ b/crates/rattanarch_ownership/src/balance.rs
@@ -0,0 +1,61 @@
+//! When this member gives slices away.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rattanarch_placement::Move;
+use rattanarch_placement::plan;
+use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+use rattanarch_types::SliceId;
+use rattanarch_types::Version;
+
+use crate::core::Core;
+
+/// This member's turn under one record version.
+#[derive(Debug, Default)]
+pub(crate) struct Balance {
+    version: Version,
+    barred: BTreeSet<BootId>,
+    turn: Moment,
+    slices: BTreeSet<SliceId>,
+}
+
+impl Balance {
+    /// Slices that this member is to release now.
+    pub(crate) fn due(&mut self, core: &Core, now: Moment) -> BTreeSet<SliceId> {
+        let Some(record) = core.record.as_deref() else { return BTreeSet::new() };
+        if self.version != record.version || self.barred != core.barred {
+            self.schedule(core, record);
+        }
+        if now < self.turn { BTreeSet::new() } else { self.slices.clone() }
+    }
+
+    /// Barred members act at once, the others in the order of the plan, a turn apart. The first
+    /// waits a heartbeat, in which other joins and losses may still arrive.
+    fn schedule(&mut self, core: &Core, record: &Record) {
+        self.version = record.version;
+        self.barred.clone_from(&core.barred);
+        let moves = plan(record, &core.barred);
+        let mine = moves.iter().filter(|change| change.from == core.me);
+        self.slices = mine.map(|change| change.slice).collect();
+        self.turn = core.applied + core.timing.heartbeat + core.timing.turn * index(&moves, core);
+        if core.barred.contains(&core.me) {
+            self.turn = core.applied;
+        }
+    }
+}
+
+/// Number of givers before this member.
+fn index(moves: &[Move], core: &Core) -> u32 {
+    let givers = moves.chunk_by(|a, b| a.from == b.from);
+    givers.take_while(|moves| moves[0].from != core.me).count() as u32
+}
+
+/// Hot keys of this member, to go back to the owners of their slices.
+pub(crate) fn all_keys(core: &Core, record: &Record) -> BTreeMap<KeyHash, Option<BootId>> {
+    let mine = record.hot.iter().filter(|(_, owner)| **owner == core.me);
+    mine.map(|(key, _)| (*key, None)).collect()
+}
--- a/crates/rattanarch_ownership/src/contact.rs
+++ b/crates/rattanarch_ownership/src/contact.rs
@@ -4,31 +4,38 @@
 
 use rattanarch_types::Moment;
 
+/// Doublings of the pause between reads that are not answered: up to eight times.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// Reads asked of the platform and their answers.
 #[derive(Debug, Default)]
 pub(crate) struct Contact {
     asked: Option<Moment>,
+    unanswered: u32,
     answered: Option<Moment>,
     /// Send time of the newest platform answer that showed this member without witnesses.
     pub(crate) unwitnessed: Option<Moment>,
 }
 
 impl Contact {
-    /// Whether to ask again: at most once in `pause`.
+    /// Whether to ask again: at most once in `pause`, and more seldom without answers.
     pub(crate) fn ask(&mut self, now: Moment, pause: Duration) -> bool {
+        let pause = pause * (1 << self.unanswered.min(MAX_DOUBLINGS));
         let due = self.asked.is_none_or(|asked| now >= asked + pause);
         if due {
             self.asked = Some(now);
+            self.unanswered += 1;
         }
         due
     }
 
-    /// Takes an answer to a request that was sent at `sent`.
-    pub(crate) fn answer(&mut self, sent: Moment) {
-        self.answered = self.answered.max(Some(sent));
+    /// Takes an answer that came at `now`.
+    pub(crate) fn answer(&mut self, now: Moment) {
+        self.answered = Some(now);
+        self.unanswered = 0;
     }
 
-    /// Whether the platform answered a request sent at or after `moment`.
+    /// Whether the platform answered at or after `moment`.
     pub(crate) fn since(&self, moment: Moment) -> bool {
         self.answered.is_some_and(|answered| answered >= moment)
     }
--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -5,9 +5,12 @@
 use std::sync::Arc;
 
 use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
 use rattanarch_types::Member;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
+use rattanarch_types::SliceId;
+use rattanarch_types::Version;
 use rattanarch_types::WriteId;
 
 use crate::Action;
@@ -46,6 +49,10 @@
     pub(crate) awake: Moment,
     /// Last known requests a second of members, this one included.
     pub(crate) loads: BTreeMap<BootId, u32>,
+    /// Requests a second of the hottest keys that this member owns.
+    pub(crate) keys: BTreeMap<KeyHash, u32>,
+    /// Whether the process is to stop.
+    pub(crate) stopping: bool,
     pub(crate) out: Vec<Action>,
 }
 
@@ -67,6 +74,8 @@
             fenced: false,
             awake: Moment::ZERO,
             loads: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            stopping: false,
             out: Vec::new(),
         }
     }
@@ -91,6 +100,38 @@
         }
     }
 
+    /// Whether the platform answered within the last heartbeat; asks it otherwise.
+    ///
+    /// What cannot be written is not begun: a seal or a held slice would only cost service.
+    pub(crate) fn is_reachable(&mut self, now: Moment) -> bool {
+        let reachable = self.contact.since(now.saturating_sub(self.timing.heartbeat));
+        if !reachable {
+            self.read(now);
+        }
+        reachable
+    }
+
+    /// Takes what a peer says of itself with its message.
+    pub(crate) fn meet(&mut self, now: Moment, from: BootId, version: Version, load: u32) {
+        self.loads.insert(from, load);
+        self.catch_up(now, version);
+    }
+
+    /// Takes what operators want; a loss counts from when this node first learned of it.
+    pub(crate) fn intend(&mut self, now: Moment, barred: Vec<BootId>, lost: Vec<BootId>) {
+        self.barred = barred.into_iter().collect();
+        let known = std::mem::take(&mut self.lost);
+        let since = |id: BootId| (id, known.get(&id).copied().unwrap_or(now));
+        self.lost = lost.into_iter().map(since).collect();
+    }
+
+    /// Takes this member's own load.
+    pub(crate) fn load(&mut self, slices: &BTreeMap<SliceId, u32>, keys: BTreeMap<KeyHash, u32>) {
+        let total = slices.values().fold(0, |total: u32, load| total.saturating_add(*load));
+        self.loads.insert(self.me, total);
+        self.keys = keys;
+    }
+
     /// Asks for the record if a peer has applied a newer one.
     pub(crate) fn catch_up(&mut self, now: Moment, version: u64) {
         if version > self.version() {
@@ -106,6 +147,7 @@
         }
         let settled = |attempt: &mut Attempt| attempt.record.version <= record.version;
         self.attempt.take_if(settled);
+        self.loads.retain(|id, _| *id == self.me || record.members.contains_key(id));
         self.record = Some(Arc::new(record));
         self.applied = now;
     }
@@ -115,7 +157,7 @@
         let version = record.version;
         self.apply(now, record);
         let Some(sent) = read_sent else { return };
-        self.contact.answer(sent);
+        self.contact.answer(now);
         if version == self.version() {
             self.confirm_unwitnessed(sent);
         }
@@ -172,16 +214,14 @@
     fn accept(&mut self, now: Moment) {
         let Some(attempt) = self.attempt.take() else { return };
         self.backoff.reset();
-        self.contact.answer(attempt.sent);
+        self.contact.answer(now);
         self.apply(now, attempt.record);
         self.confirm_unwitnessed(attempt.sent);
     }
 
     fn lose(&mut self, now: Moment, record: Record) {
         self.backoff.fail(now, &mut self.draws);
-        if let Some(attempt) = &self.attempt {
-            self.contact.answer(attempt.sent);
-        }
+        self.contact.answer(now);
         self.apply(now, record);
     }
 
--- a/crates/rattanarch_ownership/src/lease.rs
+++ b/crates/rattanarch_ownership/src/lease.rs
@@ -45,11 +45,6 @@
         true
     }
 
-    /// Makes the next requests due at once.
-    pub(crate) fn hurry(&mut self) {
-        self.next = Moment::ZERO;
-    }
-
     /// Takes a refusal of terms up to `sealed`.
     pub(crate) fn refuse(&mut self, sealed: Version) {
         self.refused |= sealed >= self.acks.term;
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -1,36 +1,115 @@
 //! A member of the service.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rattanarch_placement::fill;
+use rattanarch_placement::rank;
 use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
 use rattanarch_types::Moment;
+use rattanarch_types::SliceId;
 use rattanarch_types::Version;
 
+use crate::acks::Acks;
+use crate::balance::Balance;
+use crate::balance::all_keys;
 use crate::core::Core;
 use crate::lease::Lease;
 use crate::lease::acknowledge;
 use crate::lease::request;
+use crate::release::Release;
+use crate::replacement::Replacer;
+use crate::takeovers::Takeovers;
+use crate::witness::Witness;
 
 /// What a member has besides its core.
 #[derive(Debug, Default)]
 pub(crate) struct Membership {
     pub(crate) lease: Lease,
+    pub(crate) replacer: Replacer,
+    pub(crate) takeovers: Takeovers,
+    pub(crate) release: Option<Release>,
+    balance: Balance,
 }
 
 impl Membership {
-    /// Does what is due.
-    pub(crate) fn advance(&mut self, core: &mut Core, now: Moment) {
-        self.lease.follow(core, None);
-        if self.lease.is_due(core, now) {
+    /// Does what is due for a member that stays.
+    pub(crate) fn advance(&mut self, core: &mut Core, witness: &mut Witness, now: Moment) {
+        self.keep_lease(core, now);
+        self.takeovers.advance(core, witness, now);
+        self.give_away(core, now);
+        adopt(core, now);
+    }
+
+    /// Renews the lease and keeps its witnesses fit.
+    pub(crate) fn keep_lease(&mut self, core: &mut Core, now: Moment) {
+        let ready = self.replacer.change.as_ref().map(|change| &change.acks);
+        self.lease.follow(core, ready);
+        self.replacer.settle(core, now);
+        let due = self.lease.is_due(core, now);
+        if due || self.lease.refused {
+            self.begin_replacement(core, now);
+        }
+        if due {
             self.renew(core, now);
         }
+        self.replacer.write(core, now);
+    }
+
+    fn begin_replacement(&mut self, core: &mut Core, now: Moment) {
+        self.replacer.begin(core, &self.lease, now);
+        // The first requests of a new term go out at once, the others by heartbeat.
+        let Some(change) = &mut self.replacer.change else { return };
+        if change.is_new() {
+            request(core, now, &change.acks);
+        }
     }
 
     fn renew(&mut self, core: &mut Core, now: Moment) {
         request(core, now, &self.lease.acks);
+        let joint = core.rules.joint_sets || !self.replacer.is_written(core);
+        if let Some(change) = self.replacer.change.as_ref().filter(|_| joint) {
+            request(core, now, &change.acks);
+        }
         if self.lease.acks.witnesses.is_empty() {
             core.read(now);
         }
     }
 
+    fn give_away(&mut self, core: &mut Core, now: Moment) {
+        self.release.take_if(|release| release.is_over(core));
+        if self.release.is_none() {
+            let (slices, keys) = self.surplus(core, now);
+            self.begin_release(core, now, slices, keys);
+        }
+        if let Some(release) = &mut self.release {
+            release.write(core, now);
+        }
+    }
+
+    fn surplus(&mut self, core: &Core, now: Moment) -> Surplus {
+        let slices = self.balance.due(core, now);
+        let barred = core.barred.contains(&core.me);
+        let record = core.record.as_deref().filter(|_| barred);
+        let keys = record.map(|record| all_keys(core, record)).unwrap_or_default();
+        (slices, keys)
+    }
+
+    /// Begins to release, unless there is nothing to release or no platform to write to.
+    pub(crate) fn begin_release(
+        &mut self,
+        core: &mut Core,
+        now: Moment,
+        slices: BTreeSet<SliceId>,
+        keys: BTreeMap<KeyHash, Option<BootId>>,
+    ) {
+        let empty = slices.is_empty() && keys.is_empty();
+        if !empty && core.is_reachable(now) {
+            self.release = Some(Release::begin(core, slices, keys));
+        }
+    }
+
     /// Takes an acknowledgement.
     pub(crate) fn acknowledge(
         &mut self,
@@ -41,10 +120,48 @@
         sent: Moment,
     ) {
         acknowledge(core, now, &mut self.lease.acks, from, term, sent);
+        if let Some(change) = &mut self.replacer.change {
+            acknowledge(core, now, &mut change.acks, from, term, sent);
+        }
     }
 
     /// End of the time in which the member may serve.
     pub(crate) fn until(&self, core: &Core) -> Option<Moment> {
-        self.lease.until(core)
+        let current = self.lease.until(core)?;
+        if !core.rules.joint_sets || !self.replacer.is_written(core) {
+            return Some(current);
+        }
+        let acks: &Acks = &self.replacer.change.as_ref()?.acks;
+        Some(current.min(acks.majority()? + core.timing.lease))
+    }
+
+    /// Slices and hot keys that are held.
+    pub(crate) fn held(&self, core: &Core) -> (BTreeSet<SliceId>, BTreeSet<KeyHash>) {
+        let Some(release) = &self.release else { return Default::default() };
+        if !core.rules.hold_until_settled && release.is_written(core) {
+            return Default::default();
+        }
+        (release.slices.clone(), release.keys.keys().copied().collect())
+    }
+}
+
+/// Slices and hot keys to be given away.
+type Surplus = (BTreeSet<SliceId>, BTreeMap<KeyHash, Option<BootId>>);
+
+/// Gives slices without an owner to members, this node's turn among them drawn by rank.
+fn adopt(core: &mut Core, now: Moment) {
+    let Some(record) = core.record.clone() else { return };
+    if record.owners.iter().all(Option::is_some) || !core.can_write(now) {
+        return;
+    }
+    let mine = rank(record.version, core.me);
+    let before = record.members.keys().filter(|id| rank(record.version, **id) > mine).count();
+    if now < core.applied + core.timing.heartbeat + core.timing.turn * before as u32 {
+        return;
+    }
+    let mut draft = core.draft();
+    fill(&mut draft, &core.barred);
+    if draft.owners != record.owners && core.is_reachable(now) {
+        core.write(now, draft);
     }
 }
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -1,10 +1,13 @@
 //! The part of one daemon that takes part in the ownership of one service.
 
 use std::mem;
+use std::sync::Arc;
 
 use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
 use rattanarch_types::Member;
 use rattanarch_types::Moment;
+use rattanarch_types::SliceId;
 
 use crate::Action;
 use crate::Event;
@@ -12,10 +15,13 @@
 use crate::Rules;
 use crate::Serving;
 use crate::Timing;
+use crate::Waits;
 use crate::core::Core;
 use crate::joining::Joining;
+use crate::leaving::Leaving;
 use crate::life::Life;
 use crate::membership::Membership;
+use crate::takeovers::Promise;
 use crate::witness::Request;
 use crate::witness::Witness;
 
@@ -76,6 +82,23 @@
         &self.serving
     }
 
+    /// What the node waits for.
+    pub fn waits(&self) -> Waits {
+        let Life::Leaving(leaving) = &self.life else { return self.waits_to_serve() };
+        leaving.waits(&self.core)
+    }
+
+    fn waits_to_serve(&self) -> Waits {
+        match &self.life {
+            Life::Joining(Joining { old: Some(old) }) => Waits::OldLife(*old),
+            Life::Joining(_) => Waits::Platform,
+            Life::Member(_) if self.serving.until.is_none_or(|until| self.now >= until) => {
+                Waits::Witnesses
+            }
+            Life::Member(_) | Life::Leaving(_) | Life::Gone => Waits::Nothing,
+        }
+    }
+
     /// Notices a pause: a gap of more than a heartbeat.
     fn wake(&mut self, now: Moment) -> Moment {
         let now = now.max(self.now);
@@ -92,33 +115,38 @@
             Event::Fenced => self.core.fenced = true,
             Event::Message { from, message } => self.receive(now, from, message),
             Event::Written { write_id, outcome } => self.core.written(now, write_id, outcome),
-            Event::Tick
-            | Event::Quiet { .. }
-            | Event::Intent { .. }
-            | Event::Load { .. }
-            | Event::Stop => {}
+            Event::Quiet { slices, hot } => self.quiet(&slices, &hot),
+            Event::Intent { barred, lost } => self.core.intend(now, barred, lost),
+            Event::Load { slices, keys } => self.core.load(&slices, keys),
+            Event::Stop => self.core.stopping = true,
+            Event::Tick => {}
+        }
+    }
+
+    fn quiet(&mut self, slices: &[SliceId], hot: &[KeyHash]) {
+        let member = self.life.member_mut();
+        if let Some(release) = member.and_then(|member| member.release.as_mut()) {
+            release.quiet(slices, hot);
         }
     }
 
     fn receive(&mut self, now: Moment, from: BootId, message: Message) {
         match message {
             Message::Renew { term, sent, record, load } => {
-                self.core.loads.insert(from, load);
-                self.core.catch_up(now, record);
+                self.core.meet(now, from, record, load);
                 let request = Request { term, sent, applied: record };
                 let answer = self.witness.renew(&self.core, now, from, request);
                 self.core.send(from, answer);
             }
             Message::Ack { term, sent, record, load } => {
-                self.core.loads.insert(from, load);
-                self.core.catch_up(now, record);
-                if let Life::Member(member) = &mut self.life {
+                self.core.meet(now, from, record, load);
+                if let Some(member) = self.life.member_mut() {
                     member.acknowledge(&self.core, now, from, term, sent);
                 }
             }
             Message::Refused { sealed, record } => {
                 self.core.catch_up(now, record);
-                if let Life::Member(member) = &mut self.life {
+                if let Some(member) = self.life.member_mut() {
                     member.lease.refuse(sealed);
                 }
             }
@@ -126,35 +154,63 @@
                 let answer = self.witness.seal(&self.core, now, owner, term, forced);
                 self.core.send(from, answer);
             }
-            Message::Sealed { .. } | Message::Alive { .. } => {}
+            Message::Sealed { owner, term, remaining } => {
+                let promise = Promise { owner, term, remaining };
+                if let Some(member) = self.life.member_mut() {
+                    member.takeovers.promised(&self.core, now, from, promise);
+                }
+            }
+            Message::Alive { owner } => {
+                if let Some(member) = self.life.member_mut() {
+                    member.takeovers.alive(&mut self.witness, now, owner);
+                }
+            }
         }
     }
 
     fn advance(&mut self, now: Moment) {
         self.core.resend(now);
-        let is_member = self.core.own().is_some();
-        match &mut self.life {
-            Life::Joining(_) if is_member => self.life = Life::Member(Membership::default()),
-            Life::Member(_) if !is_member => {
-                self.life = Life::Gone;
-                self.core.out.push(Action::Rejoin);
-            }
-            Life::Joining(_) | Life::Member(_) | Life::Gone => {}
-        }
+        let life = mem::replace(&mut self.life, Life::Gone);
+        self.life = self.turn(life);
         match &mut self.life {
             Life::Joining(joining) => joining.advance(&mut self.core, now),
-            Life::Member(member) => member.advance(&mut self.core, now),
+            Life::Member(member) => member.advance(&mut self.core, &mut self.witness, now),
+            Life::Leaving(leaving) => leaving.advance(&mut self.core, &mut self.witness, now),
             Life::Gone => {}
         }
     }
 
+    /// Goes to the next stage of life, if the record or the process's end asks for it.
+    fn turn(&mut self, life: Life) -> Life {
+        let is_member = self.core.own().is_some();
+        let stopping = self.core.stopping;
+        match life {
+            Life::Joining(_) if is_member => Life::Member(Membership::default()),
+            Life::Joining(_) if stopping && self.core.attempt.is_none() => self.end(Action::Left),
+            Life::Member(_) if !is_member => self.end(Action::Rejoin),
+            Life::Member(member) if stopping => Life::Leaving(Leaving::new(member)),
+            Life::Leaving(_) if !is_member => self.end(Action::Left),
+            Life::Joining(_) | Life::Member(_) | Life::Leaving(_) | Life::Gone => life,
+        }
+    }
+
+    fn end(&mut self, action: Action) -> Life {
+        self.core.out.push(action);
+        Life::Gone
+    }
+
     fn publish(&mut self) {
         let Some(record) = &self.core.record else { return };
+        let member = self.life.member();
         self.serving.me = self.core.me;
         self.serving.record = record.clone();
-        self.serving.until = match &self.life {
-            Life::Member(member) => member.until(&self.core),
-            Life::Joining(_) | Life::Gone => None,
-        };
+        self.serving.until = member.and_then(|member| member.until(&self.core));
+        let (held, hot) = member.map(|member| member.held(&self.core)).unwrap_or_default();
+        if *self.serving.held != held {
+            self.serving.held = Arc::new(held);
+        }
+        if *self.serving.held_hot != hot {
+            self.serving.held_hot = Arc::new(hot);
+        }
     }
 }
--- /dev/null
+++ b/crates/rattanarch_ownership/src/release.rs
@@ -0,0 +1,107 @@
+//! An owner's handing over of its own slices and hot keys.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rattanarch_placement::fill;
+use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+use rattanarch_types::SliceId;
+use rattanarch_types::WriteId;
+
+use crate::Action;
+use crate::core::Core;
+
+/// Slices and hot keys on their way out. They are held from the beginning until a record says who
+/// owns them.
+#[derive(Debug, Default)]
+pub(crate) struct Release {
+    /// Slices given up.
+    pub(crate) slices: BTreeSet<SliceId>,
+    /// Keys that move on their own, with the member that is to own them; `None` ends the split.
+    pub(crate) keys: BTreeMap<KeyHash, Option<BootId>>,
+    loud_slices: BTreeSet<SliceId>,
+    loud_keys: BTreeSet<KeyHash>,
+    /// Update that hands them over.
+    write: Option<WriteId>,
+}
+
+impl Release {
+    /// Begins to release `slices` and `keys`: asks for quiet.
+    pub(crate) fn begin(
+        core: &mut Core,
+        slices: BTreeSet<SliceId>,
+        keys: BTreeMap<KeyHash, Option<BootId>>,
+    ) -> Self {
+        let hot: Vec<_> = keys.keys().copied().collect();
+        core.out.push(Action::Quiesce { slices: slices.iter().copied().collect(), hot });
+        let loud_slices = slices.clone();
+        let loud_keys = keys.keys().copied().collect();
+        Self { slices, keys, loud_slices, loud_keys, write: None }
+    }
+
+    /// Takes word that nothing runs any more for `slices` and `keys`.
+    pub(crate) fn quiet(&mut self, slices: &[SliceId], keys: &[KeyHash]) {
+        for slice in slices {
+            self.loud_slices.remove(slice);
+        }
+        for key in keys {
+            self.loud_keys.remove(key);
+        }
+    }
+
+    /// Whether nothing runs for any of it.
+    pub(crate) fn is_quiet(&self) -> bool {
+        self.loud_slices.is_empty() && self.loud_keys.is_empty()
+    }
+
+    /// Whether the update is sent and may still take effect.
+    pub(crate) fn is_written(&self, core: &Core) -> bool {
+        self.write.is_some_and(|write| core.is_pending(write))
+    }
+
+    /// Whether it has ended: the update took effect, or it did not and cannot any more.
+    ///
+    /// After a lost race the newer record decides whether another release begins, in the same
+    /// step, so that nothing runs in between.
+    pub(crate) fn is_over(&self, core: &Core) -> bool {
+        self.write.is_some() && !self.is_written(core)
+    }
+
+    /// Sends the update once all is quiet.
+    pub(crate) fn write(&mut self, core: &mut Core, now: Moment) {
+        if self.is_written(core) || !self.is_quiet() || !core.can_write(now) {
+            return;
+        }
+        let mut draft = core.draft();
+        self.hand_over(core, &mut draft);
+        self.write = Some(draft.write_id);
+        core.write(now, draft);
+    }
+
+    /// Hands over in `draft` what this member owns of it.
+    pub(crate) fn hand_over(&self, core: &Core, draft: &mut Record) {
+        for (&key, to) in &self.keys {
+            if draft.owner_of(key) == Some(core.me) {
+                place(draft, key, *to);
+            }
+        }
+        for slice in &self.slices {
+            let owner = draft.owners.get_mut(usize::from(*slice));
+            if let Some(owner) = owner.filter(|owner| **owner == Some(core.me)) {
+                *owner = None;
+            }
+        }
+        fill(draft, &core.barred);
+    }
+}
+
+fn place(draft: &mut Record, key: KeyHash, to: Option<BootId>) {
+    draft.hot.remove(&key);
+    let Some(to) = to.filter(|to| draft.members.contains_key(to)) else { return };
+    if draft.owner_of(key) != Some(to) {
+        draft.hot.insert(key, to);
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_ownership/src/replacement.rs
@@ -0,0 +1,125 @@
+//! An owner's change of its own witnesses.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rattanarch_placement::choose_witnesses;
+use rattanarch_types::BootId;
+use rattanarch_types::Moment;
+use rattanarch_types::WriteId;
+
+use crate::acks::Acks;
+use crate::core::Core;
+use crate::lease::Lease;
+
+/// How long a candidate that did not answer is passed over.
+const SHUN_TIME: Duration = Duration::from_secs(5);
+
+/// A new set of witnesses under a new term.
+///
+/// Its majority acknowledges the new term before the update is sent, so that the lease goes on
+/// while the update's outcome is not known: until then both sets must acknowledge.
+#[derive(Debug)]
+pub(crate) struct Replacement {
+    /// Acknowledgements of the new term, the version of the update.
+    pub(crate) acks: Acks,
+    began: Moment,
+    /// Whether the first requests for the new term were sent.
+    asked: bool,
+    write: Option<WriteId>,
+}
+
+impl Replacement {
+    /// Whether nothing was asked for it yet; true once.
+    pub(crate) fn is_new(&mut self) -> bool {
+        !std::mem::replace(&mut self.asked, true)
+    }
+}
+
+/// The change under way, if any, and candidates that did not answer.
+#[derive(Debug, Default)]
+pub(crate) struct Replacer {
+    pub(crate) change: Option<Replacement>,
+    shunned: BTreeMap<BootId, Moment>,
+}
+
+impl Replacer {
+    /// Whether the change may be in force without this node's knowing.
+    pub(crate) fn is_written(&self, core: &Core) -> bool {
+        let write = self.change.as_ref().and_then(|change| change.write);
+        write.is_some_and(|write| core.is_pending(write))
+    }
+
+    /// Ends a change that was settled, overtaken or not answered.
+    pub(crate) fn settle(&mut self, core: &Core, now: Moment) {
+        if self.is_written(core) {
+            return;
+        }
+        let Some(change) = &self.change else { return };
+        let overtaken = change.acks.term != core.version() + 1;
+        let unanswered = now >= change.began + core.timing.heartbeat * 2;
+        if unanswered {
+            for silent in change.acks.silent(change.began + Duration::from_nanos(1)) {
+                self.shunned.insert(silent, now + SHUN_TIME);
+            }
+        }
+        if overtaken || unanswered || change.write.is_some() {
+            self.change = None;
+        }
+    }
+
+    /// Begins a change if the witnesses should be others, or the term another.
+    pub(crate) fn begin(&mut self, core: &mut Core, lease: &Lease, now: Moment) {
+        self.shunned.retain(|_, end| now < *end);
+        if self.change.is_some() || core.attempt.is_some() {
+            return;
+        }
+        let Some(own) = core.own() else { return };
+        let wanted = self.wanted(core, lease, now);
+        let unchanged = same(&wanted, &own.witnesses);
+        if unchanged && !lease.refused || !core.is_reachable(now) {
+            return;
+        }
+        let acks = Acks::new(now, core.version() + 1, wanted);
+        self.change = Some(Replacement { acks, began: now, asked: false, write: None });
+    }
+
+    /// Sends the update once the new witnesses have answered.
+    pub(crate) fn write(&mut self, core: &mut Core, now: Moment) {
+        let Some(change) = &mut self.change else { return };
+        let answered = change.acks.witnesses.is_empty() || change.acks.majority().is_some();
+        if change.write.is_some() || !answered || !core.can_write(now) {
+            return;
+        }
+        let mut draft = core.draft();
+        let version = draft.version;
+        let Some(own) = draft.members.get_mut(&core.me) else { return };
+        own.term = version;
+        own.witnesses.clone_from(&change.acks.witnesses);
+        change.write = Some(draft.write_id);
+        core.write(now, draft);
+    }
+
+    /// The best witnesses that answer; without any, the best that exist.
+    fn wanted(&self, core: &Core, lease: &Lease, now: Moment) -> Vec<BootId> {
+        let Some(record) = core.record.as_deref() else { return Vec::new() };
+        let silence = core.timing.heartbeat * 9 / 4;
+        let mut excluded = core.barred.clone();
+        excluded.extend(self.shunned.keys());
+        if now >= core.awake + silence {
+            excluded.extend(lease.acks.silent(now.saturating_sub(silence)));
+        }
+        for excluded in [&excluded, &core.barred, &BTreeSet::new()] {
+            let wanted = choose_witnesses(record, core.me, excluded);
+            if !wanted.is_empty() {
+                return wanted;
+            }
+        }
+        Vec::new()
+    }
+}
+
+fn same(a: &[BootId], b: &[BootId]) -> bool {
+    a.len() == b.len() && a.iter().all(|id| b.contains(id))
+}
--- /dev/null
+++ b/crates/rattanarch_ownership/src/takeovers.rs
@@ -0,0 +1,210 @@
+//! All takeovers of one node.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rattanarch_placement::fill;
+use rattanarch_placement::rank;
+use rattanarch_types::BootId;
+use rattanarch_types::Member;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+use rattanarch_types::Version;
+
+use crate::Message;
+use crate::core::Core;
+use crate::takeover::Sealing;
+use crate::takeover::Stage;
+use crate::takeover::Takeover;
+use crate::witness::Witness;
+
+/// Time between the first tries of two nodes that may take over the same owner.
+const RANK_DELAY: Duration = Duration::from_millis(100);
+
+/// Takeovers by owner.
+#[derive(Debug, Default)]
+pub(crate) struct Takeovers {
+    stages: BTreeMap<BootId, Stage>,
+}
+
+impl Takeovers {
+    /// Begins, drives and writes what is due.
+    pub(crate) fn advance(&mut self, core: &mut Core, witness: &mut Witness, now: Moment) {
+        let Some(record) = core.record.clone() else { return };
+        self.stages.retain(|owner, stage| is_current(&record, *owner, stage.term()));
+        let me = core.me;
+        for (owner, member) in record.members.iter().filter(|(owner, _)| **owner != me) {
+            self.begin(core, witness, now, *owner, member);
+        }
+        self.ask(core, witness, now);
+        for stage in std::mem::take(&mut self.stages) {
+            self.stages.insert(stage.0, stage.1.advance(now));
+        }
+        if core.can_write(now) {
+            self.write(core, witness, now);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        core: &mut Core,
+        witness: &Witness,
+        now: Moment,
+        owner: BootId,
+        member: &Member,
+    ) {
+        if let Some(learned) = core.lost.get(&owner).copied() {
+            self.begin_lost(core, now, owner, member, learned);
+            return;
+        }
+        if self.stages.contains_key(&owner) || !member.witnesses.contains(&core.me) {
+            return;
+        }
+        let delay = rank_delay(owner, core.me, &member.witnesses);
+        let silence = witness.silence(core, now, owner);
+        if silence < core.timing.suspicion * 3 / 4 + delay {
+            return;
+        }
+        // Reading ahead of the suspicion costs no time when it comes true.
+        let reachable = core.is_reachable(now);
+        if reachable && silence >= core.timing.suspicion + delay {
+            let takeover = Takeover::new(member.term, member.witnesses.clone());
+            self.stages.insert(owner, Stage::Sealing(takeover));
+        }
+    }
+
+    /// An owner declared lost: its witnesses are asked at once, and after a lease the operator's
+    /// word stands in for those that do not answer.
+    fn begin_lost(
+        &mut self,
+        core: &mut Core,
+        now: Moment,
+        owner: BootId,
+        member: &Member,
+        learned: Moment,
+    ) {
+        let takeover = Takeover::new(member.term, member.witnesses.clone());
+        let stage = self.stages.entry(owner).or_insert(Stage::Sealing(takeover));
+        let able: Vec<_> = core.record.iter().flat_map(|r| r.members.keys()).copied().collect();
+        let delay = rank_delay(owner, core.me, &able);
+        let lapse = learned + core.timing.stretched(core.timing.lease) + delay;
+        if now >= lapse && matches!(stage, Stage::Sealing(_)) {
+            *stage = Stage::declared(member.term);
+        }
+    }
+
+    fn ask(&mut self, core: &mut Core, witness: &mut Witness, now: Moment) {
+        for (owner, stage) in &mut self.stages {
+            let Stage::Sealing(takeover) = stage else { continue };
+            let forced = core.lost.contains_key(owner);
+            promise_last(core, witness, now, *owner, takeover, forced);
+            if now < takeover.state.next {
+                continue;
+            }
+            takeover.state.next = now + core.timing.heartbeat / 2;
+            let message = Message::Seal { owner: *owner, term: takeover.term, forced };
+            for to in takeover.state.witnesses.clone() {
+                if to != core.me {
+                    core.send(to, message);
+                }
+            }
+        }
+    }
+
+    /// Takes a promise, which counts from its receipt.
+    pub(crate) fn promised(&mut self, core: &Core, now: Moment, from: BootId, promise: Promise) {
+        let Some(Stage::Sealing(takeover)) = self.stages.get_mut(&promise.owner) else { return };
+        if takeover.term <= promise.term {
+            takeover.promise(from, lapse(core, now, promise.remaining));
+        }
+    }
+
+    /// Gives up on an owner that another witness has heard from.
+    pub(crate) fn alive(&mut self, witness: &mut Witness, now: Moment, owner: BootId) {
+        if matches!(self.stages.get(&owner), Some(Stage::Sealing(_))) {
+            self.stages.remove(&owner);
+            witness.vouch(now, owner);
+        }
+    }
+
+    /// Removes every owner that is ready in one update.
+    fn write(&self, core: &mut Core, witness: &Witness, now: Moment) {
+        let is_ready = |stage: &Stage| matches!(stage, Stage::Ready(_));
+        let ready: Vec<_> =
+            self.stages.iter().filter(|(_, stage)| is_ready(stage)).map(|(id, _)| *id).collect();
+        if ready.is_empty() {
+            return;
+        }
+        let mut draft = core.draft();
+        for owner in ready {
+            remove(&mut draft, owner);
+        }
+        let suspects = self.suspects(core, witness, now);
+        let barred = core.barred.union(&suspects).copied().collect();
+        fill(&mut draft, &barred);
+        fill(&mut draft, &core.barred);
+        core.write(now, draft);
+    }
+
+    /// Members that would be poor receivers: under takeover, or silent to this node for two
+    /// heartbeats.
+    fn suspects(&self, core: &Core, witness: &Witness, now: Moment) -> BTreeSet<BootId> {
+        let members = core.record.iter().flat_map(|record| &record.members);
+        let watched = members.filter(|(_, member)| member.witnesses.contains(&core.me));
+        let silent = watched
+            .map(|(id, _)| *id)
+            .filter(|id| witness.silence(core, now, *id) >= core.timing.heartbeat * 2);
+        silent.chain(self.stages.keys().copied()).collect()
+    }
+}
+
+/// A witness's answer to a seal.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Promise {
+    pub(crate) owner: BootId,
+    pub(crate) term: Version,
+    pub(crate) remaining: Duration,
+}
+
+/// Takes `owner` out of `record`; its slices are left without an owner.
+pub(crate) fn remove(record: &mut Record, owner: BootId) {
+    record.members.remove(&owner);
+    record.hot.retain(|_, id| *id != owner);
+    for slot in record.owners.iter_mut().filter(|slot| **slot == Some(owner)) {
+        *slot = None;
+    }
+}
+
+fn is_current(record: &Record, owner: BootId, term: Version) -> bool {
+    record.members.get(&owner).is_some_and(|member| member.term == term)
+}
+
+/// Adds this node's own promise once it alone is missing: until then the owner may come back.
+fn promise_last(
+    core: &Core,
+    witness: &mut Witness,
+    now: Moment,
+    owner: BootId,
+    takeover: &mut Takeover<Sealing>,
+    forced: bool,
+) {
+    let suspected = forced || witness.silence(core, now, owner) >= core.timing.suspicion;
+    let mine = takeover.state.witnesses.contains(&core.me);
+    if mine && suspected && takeover.lacks_at_most(1) {
+        let remaining = witness.promise(core, now, owner, takeover.term);
+        takeover.promise(core.me, lapse(core, now, remaining));
+    }
+}
+
+/// When `remaining` on a witness's clock has certainly passed, on this clock.
+fn lapse(core: &Core, now: Moment, remaining: Duration) -> Moment {
+    if core.rules.wait_out_seal { now + core.timing.stretched(remaining) } else { now }
+}
+
+/// How much longer `me` waits than the first of `nodes` in the order drawn for `owner`.
+fn rank_delay(owner: BootId, me: BootId, nodes: &[BootId]) -> Duration {
+    let mine = rank(owner, me);
+    let before = nodes.iter().filter(|id| rank(owner, **id) > mine).count();
+    RANK_DELAY * before as u32
+}
--- a/crates/rattanarch_ownership/src/witness.rs
+++ b/crates/rattanarch_ownership/src/witness.rs
@@ -100,12 +100,13 @@
 
     /// Forgets owners that have gone between two records, and meets those that came.
     pub(crate) fn apply(&mut self, now: Moment, old: Option<&Record>, new: &Record) {
-        let Some(old) = old else { return };
-        for gone in old.members.keys().filter(|id| !new.members.contains_key(id)) {
+        let empty = BTreeMap::new();
+        let old = old.map_or(&empty, |old| &old.members);
+        for gone in old.keys().filter(|id| !new.members.contains_key(id)) {
             self.owners.remove(gone);
         }
         for (id, member) in &new.members {
-            let term = old.members.get(id).map(|member| member.term);
+            let term = old.get(id).map(|member| member.term);
             if term != Some(member.term) {
                 self.vouch(now, *id);
             }
