--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -1,42 +1,216 @@
 //! The part of one daemon that takes part in the ownership of one service.
 
+use std::mem;
+use std::sync::Arc;
+
 use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
 use rattanarch_types::Member;
 use rattanarch_types::Moment;
+use rattanarch_types::SliceId;
 
 use crate::Action;
 use crate::Event;
+use crate::Message;
+use crate::Rules;
 use crate::Serving;
 use crate::Timing;
+use crate::Waits;
+use crate::core::Core;
+use crate::joining::Joining;
+use crate::leaving::Leaving;
+use crate::life::Life;
+use crate::membership::Membership;
+use crate::takeovers::Promise;
+use crate::witness::Request;
+use crate::witness::Witness;
 
 /// One member's state machine.
 #[derive(Debug)]
 pub struct Node {
-    me: BootId,
+    core: Core,
+    life: Life,
+    witness: Witness,
     serving: Serving,
+    /// Time of the last step; time never goes back.
+    now: Moment,
 }
 
 impl Node {
     /// A node that will join as `member` under the boot id `me`; `seed` feeds its jitter and its
-    /// write ids.
+    /// write ids. Term, witnesses and leaving mark of `member` are ignored.
     pub fn new(me: BootId, member: Member, timing: Timing, seed: u64) -> Self {
-        let _ = (member, timing, seed);
-        Self { me, serving: Serving::default() }
+        Self {
+            core: Core::new(me, member, timing, seed),
+            life: Life::Joining(Joining::default()),
+            witness: Witness::default(),
+            serving: Serving::default(),
+            now: Moment::ZERO,
+        }
+    }
+
+    /// Replaces the rules; tests alone put one out of force.
+    #[doc(hidden)]
+    pub fn with_rules(mut self, rules: Rules) -> Self {
+        self.core.rules = rules;
+        self
     }
 
     /// Boot id of this member.
     pub fn me(&self) -> BootId {
-        self.me
+        self.core.me
     }
 
-    /// Takes one event at `now` and returns what is to be done, in order.
+    /// Takes one event at `now`, read after the event arrived, and returns what is to be done, in
+    /// order.
     pub fn step(&mut self, now: Moment, event: Event) -> Vec<Action> {
-        let _ = (now, event);
-        Vec::new()
+        let now = self.wake(now);
+        let before = self.core.record.clone();
+        self.take(now, event);
+        if let Some(record) = self.core.record.clone()
+            && before.as_ref().is_none_or(|before| before.version != record.version)
+        {
+            self.witness.apply(now, before.as_deref(), &record);
+        }
+        self.advance(now);
+        self.publish();
+        mem::take(&mut self.core.out)
     }
 
     /// What the request path may do now.
     pub fn serving(&self) -> &Serving {
         &self.serving
     }
+
+    /// What the node waits for.
+    pub fn waits(&self) -> Waits {
+        let Life::Leaving(leaving) = &self.life else { return self.waits_to_serve() };
+        leaving.waits(&self.core)
+    }
+
+    fn waits_to_serve(&self) -> Waits {
+        match &self.life {
+            Life::Joining(Joining { old: Some(old) }) => Waits::OldLife(*old),
+            Life::Joining(_) => Waits::Platform,
+            Life::Member(_) if self.serving.until.is_none_or(|until| self.now >= until) => {
+                Waits::Witnesses
+            }
+            Life::Member(_) | Life::Leaving(_) | Life::Gone => Waits::Nothing,
+        }
+    }
+
+    /// Notices a pause: a gap of more than a heartbeat.
+    fn wake(&mut self, now: Moment) -> Moment {
+        let now = now.max(self.now);
+        if now - self.now > self.core.timing.heartbeat {
+            self.core.awake = now;
+        }
+        self.now = now;
+        now
+    }
+
+    fn take(&mut self, now: Moment, event: Event) {
+        match event {
+            Event::Record { record, read_sent } => self.core.learn(now, record, read_sent),
+            Event::Fenced => self.core.fenced = true,
+            Event::Message { from, message } => self.receive(now, from, message),
+            Event::Written { write_id, outcome } => self.core.written(now, write_id, outcome),
+            Event::Quiet { slices, hot } => self.quiet(&slices, &hot),
+            Event::Intent { barred, lost } => self.core.intend(now, barred, lost),
+            Event::Load { slices, keys } => self.core.load(&slices, keys),
+            Event::Stop => self.core.stopping = true,
+            Event::Tick => {}
+        }
+    }
+
+    fn quiet(&mut self, slices: &[SliceId], hot: &[KeyHash]) {
+        let member = self.life.member_mut();
+        if let Some(release) = member.and_then(|member| member.release.as_mut()) {
+            release.quiet(slices, hot);
+        }
+    }
+
+    fn receive(&mut self, now: Moment, from: BootId, message: Message) {
+        match message {
+            Message::Renew { term, sent, record, load } => {
+                self.core.meet(now, from, record, load);
+                let request = Request { term, sent, applied: record };
+                let answer = self.witness.renew(&self.core, now, from, request);
+                self.core.send(from, answer);
+            }
+            Message::Ack { term, sent, record, load } => {
+                self.core.meet(now, from, record, load);
+                if let Some(member) = self.life.member_mut() {
+                    member.acknowledge(&self.core, now, from, term, sent);
+                }
+            }
+            Message::Refused { sealed, record } => {
+                self.core.catch_up(now, record);
+                if let Some(member) = self.life.member_mut() {
+                    member.lease.refuse(sealed);
+                }
+            }
+            Message::Seal { owner, term, forced } => {
+                let answer = self.witness.seal(&self.core, now, owner, term, forced);
+                self.core.send(from, answer);
+            }
+            Message::Sealed { owner, term, remaining } => {
+                let promise = Promise { owner, term, remaining };
+                if let Some(member) = self.life.member_mut() {
+                    member.takeovers.promised(&self.core, now, from, promise);
+                }
+            }
+            Message::Alive { owner } => {
+                if let Some(member) = self.life.member_mut() {
+                    member.takeovers.alive(&mut self.witness, now, owner);
+                }
+            }
+        }
+    }
+
+    fn advance(&mut self, now: Moment) {
+        self.core.resend(now);
+        let life = mem::replace(&mut self.life, Life::Gone);
+        self.life = self.turn(life);
+        match &mut self.life {
+            Life::Joining(joining) => joining.advance(&mut self.core, now),
+            Life::Member(member) => member.advance(&mut self.core, &mut self.witness, now),
+            Life::Leaving(leaving) => leaving.advance(&mut self.core, &mut self.witness, now),
+            Life::Gone => {}
+        }
+    }
+
+    /// Goes to the next stage of life, if the record or the process's end asks for it.
+    fn turn(&mut self, life: Life) -> Life {
+        let is_member = self.core.own().is_some();
+        let stopping = self.core.stopping;
+        match life {
+            Life::Joining(_) if is_member => Life::Member(Membership::default()),
+            Life::Joining(_) if stopping && self.core.attempt.is_none() => self.end(Action::Left),
+            Life::Member(_) if !is_member => self.end(Action::Rejoin),
+            Life::Member(member) if stopping => Life::Leaving(Leaving::new(member)),
+            Life::Leaving(_) if !is_member => self.end(Action::Left),
+            Life::Joining(_) | Life::Member(_) | Life::Leaving(_) | Life::Gone => life,
+        }
+    }
+
+    fn end(&mut self, action: Action) -> Life {
+        self.core.out.push(action);
+        Life::Gone
+    }
+
+    fn publish(&mut self) {
+        let Some(record) = &self.core.record else { return };
+        let member = self.life.member();
+        self.serving.me = self.core.me;
+        self.serving.record = record.clone();
+        self.serving.until = member.and_then(|member| member.until(&self.core));
+        let (held, hot) = member.map(|member| member.held(&self.core)).unwrap_or_default();
+        if *self.serving.held != held {
+            self.serving.held = Arc::new(held);
+        }
+        if *self.serving.held_hot != hot {
+            self.serving.held_hot = Arc::new(hot);
+        }
+    }
 }
