Serve requests at their owner, thin

Adds the caller side (hyper 1 server), the upstream side (one request at a time a connection, bounded pool) and the pipeline between them: path, route, key, ownership check, own upstream or one forward to the owner.

--- /dev/null
+++ b/crates/rattanarchd/src/request/job.rs
@@ -0,0 +1,107 @@
+//! A request whose head has been read and found good.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Uri;
+use hyper::header;
+use rattanarch_types::Fence;
+use rattanarch_types::KeyHash;
+use rattanarch_types::Priority;
+
+use crate::connection::Pool;
+use crate::request::OutBody;
+use crate::request::body::Payload;
+use crate::request::headers;
+
+/// How much earlier than the caller's the deadline of a forwarded request is, so that the peer's
+/// own verdict arrives in time.
+const HOP_MARGIN: Duration = Duration::from_millis(5);
+
+/// A caller's request.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) method: Method,
+    /// Path and query as the caller sent them.
+    pub(crate) full_path: String,
+    /// Path and query after the service.
+    pub(crate) rest_path: String,
+    /// Fields to pass on, without those of one connection and those of this system.
+    pub(crate) fields: HeaderMap,
+    pub(crate) key: Option<Key>,
+    pub(crate) priority: Priority,
+    pub(crate) deadline: Instant,
+    /// Whether a peer has forwarded it.
+    pub(crate) forwarded: bool,
+    pub(crate) payload: Payload,
+}
+
+/// Key of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Key {
+    pub(crate) text: String,
+    pub(crate) hash: KeyHash,
+}
+
+impl Job {
+    /// Whether running it twice has the effect of running it once, by its method.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.method.is_idempotent()
+    }
+
+    /// Time left for the answer's head.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// The request as the upstream behind `pool` gets it; `None` if its body is used up.
+    pub(crate) fn for_upstream(
+        &mut self,
+        pool: &Pool,
+        id: &str,
+        fence: Option<Fence>,
+    ) -> Option<Request<OutBody>> {
+        let left = self.left();
+        let path = self.rest_path.clone();
+        let mut request = self.build(pool, path, id, left)?;
+        if let Some(fence) = fence {
+            request.headers_mut().insert(headers::FENCE, headers::value(&fence.to_string()));
+        }
+        Some(request)
+    }
+
+    /// The request as the peer behind `pool` gets it; `None` if its body is used up.
+    pub(crate) fn for_peer(&mut self, pool: &Pool, id: &str, me: u64) -> Option<Request<OutBody>> {
+        let left = self.left();
+        let left = left.checked_sub(HOP_MARGIN).unwrap_or(left);
+        let path = self.full_path.clone();
+        let mut request = self.build(pool, path, id, left)?;
+        request.headers_mut().insert(headers::FORWARDED, headers::value(&format!("{me:x}")));
+        Some(request)
+    }
+
+    fn build(
+        &mut self,
+        pool: &Pool,
+        path: String,
+        id: &str,
+        left: Duration,
+    ) -> Option<Request<OutBody>> {
+        let uri = Uri::try_from(path).ok()?;
+        let mut request = Request::new(self.payload.take()?);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = uri;
+        let fields = request.headers_mut();
+        *fields = self.fields.clone();
+        fields.insert(header::HOST, headers::value(&pool.address().to_string()));
+        fields.insert(headers::REQUEST, headers::value(id));
+        fields.insert(headers::DEADLINE, headers::value(&left.as_millis().to_string()));
+        if let Some(key) = &self.key {
+            fields.insert(headers::KEY, headers::value(&key.text));
+        }
+        Some(request)
+    }
+}
--- /dev/null
+++ b/crates/rattanarchd/tests/support/rig.rs
@@ -0,0 +1,101 @@
+//! A request path that serves callers, with views set by hand.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanarch_ownership::Serving;
+use rattanarch_types::BootId;
+use rattanarch_types::Configuration;
+use rattanarch_types::KeySource;
+use rattanarch_types::Member;
+use rattanarch_types::Record;
+use rattanarch_types::Route;
+use rattanarch_types::Service;
+use rattanarch_types::Sharing;
+use rattanarchd::connection::CallerServer;
+use rattanarchd::process::Clock;
+use rattanarchd::request::RequestPath;
+use rattanarchd::request::RequestSettings;
+use rattanarchd::version::Grant;
+use rattanarchd::version::View;
+use rattanarchd::version::Views;
+use tokio::runtime::Handle;
+
+pub const SERVICE: &str = "trade-desk";
+const SLICES: u16 = 8;
+const HOUR: Duration = Duration::from_secs(3600);
+
+/// A daemon's request path, listening.
+pub struct Rig {
+    pub views: Views,
+    pub path: Arc<RequestPath>,
+    pub server: CallerServer,
+    pub address: SocketAddr,
+}
+
+impl Rig {
+    /// Sole owner of all keys, in front of `upstream`; requests take up to `timeout`.
+    pub fn start(upstream: SocketAddr, timeout: Duration) -> Self {
+        Self::with(RequestSettings::default(), upstream, timeout)
+    }
+
+    pub fn with(settings: RequestSettings, upstream: SocketAddr, timeout: Duration) -> Self {
+        let settings = settings.with_service(SERVICE).with_upstream(upstream);
+        let views = Views::default();
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let path = RequestPath::new(settings, views.clone(), Clock);
+        let server = CallerServer::start(&Handle::current(), listener, Arc::clone(&path)).unwrap();
+        views.publish(view_of(1, &[(1, address)], 1, timeout));
+        Self { views, path, server, address }
+    }
+
+    /// Publishes a changed view.
+    pub fn change(&self, change: impl FnOnce(&mut View)) {
+        let mut view = View::clone(&self.views.current());
+        change(&mut view);
+        self.views.publish(view);
+    }
+}
+
+/// The view of member `me` where `owner` owns every key.
+pub fn view_of(
+    me: BootId,
+    members: &[(BootId, SocketAddr)],
+    owner: BootId,
+    timeout: Duration,
+) -> View {
+    let mut record = Record::new(SERVICE, SLICES);
+    record.version = 1;
+    for &(boot, address) in members {
+        record.members.insert(boot, member(boot, address));
+    }
+    record.owners = vec![Some(owner); usize::from(SLICES)];
+    let until = Clock.now() + HOUR;
+    let route = Route::default().with_key(KeySource::Segment(1)).with_timeout(timeout);
+    let service =
+        Service { sharing: Sharing::Keyed(SLICES), routes: vec![route], ..Service::default() };
+    let services = BTreeMap::from([(SERVICE.to_owned(), service.clone())]);
+    View {
+        serving: Serving { me, record: Arc::new(record), until: Some(until), ..Serving::default() },
+        configuration: Arc::new(Configuration { services, ..Configuration::default() }),
+        service: Some(Arc::new(service)),
+        grant: Some(Grant { fence: 7, until }),
+        ..View::default()
+    }
+}
+
+fn member(boot: BootId, caller: SocketAddr) -> Member {
+    Member {
+        instance: format!("desk-{boot}"),
+        data_centre: "hafenhalle".to_owned(),
+        peer: caller,
+        caller,
+        slots: 20,
+        term: 1,
+        witnesses: Vec::new(),
+        leaving: false,
+    }
+}
