Add stand-ins for the platform and an upstream

Both keep to the API pages and run as processes that print where they listen. The platform stand-in is served by hyper and not by rouille: rouille answers 500 where the page demands a closed connection without an answer (down, lost answer), and holds a thread for each waiting watch.

--- a/crates/rattanarch_standins/src/lib.rs
+++ b/crates/rattanarch_standins/src/lib.rs
@@ -1,1 +1,32 @@
-//! Stand-ins for the platform and an upstream, the load tool and the process fixtures for failure tests.
+//! Stand-ins for the platform and an upstream, the load tool and the process fixtures for failure
+//! tests.
+//!
+//! Nothing here is shipped. The stand-ins keep to `docs/PLATFORM-API.md` and
+//! `docs/UPSTREAM-API.md`, show the faults that those pages list when told to, and record what
+//! they executed, so that a test can judge by their records and not by time.
+
+mod clock;
+mod content;
+mod fixture;
+mod http;
+mod platform;
+mod query;
+mod upstream;
+
+pub use content::Content;
+pub use fixture::FixtureError;
+pub use fixture::Process;
+pub use fixture::Program;
+pub use http::Traffic;
+pub use http::run;
+pub use platform::Counts;
+pub use platform::PlatformFaults;
+pub use platform::PlatformStandin;
+pub use upstream::Entry;
+pub use upstream::Happening;
+pub use upstream::Journal;
+pub use upstream::Outcome;
+pub use upstream::Reporting;
+pub use upstream::UpstreamFaults;
+pub use upstream::UpstreamSettings;
+pub use upstream::UpstreamStandin;
