--- a/crates/rattanarch_standins/src/upstream/body.rs
+++ b/crates/rattanarch_standins/src/upstream/body.rs
@@ -4,11 +4,14 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 
 use crate::content::Content;
 use crate::upstream::run::Run;
@@ -17,6 +20,25 @@
 /// Bytes made at a time; a download holds no more than this beside the socket's buffers.
 const PIECE_BYTES: u64 = 64 << 10;
 
+/// Pause before a connection is cut, so that the bytes before are sent and not dropped with it.
+const CUT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The cut of a connection, after its pause.
+#[derive(Debug)]
+struct Cut {
+    pause: Pin<Box<Sleep>>,
+}
+
+impl Cut {
+    fn new() -> Self {
+        Self { pause: Box::pin(sleep(CUT_PAUSE)) }
+    }
+
+    fn poll<T>(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<T>>> {
+        self.pause.as_mut().poll(context).map(|()| Some(Err(cut_error())))
+    }
+}
+
 /// A file's content. Its run holds a slot until the last byte is taken; dropped before, it is
 /// abandoned.
 #[derive(Debug)]
@@ -24,24 +46,24 @@
     content: Content,
     offset: u64,
     length: u64,
-    /// Offset at which the connection is cut.
-    cut: Option<u64>,
+    /// Offset at which the connection is cut; `length` when it is not.
+    end: u64,
+    cut: Cut,
     run: Option<(Run, Order)>,
 }
 
 impl FileBody {
     pub(crate) fn new(name: &str, length: u64, cut: bool, run: Run, order: Order) -> Self {
-        let cut = cut.then_some(length / 2);
-        Self { content: Content::new(name), offset: 0, length, cut, run: Some((run, order)) }
+        let end = if cut { length / 2 } else { length };
+        let content = Content::new(name);
+        Self { content, offset: 0, length, end, cut: Cut::new(), run: Some((run, order)) }
     }
 
     fn piece(&mut self) -> io::Result<Bytes> {
-        let stopped = self.run.as_ref().is_some_and(|(run, _)| run.stop_reason().is_some());
-        if stopped || self.cut.is_some_and(|cut| self.offset >= cut) {
+        if self.run.as_ref().is_some_and(|(run, _)| run.stop_reason().is_some()) {
             return Err(cut_error());
         }
-        let end = self.cut.unwrap_or(self.length);
-        let count = (end - self.offset).min(PIECE_BYTES);
+        let count = (self.end - self.offset).min(PIECE_BYTES);
         let mut piece = vec![0; count as usize];
         self.content.fill(self.offset, &mut piece);
         self.offset += count;
@@ -63,11 +85,14 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         if self.is_end_stream() {
             return Poll::Ready(None);
         }
+        if self.offset == self.end {
+            return self.cut.poll(context);
+        }
         Poll::Ready(Some(self.piece().map(Frame::data)))
     }
 
@@ -83,12 +108,15 @@
 /// A body that promises all of its bytes and is cut off in its middle.
 #[derive(Debug)]
 pub(crate) struct CutBody {
-    bytes: Option<Bytes>,
+    half: Option<Bytes>,
+    length: u64,
+    cut: Cut,
 }
 
 impl CutBody {
-    pub(crate) fn new(bytes: Bytes) -> Self {
-        Self { bytes: Some(bytes) }
+    pub(crate) fn new(bytes: &Bytes) -> Self {
+        let half = bytes.slice(..bytes.len() / 2);
+        Self { half: Some(half), length: bytes.len() as u64, cut: Cut::new() }
     }
 }
 
@@ -98,17 +126,16 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let outcome = match self.bytes.take() {
-            Some(bytes) => Ok(Frame::data(bytes.slice(..bytes.len() / 2))),
-            None => Err(cut_error()),
-        };
-        Poll::Ready(Some(outcome))
+        match self.half.take() {
+            Some(half) => Poll::Ready(Some(Ok(Frame::data(half)))),
+            None => self.cut.poll(context),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.as_ref().map_or(0, Bytes::len) as u64)
+        SizeHint::with_exact(self.length)
     }
 }
 
--- a/crates/rattanarch_standins/src/upstream/work.rs
+++ b/crates/rattanarch_standins/src/upstream/work.rs
@@ -38,6 +38,9 @@
 /// Header with the name of the upstream that answers.
 pub(crate) const INSTANCE_HEADER: &str = "rattanarch-instance";
 
+/// Text of [`Verdict::NotRun`].
+const NOT_RUN: &str = "not-run";
+
 /// Longest body of a request, in bytes.
 const BODY_LIMIT: usize = 1 << 20;
 
@@ -107,9 +110,7 @@
 
     fn answer(self, order: &Order) -> Response<Body> {
         let mut answer = empty(self.status());
-        let verdict = HeaderValue::from_static("not-run");
-        debug_assert_eq!(verdict.to_str().ok(), Some(Verdict::NotRun.to_string().as_str()));
-        answer.headers_mut().insert(Verdict::HEADER, verdict);
+        answer.headers_mut().insert(Verdict::HEADER, HeaderValue::from_static(NOT_RUN));
         echo(&mut answer, order);
         answer
     }
@@ -199,7 +200,7 @@
         return Ok(answer);
     }
     let (head, _) = answer.into_parts();
-    Ok(Response::from_parts(head, CutBody::new(body).boxed_unsync()))
+    Ok(Response::from_parts(head, CutBody::new(&body).boxed_unsync()))
 }
 
 fn mark(answer: &mut Response<Body>, shared: &Shared, order: &Order) {
