Add the load tool

Seeded open-loop arrivals like the two firms' workloads; every answer is checked by key, by an echo of the caller's own and, for files, by each byte; retries follow the verdict header alone. The tests show that it finds crossed and cut answers, and that it repeats no write that may have run.

--- /dev/null
+++ b/crates/rattanarch_standins/src/load/kind.rs
@@ -0,0 +1,110 @@
+//! The kinds of requests that the firms' callers make.
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use serde::Serialize;
+
+/// A firm whose callers are imitated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Firm {
+    /// Genossenschaft Hummerbecken Alpenland eG.
+    Coop,
+    /// Aguas Libres Franquicias S.A.
+    AguasLibres,
+}
+
+/// A text that names no firm.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("firm {0:?} is not one of \"coop\", \"aguas-libres\"")]
+pub struct FirmError(pub String);
+
+impl FromStr for Firm {
+    type Err = FirmError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "coop" => Ok(Self::Coop),
+            "aguas-libres" => Ok(Self::AguasLibres),
+            other => Err(FirmError(other.to_owned())),
+        }
+    }
+}
+
+impl Firm {
+    /// Kinds of the firm's requests, each with its share of a hundred.
+    pub(crate) fn mix(self) -> &'static [(Kind, u64)] {
+        match self {
+            Self::Coop => &[(Kind::Stock, 80), (Kind::Reservations, 15), (Kind::Certificates, 5)],
+            Self::AguasLibres => &[(Kind::Conditions, 75), (Kind::Bookings, 20), (Kind::Maps, 5)],
+        }
+    }
+}
+
+/// Kind of a request; its text is the route's first segment.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// The co-op's stock and price checks, by tank.
+    #[display("stock")]
+    Stock,
+    /// The co-op's lobster batch reservations, by tank.
+    #[display("reservations")]
+    Reservations,
+    /// The co-op's customs certificate downloads.
+    #[display("certificates")]
+    Certificates,
+    /// Aguas Libres' spot conditions, by spot.
+    #[display("conditions")]
+    Conditions,
+    /// Aguas Libres' bookings with deposits, by spot.
+    #[display("bookings")]
+    Bookings,
+    /// Aguas Libres' offline map downloads.
+    #[display("maps")]
+    Maps,
+}
+
+impl Kind {
+    /// Service that answers it.
+    pub fn service(self) -> &'static str {
+        match self {
+            Self::Stock | Self::Reservations => "trade-desk",
+            Self::Certificates => "pound-files",
+            Self::Conditions | Self::Bookings => "reservas",
+            Self::Maps => "cartografia",
+        }
+    }
+
+    /// Whether it must not run twice.
+    pub fn is_write(self) -> bool {
+        matches!(self, Self::Reservations | Self::Bookings)
+    }
+
+    /// Start of its keys' names.
+    pub(crate) fn key_prefix(self) -> &'static str {
+        match self {
+            Self::Stock | Self::Reservations => "tank",
+            Self::Certificates => "certificate",
+            Self::Conditions | Self::Bookings => "spot",
+            Self::Maps => "map",
+        }
+    }
+
+    /// Number of its keys.
+    pub(crate) fn key_count(self) -> u64 {
+        match self {
+            Self::Certificates | Self::Maps => 200,
+            _ => 2_000,
+        }
+    }
+
+    /// Length of its files in bytes, from the least to the greatest; `None` for other answers.
+    pub(crate) fn file_bytes(self) -> Option<(u64, u64)> {
+        match self {
+            Self::Certificates => Some((20_000, 200_000)),
+            Self::Maps => Some((200_000, 4_000_000)),
+            _ => None,
+        }
+    }
+}
--- a/crates/rattanarch_standins/src/upstream/work.rs
+++ b/crates/rattanarch_standins/src/upstream/work.rs
@@ -59,12 +59,15 @@
     pub(crate) idempotency: Option<String>,
     /// Length of the file that is asked for; `None` for other work.
     file_bytes: Option<u64>,
+    /// Text of the caller's own, which the answer repeats.
+    echo: Option<String>,
 }
 
 impl Order {
     fn new(request: &Request<Incoming>) -> Self {
         let headers = request.headers();
         let path = decode(request.uri().path());
+        let query = request.uri().query().unwrap_or_default();
         let name = path.rsplit('/').next().unwrap_or_default().to_owned();
         Self {
             request: text(headers, REQUEST_HEADER).unwrap_or_default(),
@@ -74,7 +77,8 @@
             fence: number(headers, "rattanarch-fence"),
             deadline: number(headers, "rattanarch-deadline-ms").map(Duration::from_millis),
             idempotency: text(headers, "idempotency-key"),
-            file_bytes: request.uri().query().and_then(|query| parameter(query, "bytes")),
+            file_bytes: parameter(query, "bytes"),
+            echo: parameter(query, "echo"),
         }
     }
 
@@ -175,7 +179,10 @@
     };
     let instance = &shared.state().settings.instance.clone();
     let (key, request) = (&order.key, &order.request);
-    let body = json!({"key": key, "request": request, "value": value, "instance": instance});
+    let mut body = json!({"key": key, "request": request, "value": value, "instance": instance});
+    if let Some(echo) = &order.echo {
+        body["echo"] = echo.as_str().into();
+    }
     let mut answer = json(StatusCode::OK, &body);
     mark(&mut answer, shared, order);
     faulty(shared, answer, Bytes::from(body.to_string())).await
--- /dev/null
+++ b/crates/rattanarch_standins/tests/load_tool.rs
@@ -0,0 +1,115 @@
+//! The load tool finds wrong answers, repeats nothing that it may not, and is the same for a seed.
+
+use std::time::Duration;
+
+use rattanarch_standins::Arrivals;
+use rattanarch_standins::Firm;
+use rattanarch_standins::Happening;
+use rattanarch_standins::Journal;
+use rattanarch_standins::LoadReport;
+use rattanarch_standins::LoadSettings;
+use rattanarch_standins::Process;
+use rattanarch_standins::Program;
+use rattanarch_standins::Targets;
+use rattanarch_standins::run_load;
+use serde_json::Value;
+use serde_json::json;
+
+struct Upstream {
+    base: String,
+    targets: Targets,
+    _process: Process,
+}
+
+impl Upstream {
+    fn start() -> Self {
+        let program = Program::find("upstream-standin").expect("a built stand-in");
+        let program = program.with_argument("--ignore-fences");
+        let (process, address) = program.listen("upstream").expect("a free port");
+        let mut targets = Targets::default();
+        targets.add(&address.to_string()).expect("an address");
+        Self { base: format!("http://{address}"), targets, _process: process }
+    }
+
+    fn faults(&self, faults: &Value) {
+        ureq::post(format!("{}/test/faults", self.base)).send_json(faults).expect("a test call");
+    }
+
+    fn load(&self, firm: Firm) -> LoadReport {
+        let settings = LoadSettings::default()
+            .with_targets(self.targets.clone())
+            .with_firm(firm)
+            .with_rate(200.0)
+            .with_duration(Duration::from_secs(1))
+            .with_timeout(Duration::from_millis(500));
+        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+        runtime.expect("a runtime").block_on(run_load(settings))
+    }
+
+    fn written(&self) -> Vec<String> {
+        let mut answer =
+            ureq::get(format!("{}/test/journal", self.base)).call().expect("a journal");
+        let journal: Journal = answer.body_mut().read_json().expect("a journal as JSON");
+        let entries = journal.entries.into_iter();
+        let keys = entries.filter_map(|entry| match entry.happening {
+            Happening::Started { idempotency, .. } => idempotency,
+            _ => None,
+        });
+        keys.collect()
+    }
+}
+
+#[test]
+fn same_seed() {
+    for firm in [Firm::Coop, Firm::AguasLibres] {
+        let plan = |seed| Arrivals::new(firm, 100.0, seed).take(500).collect::<Vec<_>>();
+        assert_eq!(plan(7), plan(7));
+        assert_ne!(plan(7), plan(8));
+    }
+}
+
+#[test]
+fn right_answers() {
+    let upstream = Upstream::start();
+    for firm in [Firm::Coop, Firm::AguasLibres] {
+        let report = upstream.load(firm);
+        assert!(report.sent() > 150, "{report}");
+        assert_eq!(report.succeeded(), report.sent(), "{report}");
+        assert_eq!(report.wrong, 0, "{report}");
+        assert_eq!(report.unavailable.affected, 0, "{report}");
+    }
+}
+
+#[test]
+fn crossed_found() {
+    let upstream = Upstream::start();
+    upstream.faults(&json!({"cross_next": 3}));
+    let report = upstream.load(Firm::Coop);
+    // The very first answer has none before it to be crossed with.
+    assert!((2..=3).contains(&report.wrong), "{report}");
+}
+
+#[test]
+fn cut_found() {
+    let upstream = Upstream::start();
+    upstream.faults(&json!({"cut_next": 5}));
+    let report = upstream.load(Firm::AguasLibres);
+    // Refusals of a full upstream may stand beside them.
+    let cut = report.answers.get("end of file before message length reached");
+    assert_eq!(cut, Some(&5), "{report}");
+    assert_eq!(report.wrong, 0, "{report}");
+}
+
+#[test]
+fn single_writes() {
+    let upstream = Upstream::start();
+    upstream.faults(&json!({"cut_next": 60, "shed_next": 30}));
+    let report = upstream.load(Firm::Coop);
+    let mut written = upstream.written();
+    let count = written.len();
+    written.sort();
+    written.dedup();
+    assert_eq!(written.len(), count, "a write was sent again though it may have run");
+    assert!(report.kinds["reservations"].failed > 0, "{report}");
+    assert!(report.acknowledged.iter().all(|key| written.contains(key)));
+}
