Parse the operators' language

Ruled out: winnow's own context errors (alt and opt drop them). Shown to fail: printed_parses without escaping of backslashes; nearest_word and the other error tests without the furthest rule.

--- a/crates/rattanarch_language/src/lib.rs
+++ b/crates/rattanarch_language/src/lib.rs
@@ -1,1 +1,37 @@
 //! The operators' query and command language.
+//!
+//! One grammar serves questions (`show upstreams where slices > 10`), commands (`take out
+//! data-centre nordkuehl`), trials (`dry run …`) and waiting (`wait until in force within 10s`).
+//! [`parse`] reads one [`Statement`], [`parse_script`] several. A statement's display form is its
+//! canonical text, which parses to the same statement. A [`ParseError`] points at its column and
+//! names the nearest word. `docs/LANGUAGE.md` is the reference.
+//!
+//! ```
+//! use rattanarch_language::parse;
+//!
+//! let statement = parse("drain data centre nordkuehl for coop")?;
+//! assert_eq!(statement.to_string(), "take out data-centre nordkuehl for coop");
+//!
+//! let error = parse("show upstraems").unwrap_err();
+//! assert_eq!(error.column, 6);
+//! assert_eq!(error.nearest.as_deref(), Some("upstreams"));
+//! # Ok::<(), rattanarch_language::ParseError>(())
+//! ```
+
+mod command;
+mod error;
+mod input;
+mod lexer;
+mod query;
+mod script;
+mod statement;
+mod token;
+mod value;
+
+pub use error::ParseError;
+pub use script::Line;
+pub use script::parse;
+pub use script::parse_script;
+pub use statement::Action;
+pub use statement::Condition;
+pub use statement::Statement;
