Answer operators over HTTP

Queries read the platform and fall back to what is known, with its age; commands go by conditional update with a write id and settle a lost answer by repeating the same conditional update, since an update still on its way could land after a plain read. Partly done: the fleet knows only this daemon; tests of the module follow.

--- a/crates/rattanarch_config/src/edit.rs
+++ b/crates/rattanarch_config/src/edit.rs
@@ -26,8 +26,8 @@
 const OUT_LIMIT: usize = 1_024;
 /// Most lives of a service that are declared lost.
 const LOST_LIMIT: usize = 1_024;
-/// Longest name, in bytes.
-const NAME_LIMIT: usize = 64;
+/// Longest name, in bytes; as in the daemon's settings.
+const NAME_LIMIT: usize = 63;
 /// Longest path prefix, in bytes.
 const PREFIX_LIMIT: usize = 256;
 /// Longest timeout of a rule.
@@ -264,8 +264,9 @@
 }
 
 fn check_name(name: &str) -> Edited {
-    let is_good = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
-    if !name.is_empty() && name.len() <= NAME_LIMIT && name.chars().all(is_good) {
+    let is_good = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    let starts = name.starts_with(|c: char| c.is_ascii_lowercase());
+    if starts && name.len() <= NAME_LIMIT && name.chars().all(is_good) {
         return Ok(());
     }
     Err(CommandError::Name(name.to_owned()))
--- a/crates/rattanarch_config/src/error.rs
+++ b/crates/rattanarch_config/src/error.rs
@@ -60,7 +60,7 @@
         firm: FirmName,
     },
     /// A name breaks the rules for names.
-    #[error("name {0:?} must be 1 to 64 of a-z, 0-9, \"-\", \"_\" and \".\"")]
+    #[error("name {0:?} must be 1 to 63 lower-case letters, digits and hyphens, a letter first")]
     Name(String),
     /// A path prefix breaks the rules for prefixes.
     #[error("prefix {0:?} must begin with \"/\" and be at most 256 characters without spaces")]
--- a/crates/rattanarch_config/src/held.rs
+++ b/crates/rattanarch_config/src/held.rs
@@ -3,12 +3,18 @@
 use rattanarch_types::Version;
 
 /// Newest known version of an object. It never goes back to a lower one.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Held<T> {
     version: Version,
     value: Option<T>,
 }
 
+impl<T> Default for Held<T> {
+    fn default() -> Self {
+        Self { version: 0, value: None }
+    }
+}
+
 impl<T> Held<T> {
     /// Takes `value` if its version is higher than the held one; says whether it did.
     pub fn offer(&mut self, version: Version, value: T) -> bool {
--- a/crates/rattanarch_config/src/page.rs
+++ b/crates/rattanarch_config/src/page.rs
@@ -11,9 +11,9 @@
 /// 25 days at 21,000 changes a day.
 pub const PAGES: u64 = 4_096;
 /// Entries that stay in the trail when it is moved, so that races are told who won.
-pub const TRAIL_KEPT: usize = 8;
+pub const TRAIL_KEPT: usize = 16;
 /// Length of the trail at which the next writer moves it.
-pub const TRAIL_MOVED: usize = 16;
+pub const TRAIL_MOVED: usize = 32;
 /// Length of the trail at which commands are refused, because its pages cannot be written.
 pub const TRAIL_LIMIT: usize = 256;
 
--- a/crates/rattanarchd/src/lib.rs
+++ b/crates/rattanarchd/src/lib.rs
@@ -5,6 +5,7 @@
 //! and calls [`process::run`]; tests and the load tool may embed the parts.
 
 pub mod connection;
+pub mod operator;
 pub mod process;
 pub mod request;
 pub mod version;
--- /dev/null
+++ b/crates/rattanarchd/src/operator/audit.rs
@@ -0,0 +1,110 @@
+//! Audit pages in the platform.
+
+use rattanarch_config::Page;
+use rattanarch_config::TRAIL_KEPT;
+use rattanarch_config::TRAIL_MOVED;
+use rattanarch_config::page_of;
+use rattanarch_config::page_path;
+use rattanarch_platform::Object;
+use rattanarch_platform::Platform;
+use rattanarch_platform::PlatformError;
+use rattanarch_platform::Put;
+use rattanarch_types::Configuration;
+use rattanarch_types::Entry;
+use rattanarch_types::Serial;
+use rattanarch_types::WriteId;
+use serde_json::json;
+
+use crate::operator::firms::ReadError;
+use crate::operator::firms::decode;
+
+/// Attempts to store a page that others write too, or whose answer is lost.
+const PAGE_WRITES: usize = 6;
+
+/// Moves old entries of a long trail into pages, before `next` is stored without them.
+///
+/// `next` is left as it is when a page cannot be stored: the next writer tries again. The newest
+/// entry, which is not accepted yet, always stays.
+pub(crate) fn make_room(platform: &Platform, next: &mut Configuration) {
+    let length = next.trail.entries.len();
+    if length <= TRAIL_MOVED {
+        return;
+    }
+    let moved = length - TRAIL_KEPT;
+    let entries = &next.trail.entries[..moved];
+    let stored = entries
+        .chunk_by(|a, b| page_of(a.serial) == page_of(b.serial))
+        .try_for_each(|chunk| store(platform, &next.firm, chunk));
+    match stored {
+        Ok(()) => {
+            next.trail.entries.drain(..moved);
+            next.trail.start += moved as Serial;
+        }
+        Err(error) => log::warn!(firm = next.firm.as_str(); "audit entries not moved: {error}"),
+    }
+}
+
+fn store(platform: &Platform, firm: &str, entries: &[Entry]) -> Result<(), ReadError> {
+    let Some(first) = entries.first() else { return Ok(()) };
+    let number = page_of(first.serial);
+    let path = page_path(firm, number);
+    let mut object = platform.get(&path)?;
+    let mut fault = None;
+    for _ in 0..PAGE_WRITES {
+        let version = object.version;
+        let Some(next) = read_page(&path, object)?.with_entries(number, entries) else {
+            return Ok(());
+        };
+        object = match platform.put(&path, version, &json!(next)) {
+            Ok(Put::Accepted(_)) => return Ok(()),
+            Ok(Put::Conflict(object)) => object,
+            Err(error @ PlatformError::NoAnswer { .. }) => {
+                fault = Some(error);
+                platform.get(&path)?
+            }
+            Err(error) => return Err(error.into()),
+        };
+    }
+    let reason = "the page keeps changing".to_owned();
+    Err(fault.map_or(ReadError::Malformed { path, reason }, ReadError::from))
+}
+
+fn read_page(path: &str, object: Object) -> Result<Page, ReadError> {
+    if object.version == 0 {
+        return Ok(Page::default());
+    }
+    decode(path, object)
+}
+
+/// Entries of page `number`; empty when a later page has taken its place.
+pub(crate) fn load_page(
+    platform: &Platform,
+    firm: &str,
+    number: u64,
+) -> Result<Vec<Entry>, ReadError> {
+    let path = page_path(firm, number);
+    let page = read_page(&path, platform.get(&path)?)?;
+    Ok(if page.number == number { page.entries } else { Vec::new() })
+}
+
+/// The entry with this write id, in the trail or in the newest page before it.
+pub(crate) fn find_write(
+    platform: &Platform,
+    configuration: &Configuration,
+    write_id: WriteId,
+) -> Result<Option<Entry>, ReadError> {
+    let is_it = |entry: &&Entry| entry.write_id == write_id;
+    let trail = &configuration.trail;
+    if let Some(entry) = trail.entries.iter().find(is_it) {
+        return Ok(Some(entry.clone()));
+    }
+    let Some(newest) = trail.start.checked_sub(1) else { return Ok(None) };
+    let newest = page_of(newest);
+    for number in newest.saturating_sub(1)..=newest {
+        let entries = load_page(platform, &configuration.firm, number)?;
+        if let Some(entry) = entries.iter().find(is_it) {
+            return Ok(Some(entry.clone()));
+        }
+    }
+    Ok(None)
+}
--- /dev/null
+++ b/crates/rattanarchd/src/operator/names.rs
@@ -0,0 +1,73 @@
+//! Names that are unique over all firms.
+
+use rattanarch_config::Command;
+use rattanarch_platform::Platform;
+use rattanarch_platform::PlatformError;
+use rattanarch_platform::Put;
+use rattanarch_types::FirmName;
+use rattanarch_types::Object;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+/// Attempts to store a claim whose answer is lost.
+const CLAIMS: usize = 3;
+
+/// Says which firm a name belongs to; one small object a name, created once and never changed.
+///
+/// Two firms have two configurations, so no one conditional update could keep their names apart.
+/// A name stays its firm's after a removal: its keys' records may outlast it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Claim {
+    /// Firm that the name belongs to.
+    firm: FirmName,
+}
+
+/// Firm that the service or data centre of `object` belongs to; `None` when nobody claimed it.
+pub(crate) fn owner_of(
+    platform: &Platform,
+    object: &Object,
+) -> Result<Option<FirmName>, PlatformError> {
+    let found = platform.get(&claim_path(object))?;
+    let claim: Option<Claim> = serde_json::from_value(found.value).ok();
+    Ok(claim.map(|claim| claim.firm))
+}
+
+/// Claims the name that `command` creates for `firm`; the firm that has it.
+pub(crate) fn claim(
+    platform: &Platform,
+    command: &Command,
+    firm: &str,
+) -> Result<FirmName, PlatformError> {
+    let creates =
+        matches!(command, Command::CreateService { .. } | Command::CreateDataCentre { .. });
+    if !creates {
+        return Ok(firm.to_owned());
+    }
+    let path = claim_path(&command.object());
+    let value = json!(Claim { firm: firm.to_owned() });
+    let mut outcome = platform.put(&path, 0, &value);
+    for _ in 1..CLAIMS {
+        if !matches!(outcome, Err(PlatformError::NoAnswer { .. })) {
+            break;
+        }
+        outcome = platform.put(&path, 0, &value);
+    }
+    match outcome? {
+        Put::Accepted(_) => Ok(firm.to_owned()),
+        Put::Conflict(object) => {
+            let claim: Option<Claim> = serde_json::from_value(object.value).ok();
+            Ok(claim.map_or_else(|| firm.to_owned(), |claim| claim.firm))
+        }
+    }
+}
+
+fn claim_path(object: &Object) -> String {
+    match object {
+        Object::DataCentre(name) => format!("names/data-centre/{name}"),
+        Object::Service(service)
+        | Object::Route { service, .. }
+        | Object::Instance { service, .. }
+        | Object::Life { service, .. } => format!("names/service/{service}"),
+    }
+}
