Run the whole path: control loop, grants, gossip, planned stop

Cause: nothing joined the parts into a daemon yet. Two processes that start at once in one slot could take the same fence; fences now carry random low bits.

--- a/crates/rattanarch_standins/src/upstream/service.rs
+++ b/crates/rattanarch_standins/src/upstream/service.rs
@@ -39,6 +39,8 @@
 /// Body of `PUT /control/grant`.
 #[derive(Debug, Deserialize)]
 struct GrantOffer {
+    /// Life of the upstream whose clock `until_ms` is on.
+    boot: u64,
     fence: Fence,
     until_ms: u64,
 }
@@ -130,7 +132,7 @@
     fn clock(&self) -> Response<Body> {
         let state = self.shared.state();
         let (clock, fence) = (state.clock(), state.grant.fence());
-        json(StatusCode::OK, &json!({"clock_ms": clock, "fence": fence}))
+        json(StatusCode::OK, &json!({"boot": state.boot, "clock_ms": clock, "fence": fence}))
     }
 
     fn take_grant(&self, body: &[u8]) -> Response<Body> {
@@ -139,11 +141,14 @@
             Err(error) => return bad_request(&error),
         };
         let mut state = self.shared.state();
+        if offer.boot != state.boot {
+            return json(StatusCode::PRECONDITION_FAILED, &json!({"boot": state.boot}));
+        }
         let now = state.clock();
         if state.grant.take(now, offer.fence, offer.until_ms).is_err() {
             return json(StatusCode::CONFLICT, &json!({"fence": state.grant.fence()}));
         }
-        let GrantOffer { fence, until_ms } = offer;
+        let GrantOffer { fence, until_ms, .. } = offer;
         state.record(Happening::Grant { fence, until_ms });
         let older = state.older_running();
         json(StatusCode::OK, &json!({"clock_ms": now, "fence": fence, "older_running": older}))
--- a/crates/rattanarch_standins/src/upstream/state.rs
+++ b/crates/rattanarch_standins/src/upstream/state.rs
@@ -1,6 +1,8 @@
 //! What an upstream holds.
 
 use std::collections::HashMap;
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
 
 use rattanarch_types::Fence;
 use slab::Slab;
@@ -43,6 +45,8 @@
 /// What an upstream holds.
 #[derive(Debug)]
 pub(crate) struct State {
+    /// Names this life of the upstream, whose clock starts anew with each.
+    pub(crate) boot: u64,
     pub(crate) settings: UpstreamSettings,
     pub(crate) faults: InForce,
     pub(crate) grant: Grant,
@@ -59,6 +63,7 @@
 impl State {
     pub(crate) fn new(settings: UpstreamSettings) -> Self {
         Self {
+            boot: RandomState::new().hash_one(std::process::id()),
             faults: InForce::default(),
             grant: Grant::default(),
             warmth: Warmth::new(settings.slots, settings.cold),
--- a/crates/rattanarch_standins/tests/upstream_standin.rs
+++ b/crates/rattanarch_standins/tests/upstream_standin.rs
@@ -50,8 +50,12 @@
     }
 
     fn grant(&self, fence: u64, lasts: u64) -> (u16, Value) {
-        let until = self.get("/control/clock")["clock_ms"].as_u64().expect("a clock") + lasts;
-        let offer = json!({"fence": fence, "until_ms": until});
+        let clock = self.get("/control/clock");
+        let until = clock["clock_ms"].as_u64().expect("a clock") + lasts;
+        self.offer(&json!({"boot": clock["boot"], "fence": fence, "until_ms": until}))
+    }
+
+    fn offer(&self, offer: &Value) -> (u16, Value) {
         let answer = self.agent.put(self.url("/control/grant")).send_json(offer);
         let mut answer = answer.expect("an answer");
         (answer.status().as_u16(), answer.body_mut().read_json().expect("JSON"))
@@ -105,6 +109,17 @@
     answer.body_mut().read_json::<Value>().expect("JSON")["request"].clone()
 }
 
+#[test]
+fn other_life() {
+    // A grant for an earlier life's clock could last for days on this life's.
+    let upstream = Standin::start(&[]);
+    let boot = upstream.get("/control/clock")["boot"].as_u64().expect("a boot id");
+    let offer = json!({"boot": boot.wrapping_add(1), "fence": 7, "until_ms": 1_000_000});
+    let (status, answer) = upstream.offer(&offer);
+    assert_eq!((status, answer["boot"].as_u64()), (412, Some(boot)));
+    assert_eq!(upstream.get("/control/clock")["fence"], 0);
+}
+
 #[test]
 fn fenced_work() {
     let upstream = Standin::start(&["--clock-offset", "123456"]);
--- a/crates/rattanarch_wire/tests/frame_codec.rs
+++ b/crates/rattanarch_wire/tests/frame_codec.rs
@@ -27,8 +27,8 @@
 fn message(kind: u8, a: u64, b: u64, c: u64) -> Message {
     let time = Duration::from_nanos(c);
     match kind % 6 {
-        0 => Message::Renew { term: a, sent: time, record: b },
-        1 => Message::Ack { term: a, sent: time, record: b },
+        0 => Message::Renew { term: a, sent: time, record: b, load: (c >> 32) as u32 },
+        1 => Message::Ack { term: a, sent: time, record: b, load: c as u32 },
         2 => Message::Refused { sealed: a, record: b },
         3 => Message::Seal { owner: a, term: b, forced: c % 2 == 0 },
         4 => Message::Sealed { owner: a, term: b, remaining: time },
@@ -53,7 +53,7 @@
             return TestResult::discard();
         }
         let codec = Codec::new(SECRET);
-        let mut frame = codec.seal(&packet(1, vec![WireMessage(1, 2, 3, 4)])).unwrap();
+        let mut frame = codec.seal(&packet(1, vec![WireMessage(1, 2, 3, 4, 5)])).unwrap();
         let at = at % frame.len();
         frame[at] ^= flip;
         let taken = codec.open::<Packet>(&frame, MAX_DATAGRAM);
@@ -95,7 +95,7 @@
 
 #[test]
 fn unknown_kind() {
-    assert!(matches!(Message::try_from(WireMessage(200, 0, 0, 0)), Err(WireError::Kind(200))));
+    assert!(matches!(Message::try_from(WireMessage(200, 0, 0, 0, 0)), Err(WireError::Kind(200))));
 }
 
 #[test]
@@ -111,7 +111,7 @@
     // 3 KB/s a node, both directions: 12 datagrams each 400 ms, less 28 bytes of IP and UDP header
     // each, leaves 72 bytes for a frame with one lease message.
     let codec = Codec::new(SECRET);
-    let large = WireMessage(1, 1 << 20, u64::MAX >> 8, 1 << 20);
+    let large = WireMessage(1, 1 << 20, u64::MAX >> 8, 1 << 20, 1 << 20);
     let mut sent = packet(1 << 24, vec![large]);
     (sent.from, sent.to) = (u64::MAX, u64::MAX);
     let frame = codec.seal(&sent).unwrap();
--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -45,8 +45,8 @@
 use crate::version::is_watcher;
 use crate::version::lost_members;
 
-/// Time between two ticks of the node: a tenth of the shortest heartbeat, which is 100 ms.
-const TICK: Duration = Duration::from_millis(10);
+/// Ticks of the node in one heartbeat.
+const TICKS: u32 = 10;
 /// Time between two flushes of the metrics.
 const FLUSH: Duration = Duration::from_secs(1);
 /// Age of the knowledge at which a member watches the platform itself: above what a watcher's wait
@@ -95,6 +95,8 @@
     pub(crate) sender: UnboundedSender<Input>,
     /// Service of this member.
     pub(crate) service: String,
+    /// Whether the upstream checks fences and has taken one of this process.
+    pub(crate) fenced: bool,
 }
 
 /// The control loop.
@@ -142,7 +144,8 @@
 
     /// Runs until the member has left.
     pub(crate) async fn run(mut self) -> ControlEnd {
-        let mut ticks = tokio::time::interval(TICK);
+        self.start_node();
+        let mut ticks = tokio::time::interval(self.parts.timing.heartbeat / TICKS);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let me = self.node.me();
@@ -157,9 +160,20 @@
         }
     }
 
+    /// Tells a new node what its predecessor or the start-up has settled already.
+    fn start_node(&mut self) {
+        if self.parts.fenced {
+            self.step(Event::Fenced);
+        }
+        self.tell_intent();
+    }
+
     fn tick(&mut self) {
         let now = self.clock.now();
         self.step(Event::Tick);
+        if self.parts.quiescence.needs_fence() {
+            self.parts.granter.raise_fence();
+        }
         if let Some(event) = self.parts.quiescence.poll(now) {
             self.step(event);
         }
@@ -212,7 +226,7 @@
                 self.grant = Some(grant);
                 self.publish();
             }
-            Input::Fenced { raised } => self.parts.quiescence.fenced(raised),
+            Input::Fenced(fence) => self.parts.quiescence.fenced(fence),
             Input::UpstreamSilent => {}
             Input::Superseded(fence) => {
                 log::error!(fence = fence; "a later process in this slot has taken the upstream");
@@ -309,7 +323,7 @@
         if let Some(until) = self.node.serving().until {
             if !self.health.is_silent() {
                 self.parts.granter.extend(until);
-                self.parts.quiescence.extended(until);
+                self.parts.quiescence.offered(until);
             }
         }
         self.publish();
@@ -324,9 +338,7 @@
                 // Requests check the published view after they are counted as running, so what
                 // is held must be published before they are counted.
                 self.publish();
-                if self.parts.quiescence.start(slices, hot) {
-                    self.parts.granter.raise_fence();
-                }
+                self.parts.quiescence.start(slices, hot);
             }
             Action::Rejoin => self.rejoin(),
             Action::Left => self.end = Some(ControlEnd::Left),
@@ -337,10 +349,10 @@
         log::warn!(boot = self.node.me(); "taken over; joining again");
         self.node = new_node(&self.parts);
         self.parts.granter.raise_fence();
-        self.parts.quiescence.raised();
         if self.stopping {
             self.end = Some(ControlEnd::Left);
         }
+        self.start_node();
     }
 
     fn send_outbox(&mut self, now: Moment) {
--- a/crates/rattanarchd/src/process/granter.rs
+++ b/crates/rattanarchd/src/process/granter.rs
@@ -10,10 +10,10 @@
 use rattanarch_types::Moment;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::process::Clock;
 use crate::process::ControlError;
 use crate::process::Counters;
 use crate::process::Input;
+use crate::process::random;
 use crate::process::upstream_control::ClockReading;
 use crate::process::upstream_control::GrantOutcome;
 use crate::process::upstream_control::UpstreamControl;
@@ -102,7 +102,7 @@
             match self.give(wanted) {
                 Ok(0) if settled < wanted.fences => {
                     settled = wanted.fences;
-                    let _ = self.inputs.send(Input::Fenced { raised: settled });
+                    let _ = self.inputs.send(Input::Fenced(self.first + settled));
                 }
                 Ok(0) => {}
                 Ok(_) => {
@@ -166,6 +166,16 @@
     }
 }
 
+/// Bits of a fence that are drawn at random, so that two processes that start at once in one slot
+/// do not both take the same fence for their own; the bits above count the lives in a slot.
+const RANDOM_BITS: u32 = 20;
+
+/// A fence above `taken`, and above any that its process can reach by raising it.
+fn above(taken: Fence) -> Fence {
+    let life = (taken >> RANDOM_BITS) + 1;
+    (life << RANDOM_BITS) | (random() % (1 << RANDOM_BITS))
+}
+
 /// Makes the upstream refuse every fence given before and returns the new one.
 ///
 /// # Errors
@@ -174,12 +184,12 @@
     upstream: &UpstreamControl,
 ) -> Result<(ClockReading, Fence), ControlError> {
     let (mut reading, taken) = upstream.clock()?;
-    let mut fence = taken + 1;
+    let mut fence = above(taken);
     loop {
         // A grant that ends at 0 lets nothing run yet.
         match upstream.grant(fence, reading.ending_at(0))? {
             GrantOutcome::Taken { reading, .. } => return Ok((reading, fence)),
-            GrantOutcome::Superseded(higher) => fence = higher + 1,
+            GrantOutcome::Superseded(higher) => fence = above(higher),
             GrantOutcome::Restarted => reading = upstream.clock()?.0,
         }
     }
--- a/crates/rattanarchd/src/process/input.rs
+++ b/crates/rattanarchd/src/process/input.rs
@@ -57,11 +57,8 @@
     PullFailed(BootId),
     /// The upstream took a grant.
     Granted(Grant),
-    /// Nothing runs at the upstream under fences below the one raised as number `raised`.
-    Fenced {
-        /// How many fences were asked for.
-        raised: u64,
-    },
+    /// The upstream has taken this fence, asked for by a raise, and runs nothing under lower ones.
+    Fenced(Fence),
     /// The upstream did not answer a grant.
     UpstreamSilent,
     /// The upstream has taken a higher fence, of a later process in this slot.
--- a/crates/rattanarchd/src/process/listeners.rs
+++ b/crates/rattanarchd/src/process/listeners.rs
@@ -18,7 +18,7 @@
     source: std::io::Error,
 }
 
-/// Open sockets; all non-blocking.
+/// Open sockets; all non-blocking. The operators' server opens its own.
 #[derive(Debug)]
 pub struct Listeners {
     /// For callers.
@@ -27,8 +27,6 @@
     pub peer_tcp: TcpListener,
     /// For datagrams of peers; the same port as `peer_tcp`.
     pub peer_udp: UdpSocket,
-    /// For operators.
-    pub operator: TcpListener,
 }
 
 impl Listeners {
@@ -38,19 +36,16 @@
     /// The first socket that can't be opened, with its settings field.
     pub fn open(settings: &ListenSettings) -> Result<Self, ListenError> {
         let caller = open_tcp("listen.caller", settings.caller)?;
-        let operator = open_tcp("listen.operator", settings.operator)?;
         let (peer_tcp, peer_udp) = open_pair(settings.peer)?;
-        Ok(Self { caller, peer_tcp, peer_udp, operator })
+        Ok(Self { caller, peer_tcp, peer_udp })
     }
 
-    /// Addresses as bound: caller, peer, operator.
+    /// Addresses as bound: caller, peer.
     ///
     /// # Errors
     /// When the operating system does not tell them.
-    pub fn addresses(&self) -> std::io::Result<[SocketAddr; 3]> {
-        let caller = self.caller.local_addr()?;
-        let peer = self.peer_tcp.local_addr()?;
-        Ok([caller, peer, self.operator.local_addr()?])
+    pub fn addresses(&self) -> std::io::Result<(SocketAddr, SocketAddr)> {
+        Ok((self.caller.local_addr()?, self.peer_tcp.local_addr()?))
     }
 }
 
--- a/crates/rattanarchd/src/process/mod.rs
+++ b/crates/rattanarchd/src/process/mod.rs
@@ -1,15 +1,38 @@
 //! What lives as long as the process.
 
 mod clock;
+mod control;
+mod granter;
+mod input;
+mod listeners;
 mod logs;
 mod metrics;
+mod platform_worker;
+mod quiescence;
+mod run;
 mod settings;
 mod settings_error;
+mod signals;
+mod upstream_control;
+mod upstream_health;
 
 pub use clock::Clock;
+pub(crate) use control::Control;
+pub(crate) use control::ControlEnd;
+pub(crate) use control::ControlParts;
+pub(crate) use control::random;
+pub(crate) use granter::Granter;
+pub(crate) use granter::fence_earlier_lives;
+pub(crate) use input::Input;
+pub use listeners::ListenError;
+pub use listeners::Listeners;
 pub use logs::start_logs;
 pub use metrics::Counters;
 pub use metrics::Metrics;
+pub(crate) use platform_worker::PlatformWorker;
+pub(crate) use quiescence::Quiescence;
+pub use run::RunError;
+pub use run::run;
 pub use settings::ListenSettings;
 pub use settings::LogSettings;
 pub use settings::MetricSettings;
@@ -20,3 +43,8 @@
 pub use settings::Settings;
 pub use settings::UpstreamSettings;
 pub use settings_error::SettingsError;
+pub(crate) use signals::stop_signal;
+pub(crate) use upstream_control::Announcement;
+pub(crate) use upstream_control::ControlError;
+pub(crate) use upstream_control::UpstreamControl;
+pub(crate) use upstream_health::UpstreamHealth;
--- /dev/null
+++ b/crates/rattanarchd/src/process/run.rs
@@ -0,0 +1,299 @@
+//! Starts the parts of the daemon and ends them in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rattanarch_ownership::Timing;
+use rattanarch_platform::Platform;
+use rattanarch_types::Fence;
+use rattanarch_types::Member;
+use rattanarch_wire::Codec;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::watch;
+
+use crate::connection::BulkServer;
+use crate::connection::CallerServer;
+use crate::connection::Holdings;
+use crate::connection::PeerSocket;
+use crate::operator::Access;
+use crate::operator::Desk;
+use crate::operator::Server;
+use crate::operator::ServerError;
+use crate::operator::ViewFleet;
+use crate::process::Announcement;
+use crate::process::Clock;
+use crate::process::Control;
+use crate::process::ControlEnd;
+use crate::process::ControlParts;
+use crate::process::Counters;
+use crate::process::Granter;
+use crate::process::Input;
+use crate::process::ListenError;
+use crate::process::Listeners;
+use crate::process::Metrics;
+use crate::process::PlatformWorker;
+use crate::process::Quiescence;
+use crate::process::Settings;
+use crate::process::UpstreamControl;
+use crate::process::fence_earlier_lives;
+use crate::process::stop_signal;
+use crate::process::upstream_control::ClockReading;
+use crate::request::RequestPath;
+use crate::request::RequestSettings;
+use crate::version::Views;
+
+/// Threads that carry requests; the control loop has its own, which requests can't hold up.
+const REQUEST_THREADS: usize = 2;
+/// Wait between two questions to an upstream that has not announced itself yet.
+const ANNOUNCE_WAIT: Duration = Duration::from_millis(100);
+
+/// Why the daemon ended other than by a planned stop.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// An address can't be listened at.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// The operators' server can't start.
+    #[error(transparent)]
+    Operators(#[from] ServerError),
+    /// The operating system refused a thread, a socket or a signal handler.
+    #[error("operating system refused a resource: {0}")]
+    Resource(#[from] std::io::Error),
+    /// The upstream beside the daemon serves something else than the settings say.
+    #[error("upstream announces service {announced:?}; the settings name service {expected:?}")]
+    WrongService {
+        /// What the upstream says.
+        announced: String,
+        /// What the settings say.
+        expected: String,
+    },
+    /// A later process in this slot has taken the upstream.
+    #[error("a later process in this slot has taken the upstream")]
+    Superseded,
+    /// The planned stop took longer than the settings allow.
+    #[error("stop did not end within {0:?}: ownership was not given up by the record")]
+    StopLate(Duration),
+}
+
+/// Runs the daemon until a planned stop has ended.
+///
+/// # Errors
+/// See [`RunError`].
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    let stop = stop_signal()?;
+    let listeners = Listeners::open(&settings.listen)?;
+    let upstream = UpstreamControl::new(settings.upstream.address);
+    let Some(upstream_state) = await_upstream(&upstream, &settings, &stop)? else { return Ok(()) };
+    Daemon::start(settings, listeners, upstream, upstream_state)?.run(&stop)
+}
+
+/// What the upstream said at the start.
+struct UpstreamState {
+    announcement: Announcement,
+    reading: ClockReading,
+    fence: Fence,
+}
+
+/// Waits until the upstream announces itself and refuses every earlier life of this daemon;
+/// `None` when the process is to stop first.
+fn await_upstream(
+    upstream: &UpstreamControl,
+    settings: &Settings,
+    stop: &std::sync::mpsc::Receiver<()>,
+) -> Result<Option<UpstreamState>, RunError> {
+    let mut told = false;
+    loop {
+        let state = upstream.announcement().and_then(|announcement| {
+            let (reading, fence) = fence_earlier_lives(upstream)?;
+            Ok(UpstreamState { announcement, reading, fence })
+        });
+        match state {
+            Ok(state) => return check_service(state, settings).map(Some),
+            Err(error) if !told => {
+                log::info!(reason:% = error; "waiting for the upstream");
+                told = true;
+            }
+            Err(_) => {}
+        }
+        if stop.recv_timeout(ANNOUNCE_WAIT).is_ok() {
+            return Ok(None);
+        }
+    }
+}
+
+fn check_service(state: UpstreamState, settings: &Settings) -> Result<UpstreamState, RunError> {
+    let (announced, expected) = (&state.announcement.service, &settings.process.service);
+    if announced == expected {
+        return Ok(state);
+    }
+    Err(RunError::WrongService { announced: announced.clone(), expected: expected.clone() })
+}
+
+/// The running parts of the daemon.
+struct Daemon {
+    settings: Settings,
+    requests: Runtime,
+    callers: CallerServer,
+    control: std::thread::JoinHandle<Option<ControlEnd>>,
+    inputs: UnboundedSender<Input>,
+    _operators: Server,
+}
+
+impl Daemon {
+    fn start(
+        settings: Settings,
+        listeners: Listeners,
+        upstream: UpstreamControl,
+        state: UpstreamState,
+    ) -> Result<Self, RunError> {
+        let (caller, peer) = listeners.addresses()?;
+        let views = Views::default();
+        let requests = Builder::new_multi_thread()
+            .worker_threads(REQUEST_THREADS)
+            .thread_name("requests")
+            .enable_all()
+            .build()?;
+        let path = RequestPath::new(request_settings(&settings, &state), views.clone(), Clock);
+        let callers = CallerServer::start(requests.handle(), listeners.caller, Arc::clone(&path))?;
+        let platform = Platform::new(&*settings.platform.address, &*settings.platform.token)
+            .with_timeout(Duration::from_millis(settings.platform.timeout_ms));
+        let operators = start_operators(&settings, &views, platform.clone())?;
+        log::info!(
+            caller:% = caller, peer:% = peer, operator:% = operators.address(),
+            slots = state.announcement.slots, fence = state.fence;
+            "listening"
+        );
+        let (inputs, received) = unbounded_channel();
+        let counters = Arc::new(Counters::default());
+        let process = &settings.process;
+        let codec = Codec::new(settings.peers.secret.as_bytes());
+        let (holdings, held) = watch::channel(Holdings::default());
+        let names = (&*process.firm, &*process.service);
+        let worker = PlatformWorker::start(platform, names, inputs.clone(), Arc::clone(&counters))?;
+        let first = (state.reading, state.fence);
+        let granter = Granter::start(upstream, first, inputs.clone(), Arc::clone(&counters))?;
+        let metrics = Metrics::new(settings.metrics.statsd, Arc::clone(&counters))?;
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let member = member(&settings, &state, (caller, peer));
+        let sender = inputs.clone();
+        let timing = timing(&settings);
+        let service = process.service.clone();
+        let quiescence = Quiescence::new(path.running().clone());
+        let fenced = state.announcement.checks_fence;
+        let (peer_udp, peer_tcp) = (listeners.peer_udp, listeners.peer_tcp);
+        let run = move || {
+            runtime.block_on(async move {
+                let socket = tokio::net::UdpSocket::from_std(peer_udp).ok()?;
+                let listener = tokio::net::TcpListener::from_std(peer_tcp).ok()?;
+                let socket = PeerSocket::new(socket, codec.clone(), Arc::clone(&counters));
+                tokio::spawn(BulkServer::new(codec.clone(), held).run(listener));
+                let parts = ControlParts {
+                    member,
+                    timing,
+                    codec,
+                    socket,
+                    worker,
+                    granter,
+                    quiescence,
+                    views,
+                    holdings,
+                    metrics,
+                    counters,
+                    inputs: received,
+                    sender,
+                    service,
+                    fenced,
+                };
+                Some(Control::new(parts).run().await)
+            })
+        };
+        let control = std::thread::Builder::new().name("control".to_owned()).spawn(run)?;
+        Ok(Self { settings, requests, callers, control, inputs, _operators: operators })
+    }
+
+    /// Runs until the process is to stop, and stops: ownership is given up first, while requests
+    /// still run; then callers are served out.
+    fn run(self, stop: &std::sync::mpsc::Receiver<()>) -> Result<(), RunError> {
+        self.await_stop(stop);
+        let within = self.settings.stop_within();
+        let deadline = Instant::now() + within;
+        let _ = self.inputs.send(Input::Stop);
+        while !self.control.is_finished() && Instant::now() < deadline {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let left = self.control.is_finished();
+        let rest = deadline.saturating_duration_since(Instant::now());
+        let served_out = self.requests.block_on(self.callers.stop(rest.max(MIN_SERVE_OUT)));
+        log::info!(left = left, served_out = served_out; "stopped");
+        if !left {
+            return Err(RunError::StopLate(within));
+        }
+        match self.control.join() {
+            Ok(Some(ControlEnd::Left)) => Ok(()),
+            Ok(Some(ControlEnd::Superseded)) => Err(RunError::Superseded),
+            Ok(None) => Err(std::io::Error::other("control loop has no socket").into()),
+            Err(_) => Err(std::io::Error::other("control loop panicked").into()),
+        }
+    }
+
+    fn await_stop(&self, stop: &std::sync::mpsc::Receiver<()>) {
+        while !self.control.is_finished() {
+            if stop.recv_timeout(STOP_POLL).is_ok() {
+                return;
+            }
+        }
+    }
+}
+
+/// How often the end of the control loop is looked for.
+const STOP_POLL: Duration = Duration::from_millis(100);
+/// Least time that callers get to take their answers, also when the stop is late.
+const MIN_SERVE_OUT: Duration = Duration::from_secs(1);
+
+fn start_operators(
+    settings: &Settings,
+    views: &Views,
+    platform: Platform,
+) -> Result<Server, ServerError> {
+    let fleet = Arc::new(ViewFleet::new(views.clone()));
+    let desk = Desk::new(settings.process.clone(), views.clone(), platform, fleet);
+    Server::start(settings.listen.operator, Access::new(&settings.operators), Arc::new(desk))
+}
+
+fn request_settings(settings: &Settings, state: &UpstreamState) -> RequestSettings {
+    RequestSettings::default()
+        .with_service(&*settings.process.service)
+        .with_instance(&*settings.process.instance)
+        .with_upstream(settings.upstream.address)
+        .with_checks_fence(state.announcement.checks_fence)
+        .with_slots(state.announcement.slots)
+        .with_connections(settings.upstream.connections as u16)
+}
+
+fn member(
+    settings: &Settings,
+    state: &UpstreamState,
+    (caller, peer): (SocketAddr, SocketAddr),
+) -> Member {
+    Member {
+        instance: settings.process.instance.clone(),
+        data_centre: settings.process.data_centre.clone(),
+        peer,
+        caller,
+        slots: state.announcement.slots.max(1),
+        term: 0,
+        witnesses: Vec::new(),
+        leaving: false,
+    }
+}
+
+/// Durations of the lease protocol in the proportions of the default ones.
+fn timing(settings: &Settings) -> Timing {
+    let lease = Duration::from_millis(settings.peers.lease_ms);
+    Timing { lease, heartbeat: lease / 3, suspicion: lease * 5 / 6, ..Timing::default() }
+}
