Record the first fence of each member's process

Fences of one process lie within Member::FENCE_SPAN of its first, so that an older process that raises its fence never reaches a newer one's.

--- a/crates/rattanarch_types/src/member.rs
+++ b/crates/rattanarch_types/src/member.rs
@@ -7,6 +7,7 @@
 
 use crate::BootId;
 use crate::DataCentreName;
+use crate::Fence;
 use crate::InstanceId;
 use crate::Version;
 
@@ -24,6 +25,14 @@
     pub caller: SocketAddr,
     /// Concurrent requests that its upstream bears when warm; at least 1.
     pub slots: u16,
+    /// First fence that the upstream took for this process before it joined; 0 if the upstream
+    /// checks no fences.
+    ///
+    /// All fences of one process lie within [`Member::FENCE_SPAN`] from its first, and those of a
+    /// newer process in the slot above that, so that the older can never raise its fence over the
+    /// newer's.
+    #[serde(default)]
+    pub fence: Fence,
     /// Record version at which this member joined or last changed `witnesses`.
     ///
     /// Witnesses acknowledge leases of a term, never of a record version, so that a change that
@@ -36,3 +45,8 @@
     /// Whether the member is on its way out: it takes no slices and no witness duty.
     pub leaving: bool,
 }
+
+impl Member {
+    /// Number of fences that one process may use.
+    pub const FENCE_SPAN: Fence = 1 << 32;
+}
--- a/crates/rattanarch_wire/src/record.rs
+++ b/crates/rattanarch_wire/src/record.rs
@@ -5,6 +5,7 @@
 
 use rattanarch_types::BootId;
 use rattanarch_types::DataCentreName;
+use rattanarch_types::Fence;
 use rattanarch_types::InstanceId;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Member;
@@ -25,6 +26,8 @@
     peer: SocketAddr,
     caller: SocketAddr,
     slots: u16,
+    #[serde(default)]
+    fence: Fence,
     term: Version,
     witnesses: Vec<BootId>,
     leaving: bool,
@@ -38,6 +41,7 @@
             peer: member.peer,
             caller: member.caller,
             slots: member.slots,
+            fence: member.fence,
             term: member.term,
             witnesses: member.witnesses,
             leaving: member.leaving,
@@ -53,6 +57,7 @@
             peer: member.peer,
             caller: member.caller,
             slots: member.slots,
+            fence: member.fence,
             term: member.term,
             witnesses: member.witnesses,
             leaving: member.leaving,
--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -328,6 +328,8 @@
                     self.parts.granter.raise_fence();
                 }
             }
+            // Without an answer the node waits until its older life is taken over.
+            Action::Fence { above } => log::warn!(above; "older life has a higher fence"),
             Action::Rejoin => self.rejoin(),
             Action::Left => self.end = Some(ControlEnd::Left),
         }
--- a/crates/rattanarchd/tests/support/rig.rs
+++ b/crates/rattanarchd/tests/support/rig.rs
@@ -94,6 +94,7 @@
         peer: caller,
         caller,
         slots: 20,
+        fence: 0,
         term: 1,
         witnesses: Vec::new(),
         leaving: false,
