Let a newer process of a slot succeed an older one by its fence

named_schedules::woken_predecessor fails without it. A member that another process has succeeded ends (Action::Left) instead of joining again, or the two would take turns for ever.

--- a/crates/rattanarch_ownership/src/action.rs
+++ b/crates/rattanarch_ownership/src/action.rs
@@ -1,6 +1,7 @@
 //! What a node wants done.
 
 use rattanarch_types::BootId;
+use rattanarch_types::Fence;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Record;
 use rattanarch_types::SliceId;
@@ -30,8 +31,15 @@
         /// Hot keys to be quiet.
         hot: Vec<KeyHash>,
     },
+    /// Have the upstream take a fence above this one and above every other that it has taken;
+    /// answer with [`Event::Fenced`](crate::Event::Fenced). Asked only before the node has joined.
+    Fence {
+        /// First fence of an older life of this instance.
+        above: Fence,
+    },
     /// This member was taken over: join again under a new boot id, with a new node.
     Rejoin,
-    /// Everything is released and the member has left; only after [`Event::Stop`](crate::Event::Stop).
+    /// The member has left: everything is released after [`Event::Stop`](crate::Event::Stop), or a
+    /// newer process has taken its place in the slot. The process is to end.
     Left,
 }
--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -43,8 +43,6 @@
     pub(crate) barred: BTreeSet<BootId>,
     /// Members declared lost, and when this node learned of it.
     pub(crate) lost: BTreeMap<BootId, Moment>,
-    /// Whether the upstream has fenced off older processes of this slot.
-    pub(crate) fenced: bool,
     /// When this process last came back from a pause: silence before it is no evidence.
     pub(crate) awake: Moment,
     /// Last known requests a second of members, this one included.
@@ -71,7 +69,6 @@
             backoff: Backoff::default(),
             barred: BTreeSet::new(),
             lost: BTreeMap::new(),
-            fenced: false,
             awake: Moment::ZERO,
             loads: BTreeMap::new(),
             keys: BTreeMap::new(),
--- a/crates/rattanarch_ownership/src/event.rs
+++ b/crates/rattanarch_ownership/src/event.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use rattanarch_types::BootId;
+use rattanarch_types::Fence;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
@@ -25,9 +26,12 @@
         /// if the answer came by a watch that was sent long ago.
         read_sent: Option<Moment>,
     },
-    /// The upstream beside this daemon has taken a fence of this process: it runs nothing for an
-    /// older process in the same slot any more. Never sent for an upstream that checks no fences.
-    Fenced,
+    /// The end of an [`Action::Fence`](crate::Action::Fence): the upstream has taken this fence, and
+    /// this process uses none below it any more.
+    Fenced {
+        /// First fence that this process may use from now on.
+        fence: Fence,
+    },
     /// A peer's message, its origin proved by the codec.
     Message {
         /// Member that sent it.
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -6,6 +6,7 @@
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
 
+use crate::Action;
 use crate::core::Core;
 
 /// A node that is not yet a member.
@@ -13,6 +14,8 @@
 pub(crate) struct Joining {
     /// Older life of the same instance, which must end first.
     pub(crate) old: Option<BootId>,
+    /// Older life above whose fences a fence was asked for.
+    asked: Option<BootId>,
 }
 
 impl Joining {
@@ -21,26 +24,38 @@
         let Some(record) = core.record.clone() else { return core.read(now) };
         let old = old_life(&record, &core.member.instance);
         self.old = old.filter(|old| !may_succeed(core, &record, *old));
-        if self.old.is_some() {
-            return core.read(now);
+        if let Some(old) = self.old {
+            return self.wait(core, now, &record, old);
         }
         if core.can_write(now) {
             let draft = draft(core, old);
             core.write(now, draft);
         }
     }
+
+    /// Waits for the end of the older life: its witnesses take it over, or the upstream, which has
+    /// lost its memory of fences, takes one above the older life's.
+    fn wait(&mut self, core: &mut Core, now: Moment, record: &Record, old: BootId) {
+        core.read(now);
+        let above = record.members.get(&old).map(|member| member.fence).unwrap_or_default();
+        if core.member.fence > 0 && above > 0 && self.asked != Some(old) {
+            self.asked = Some(old);
+            core.out.push(Action::Fence { above });
+        }
+    }
 }
 
 /// The member that is an older life of `instance`.
-fn old_life(record: &Record, instance: &str) -> Option<BootId> {
+pub(crate) fn old_life(record: &Record, instance: &str) -> Option<BootId> {
     record.members.iter().find(|(_, member)| member.instance == instance).map(|(id, _)| *id)
 }
 
-/// Whether this node may take the place of its old life: the upstream refuses that one's work, or
-/// it owns nothing.
+/// Whether this node may take the place of its old life: the upstream refuses that one's work for
+/// good, or it owns nothing.
 fn may_succeed(core: &Core, record: &Record, old: BootId) -> bool {
     let owns = record.owners.contains(&Some(old)) || record.hot.values().any(|id| *id == old);
-    core.fenced || !owns
+    let fence = record.members.get(&old).map(|member| member.fence).unwrap_or_default();
+    !owns || fence > 0 && core.member.fence > fence
 }
 
 /// The next record, with this node in it and in the place of `old`.
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -18,6 +18,7 @@
 use crate::Waits;
 use crate::core::Core;
 use crate::joining::Joining;
+use crate::joining::old_life;
 use crate::leaving::Leaving;
 use crate::life::Life;
 use crate::membership::Membership;
@@ -39,6 +40,8 @@
 impl Node {
     /// A node that will join as `member` under the boot id `me`; `seed` feeds its jitter and its
     /// write ids. Term, witnesses and leaving mark of `member` are ignored.
+    ///
+    /// The upstream has taken `member.fence` before, unless it checks none.
     pub fn new(me: BootId, member: Member, timing: Timing, seed: u64) -> Self {
         Self {
             core: Core::new(me, member, timing, seed),
@@ -90,7 +93,7 @@
 
     fn waits_to_serve(&self) -> Waits {
         match &self.life {
-            Life::Joining(Joining { old: Some(old) }) => Waits::OldLife(*old),
+            Life::Joining(Joining { old: Some(old), .. }) => Waits::OldLife(*old),
             Life::Joining(_) => Waits::Platform,
             Life::Member(_) if self.serving.until.is_none_or(|until| self.now >= until) => {
                 Waits::Witnesses
@@ -112,7 +115,7 @@
     fn take(&mut self, now: Moment, event: Event) {
         match event {
             Event::Record { record, read_sent } => self.core.learn(now, record, read_sent),
-            Event::Fenced => self.core.fenced = true,
+            Event::Fenced { fence } => self.core.member.fence = fence,
             Event::Message { from, message } => self.receive(now, from, message),
             Event::Written { write_id, outcome } => self.core.written(now, write_id, outcome),
             Event::Quiet { slices, hot } => self.quiet(&slices, &hot),
@@ -187,6 +190,7 @@
         match life {
             Life::Joining(_) if is_member => Life::Member(Membership::default()),
             Life::Joining(_) if stopping && self.core.attempt.is_none() => self.end(Action::Left),
+            Life::Member(_) if !is_member && self.is_succeeded() => self.end(Action::Left),
             Life::Member(_) if !is_member => self.end(Action::Rejoin),
             Life::Member(member) if stopping => Life::Leaving(Leaving::new(member)),
             Life::Leaving(_) if !is_member => self.end(Action::Left),
@@ -194,6 +198,12 @@
         }
     }
 
+    /// Whether another process has taken this member's place in the slot.
+    fn is_succeeded(&self) -> bool {
+        let record = self.core.record.as_ref();
+        record.is_some_and(|record| old_life(record, &self.core.member.instance).is_some())
+    }
+
     fn end(&mut self, action: Action) -> Life {
         self.core.out.push(action);
         Life::Gone
--- a/crates/rattanarch_ownership/tests/harness/process.rs
+++ b/crates/rattanarch_ownership/tests/harness/process.rs
@@ -6,6 +6,7 @@
 use rattanarch_ownership::Event;
 use rattanarch_ownership::Node;
 use rattanarch_ownership::Serving;
+use rattanarch_types::Fence;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Moment;
 
@@ -13,6 +14,8 @@
 pub struct Process {
     pub slot: usize,
     pub node: Node,
+    /// Fence that its requests carry.
+    pub fence: Fence,
     pub seed: u64,
     /// Local clock: an origin, and how many millionths longer or shorter its seconds are.
     pub origin: Duration,
--- a/crates/rattanarch_ownership/tests/named_schedules.rs
+++ b/crates/rattanarch_ownership/tests/named_schedules.rs
@@ -13,6 +13,16 @@
     }
 }
 
+#[test]
+fn woken_predecessor() {
+    let faults = [
+        Fault::Pause { slot: 70, millis: 1_368 },
+        Fault::Calm,
+        Fault::Zombie { slot: 70, millis: 2_907 },
+    ];
+    live(14_876_181_135_188_861_949, 4, &faults);
+}
+
 #[test]
 fn stop_after_kill() {
     let faults = [Fault::Kill { slot: 64, millis: 1_120 }, Fault::Stop { slot: 101 }];
--- a/crates/rattanarch_ownership/tests/thin_path.rs
+++ b/crates/rattanarch_ownership/tests/thin_path.rs
@@ -21,6 +21,7 @@
         peer: address,
         caller: address,
         slots: 20,
+        fence: 0,
         term: 0,
         witnesses: Vec::new(),
         leaving: false,
