--- /dev/null
+++ b/crates/rattanarch_ownership/tests/named_schedules.rs
@@ -0,0 +1,30 @@
+//! Schedules that once broke an invariant.
+
+mod harness;
+
+use harness::Fault;
+use harness::Setting;
+use harness::World;
+
+fn live(seed: u64, slots: usize, faults: &[Fault]) {
+    let setting = Setting { seed, slots, ..Setting::default() };
+    if let Err(error) = World::new(setting).live_through(faults) {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn woken_predecessor() {
+    let faults = [
+        Fault::Pause { slot: 70, millis: 1_368 },
+        Fault::Calm,
+        Fault::Zombie { slot: 70, millis: 2_907 },
+    ];
+    live(14_876_181_135_188_861_949, 4, &faults);
+}
+
+#[test]
+fn stop_after_kill() {
+    let faults = [Fault::Kill { slot: 64, millis: 1_120 }, Fault::Stop { slot: 101 }];
+    live(18_408_465_646_174_597_112, 5, &faults);
+}
--- a/crates/rattanarch_ownership/tests/thin_path.rs
+++ b/crates/rattanarch_ownership/tests/thin_path.rs
@@ -1,5 +1,6 @@
 //! Two nodes join over a shared record and serve.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rattanarch_ownership::Action;
@@ -13,13 +14,14 @@
 const SLICES: u16 = 8;
 
 fn member(name: &str) -> Member {
-    let address = "127.0.0.1:1".parse().unwrap();
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
     Member {
         instance: name.to_owned(),
         data_centre: name.to_owned(),
         peer: address,
         caller: address,
         slots: 20,
+        fence: 0,
         term: 0,
         witnesses: Vec::new(),
         leaving: false,
