Add fixtures of real processes and checks over journals

The checks judge by effects: the stand-in refuses an effect after its grant ended, so effects of one key at two upstreams must not overlap. Seven tests show that each violation is found, by hand-made histories.

--- a/crates/rattanarch_standins/src/lib.rs
+++ b/crates/rattanarch_standins/src/lib.rs
@@ -16,8 +16,15 @@
 
 pub use content::Content;
 pub use fixture::FixtureError;
+pub use fixture::Fleet;
 pub use fixture::Process;
 pub use fixture::Program;
+pub use fixture::ServicePlan;
+pub use fixture::Slot;
+pub use fixture::Violation;
+pub use fixture::acknowledged_ran;
+pub use fixture::at_most_once;
+pub use fixture::exclusive;
 pub use http::Traffic;
 pub use http::run;
 pub use load::Arrivals;
--- /dev/null
+++ b/crates/rattanarch_standins/tests/journal_checks.rs
@@ -0,0 +1,116 @@
+//! The checks over journals find each violation, and nothing in a right history.
+
+use rattanarch_standins::Entry;
+use rattanarch_standins::Happening;
+use rattanarch_standins::Journal;
+use rattanarch_standins::Outcome;
+use rattanarch_standins::Violation;
+use rattanarch_standins::acknowledged_ran;
+use rattanarch_standins::at_most_once;
+use rattanarch_standins::exclusive;
+
+#[derive(Default)]
+struct History {
+    journal: Journal,
+    runs: u64,
+}
+
+impl History {
+    fn new(instance: &str) -> Self {
+        let instance = instance.to_owned();
+        let journal = Journal { service: "trade-desk".to_owned(), instance, ..Journal::default() };
+        Self { journal, runs: 0 }
+    }
+
+    fn add(&mut self, at_us: u64, happening: Happening) {
+        self.journal.entries.push_back(Entry { at_us, happening });
+    }
+
+    fn with_grant(mut self, at_us: u64, fence: u64) -> Self {
+        self.add(at_us, Happening::Grant { fence, until_ms: 1_000 });
+        self
+    }
+
+    fn with_run(mut self, from: u64, to: u64, fence: u64, id: &str, outcome: Outcome) -> Self {
+        let run = self.runs;
+        self.runs += 1;
+        let started = Happening::Started {
+            run,
+            request: id.to_owned(),
+            method: "POST".to_owned(),
+            path: "/reservations/tank-1".to_owned(),
+            key: "tank-1".to_owned(),
+            fence: Some(fence),
+            idempotency: Some(id.to_owned()),
+        };
+        self.add(from, started);
+        self.add(to, Happening::Ended { run, outcome });
+        self
+    }
+}
+
+fn journals(histories: Vec<History>) -> Vec<Journal> {
+    histories.into_iter().map(|history| history.journal).collect()
+}
+
+#[test]
+fn right_history() {
+    let a = History::new("a").with_grant(0, 1).with_run(10, 20, 1, "x", Outcome::Done);
+    let a = a.with_run(21, 90, 1, "late", Outcome::GrantEnded);
+    let a = a.with_grant(60, 5).with_run(65, 70, 5, "z", Outcome::Done);
+    let b = History::new("b").with_grant(25, 3).with_run(30, 40, 3, "y", Outcome::Done);
+    let all = journals(vec![a, b]);
+    assert_eq!(exclusive(&all), Ok(()));
+    assert_eq!(at_most_once(&all), Ok(()));
+    assert_eq!(acknowledged_ran(&all, &["x".to_owned(), "y".to_owned()]), Ok(()));
+}
+
+#[test]
+fn two_owners() {
+    let a = History::new("a").with_grant(0, 1).with_run(10, 35, 1, "x", Outcome::Done);
+    let b = History::new("b").with_grant(25, 3).with_run(30, 40, 3, "y", Outcome::Done);
+    assert!(matches!(exclusive(&journals(vec![a, b])), Err(Violation::TwoOwners { .. })));
+}
+
+#[test]
+fn hidden_overlap() {
+    // The overlapping run is not the latest one to start at its upstream.
+    let a = History::new("a").with_grant(0, 1).with_run(10, 60, 1, "x", Outcome::Done);
+    let a = a.with_run(12, 14, 1, "w", Outcome::Done);
+    let b = History::new("b").with_grant(25, 3).with_run(30, 31, 3, "y", Outcome::Done);
+    assert!(matches!(exclusive(&journals(vec![a, b])), Err(Violation::TwoOwners { .. })));
+}
+
+#[test]
+fn falling_fence() {
+    let a = History::new("a").with_grant(0, 4).with_grant(10, 3);
+    let found = exclusive(&journals(vec![a]));
+    assert!(matches!(found, Err(Violation::FenceFell { fence: 3, before: 4, .. })), "{found:?}");
+}
+
+#[test]
+fn wrong_fence() {
+    let a = History::new("a").with_grant(0, 4).with_run(10, 20, 3, "x", Outcome::Done);
+    let found = exclusive(&journals(vec![a]));
+    assert!(matches!(found, Err(Violation::WrongFence { .. })), "{found:?}");
+}
+
+#[test]
+fn double_write() {
+    let a = History::new("a").with_grant(0, 1).with_run(10, 20, 1, "x", Outcome::Done);
+    let b = History::new("b").with_grant(25, 3).with_run(30, 40, 3, "x", Outcome::Done);
+    let all = journals(vec![a, b]);
+    assert!(matches!(at_most_once(&all), Err(Violation::RanTwice { .. })));
+    let unrun = acknowledged_ran(&all, &["y".to_owned()]);
+    assert!(matches!(unrun, Err(Violation::NeverRan { .. })));
+}
+
+#[test]
+fn lost_entries() {
+    let mut a = History::new("a");
+    a.journal.dropped = 1;
+    let all = journals(vec![a]);
+    for found in [exclusive(&all), at_most_once(&all), acknowledged_ran(&all, &[])] {
+        assert!(matches!(found, Err(Violation::Incomplete { .. })));
+    }
+}
