Read the machine's clock without the daemon's crate

The stand-ins needed the daemon's library for its clock alone, and did not build while that did not; they are also meant to judge the daemon and so share no code with it.

--- a/crates/rattanarch_standins/src/clock.rs
+++ b/crates/rattanarch_standins/src/clock.rs
@@ -1,16 +1,17 @@
 //! The machine's clock.
 
-use std::time::Duration;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 
-use rattanarchd::process::Clock;
+/// Microseconds in a second.
+const SECOND_US: u64 = 1_000_000;
 
-/// Time since the machine's start, in microseconds; the same for every process of the machine, so
-/// that journals of several upstreams can be put in one order.
-pub(crate) fn machine_us() -> u64 {
-    micros(Clock.now())
-}
+/// Nanoseconds in a microsecond.
+const MICRO_NS: u64 = 1_000;
 
-/// A duration in whole microseconds; `u64::MAX` when it is longer than that holds.
-pub(crate) fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+/// Time since the machine's start, suspended time included, in microseconds; the same for every
+/// process of the machine, so that journals of several upstreams can be put in one order.
+pub(crate) fn machine_us() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * SECOND_US + time.tv_nsec as u64 / MICRO_NS
 }
--- a/crates/rattanarchd/src/connection/bulk_client.rs
+++ b/crates/rattanarchd/src/connection/bulk_client.rs
@@ -66,10 +66,9 @@
         .max_message_size(Some(MAX_ANSWER_BYTES))
         .max_frame_size(Some(MAX_ANSWER_BYTES));
     let url = format!("ws://{address}/");
-    let (mut socket, _) =
-        tokio_tungstenite::client_async_with_config(url, stream, Some(config))
-            .await
-            .map_err(|error| error.to_string())?;
+    let (mut socket, _) = tokio_tungstenite::client_async_with_config(url, stream, Some(config))
+        .await
+        .map_err(|error| error.to_string())?;
     let sent = socket.send(Frame::Binary(request.into())).await;
     sent.map_err(|error| error.to_string())?;
     match socket.next().await {
