--- /dev/null
+++ b/crates/rattanarch_config/tests/held_versions.rs
@@ -0,0 +1,22 @@
+//! What is held never goes back.
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use rattanarch_config::Held;
+
+const SEED: u64 = 6;
+
+#[test]
+fn only_rises() {
+    fn property(versions: Vec<u64>) -> bool {
+        let mut held = Held::default();
+        let mut highest = None;
+        versions.into_iter().all(|version| {
+            let is_newer = highest.is_none_or(|highest| version > highest);
+            highest = highest.max(Some(version));
+            held.offer(version, version) == is_newer && held.get().copied() == highest
+        })
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(30, SEED));
+    check.quickcheck(property as fn(Vec<u64>) -> bool);
+}
--- /dev/null
+++ b/crates/rattanarch_config/tests/risks.rs
@@ -0,0 +1,87 @@
+//! Commands that are refused unless said twice.
+
+use rattanarch_config::Applied;
+use rattanarch_config::Command;
+use rattanarch_config::CommandError;
+use rattanarch_config::Operator;
+use rattanarch_config::Order;
+use rattanarch_config::Place;
+use rattanarch_config::apply;
+use rattanarch_config::check_places;
+use rattanarch_types::Configuration;
+use rattanarch_types::DataCentre;
+use rattanarch_types::Service;
+use rattanarch_types::Standing;
+
+fn base() -> Configuration {
+    let mut base = Configuration { firm: "coop".into(), ..Configuration::default() };
+    base.services.insert("pound-files".into(), Service::default());
+    for name in ["hafenhalle", "nordkuehl"] {
+        base.data_centres.insert(name.into(), DataCentre::default());
+    }
+    base
+}
+
+fn order(command: Command) -> Order {
+    Order::new(Operator::of_rota("rita"), command)
+}
+
+fn take_out(name: &str) -> Command {
+    Command::SetDataCentre { name: name.into(), standing: Standing::Out }
+}
+
+/// The refusal of a command said once; it is accepted when said twice.
+fn risk(base: &Configuration, command: Command) -> CommandError {
+    let order = order(command);
+    let error = apply(base, &order).expect_err("said once");
+    assert!(error.is_risk());
+    let twice = apply(base, &order.with_confirmed(true));
+    assert!(matches!(twice, Ok(Applied::Changed(_))), "{twice:?}");
+    error
+}
+
+#[test]
+fn last_data_centre() {
+    let Ok(Applied::Changed(one_left)) = apply(&base(), &order(take_out("hafenhalle"))) else {
+        panic!("the first is no risk")
+    };
+    let error = risk(&one_left, take_out("nordkuehl"));
+    let (name, firm) = ("nordkuehl".into(), "coop".into());
+    assert_eq!(error, CommandError::LastDataCentre { name, firm });
+}
+
+#[test]
+fn last_rule() {
+    let remove = Command::RemoveRoute { service: "pound-files".into(), prefix: "/".into() };
+    assert_eq!(risk(&base(), remove), CommandError::NoPlace("pound-files".into()));
+}
+
+#[test]
+fn service_removal() {
+    let remove = Command::RemoveService { service: "pound-files".into() };
+    assert_eq!(risk(&base(), remove), CommandError::Removal("pound-files".into()));
+}
+
+#[test]
+fn unproved_loss() {
+    let declare = Command::DeclareLost { service: "pound-files".into(), boot: 31 };
+    assert_eq!(risk(&base(), declare), CommandError::LossUnproved(31));
+}
+
+#[test]
+fn last_place() {
+    let place = |instance: &str, centre: &str| Place {
+        service: "pound-files".into(),
+        instance: instance.into(),
+        data_centre: centre.into(),
+    };
+    let places = [place("p1", "hafenhalle"), place("p2", "hafenhalle")];
+    let Ok(Applied::Changed(after)) = apply(&base(), &order(take_out("hafenhalle"))) else {
+        panic!("not the last data centre")
+    };
+    let error = CommandError::NoPlace("pound-files".into());
+    assert_eq!(check_places(&base(), &after, &places), Err(error));
+    let elsewhere = [place("p1", "hafenhalle"), place("p3", "nordkuehl")];
+    assert_eq!(check_places(&base(), &after, &elsewhere), Ok(()));
+    assert_eq!(check_places(&after, &after, &places), Ok(()));
+}
--- /dev/null
+++ b/crates/rattanarch_config/tests/table_select.rs
@@ -0,0 +1,38 @@
+//! Filters and columns of a table.
+
+use rattanarch_config::Filter;
+use rattanarch_config::Query;
+use rattanarch_config::Subject;
+use rattanarch_config::Table;
+use rattanarch_config::Test;
+
+fn rules() -> Table {
+    let row = |cells: [&str; 5]| cells.map(String::from).to_vec();
+    let rows = vec![
+        row(["reservas", "/", "header", "normal", "2000"]),
+        row(["reservas", "/spots", "segment 1", "urgent", "300"]),
+        row(["cartografia", "/", "header", "normal", "n/a"]),
+    ];
+    Table { rows, ..Table::for_query(&Query::new(Subject::Rules)) }
+}
+
+fn prefixes(column: &str, test: Test, value: &str) -> Vec<String> {
+    let filter = Filter { column: column.into(), test, value: value.into() };
+    let columns = vec!["prefix".to_owned()];
+    let query = Query { filters: vec![filter], columns, ..Query::new(Subject::Rules) };
+    rules().select(&query).rows.concat()
+}
+
+#[test]
+fn filters() {
+    assert_eq!(prefixes("service", Test::Is, "reservas"), ["/", "/spots"]);
+    assert_eq!(prefixes("service", Test::IsNot, "reservas"), ["/"]);
+    assert_eq!(prefixes("key", Test::Contains, "segment"), ["/spots"]);
+    assert_eq!(prefixes("timeout-ms", Test::Above, "300"), ["/"]);
+    assert_eq!(prefixes("timeout-ms", Test::Below, "2000"), ["/spots"]);
+}
+
+#[test]
+fn all_columns() {
+    assert_eq!(rules().select(&Query::new(Subject::Rules)), rules());
+}
--- a/crates/rattanarchd/src/operator/mod.rs
+++ b/crates/rattanarchd/src/operator/mod.rs
@@ -18,6 +18,7 @@
 mod server;
 mod status;
 mod tables;
+mod update;
 mod writer;
 
 pub use access::Access;
--- a/crates/rattanarchd/src/operator/names.rs
+++ b/crates/rattanarchd/src/operator/names.rs
@@ -1,5 +1,7 @@
 //! Names that are unique over all firms.
 
+use std::time::Instant;
+
 use rattanarch_config::Command;
 use rattanarch_platform::Platform;
 use rattanarch_platform::PlatformError;
@@ -10,8 +12,7 @@
 use serde::Serialize;
 use serde_json::json;
 
-/// Attempts to store a claim whose answer is lost.
-const CLAIMS: usize = 3;
+use crate::operator::update::Update;
 
 /// Says which firm a name belongs to; one small object a name, created once and never changed.
 ///
@@ -38,6 +39,7 @@
     platform: &Platform,
     command: &Command,
     firm: &str,
+    deadline: Instant,
 ) -> Result<FirmName, PlatformError> {
     let creates =
         matches!(command, Command::CreateService { .. } | Command::CreateDataCentre { .. });
@@ -46,14 +48,8 @@
     }
     let path = claim_path(&command.object());
     let value = json!(Claim { firm: firm.to_owned() });
-    let mut outcome = platform.put(&path, 0, &value);
-    for _ in 1..CLAIMS {
-        if !matches!(outcome, Err(PlatformError::NoAnswer { .. })) {
-            break;
-        }
-        outcome = platform.put(&path, 0, &value);
-    }
-    match outcome? {
+    let mut update = Update::new(platform, deadline);
+    match update.put(&path, 0, &value)? {
         Put::Accepted(_) => Ok(firm.to_owned()),
         Put::Conflict(object) => {
             let claim: Option<Claim> = serde_json::from_value(object.value).ok();
--- a/crates/rattanarchd/src/operator/writer.rs
+++ b/crates/rattanarchd/src/operator/writer.rs
@@ -1,6 +1,5 @@
 //! Carries a command out by conditional update.
 
-use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,6 +24,7 @@
 use crate::operator::firms::ReadError;
 use crate::operator::firms::configuration_path;
 use crate::operator::names::claim;
+use crate::operator::update::Update;
 
 /// Longest time that a command is tried; below the time that people wait.
 const TRY_FOR: Duration = Duration::from_secs(4);
@@ -32,8 +32,6 @@
 const RACES: usize = 64;
 /// Changes after which an update whose answer was lost may no longer be found: a page's entries.
 const SETTLED_WITHIN: Version = 128;
-/// Pause before an attempt is repeated because its answer was lost.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Largest configuration, in bytes; the platform takes 1 MiB.
 const SIZE_LIMIT: usize = 900 << 10;
 
@@ -124,7 +122,7 @@
             self.repeated = false;
             let next = match apply(&configuration, &self.order)? {
                 Applied::AlreadySo => return Ok(Written::AlreadySo(configuration.version)),
-                Applied::Changed(next) => self.prepare(&configuration, next)?,
+                Applied::Changed(next) => self.prepare(&configuration, next, deadline)?,
             };
             match self.store(&configuration, &next, deadline)? {
                 Put::Accepted(version) => {
@@ -163,12 +161,13 @@
         &self,
         before: &Configuration,
         mut next: Configuration,
+        deadline: Instant,
     ) -> Result<Configuration, WriteError> {
         if !self.order.confirmed {
             check_places(before, &next, self.places)?;
         }
         let platform = self.firms.platform();
-        let firm = claim(platform, &self.order.command, &next.firm)?;
+        let firm = claim(platform, &self.order.command, &next.firm, deadline)?;
         if firm != next.firm {
             return Err(WriteError::Taken { object: self.order.command.object(), firm });
         }
@@ -180,11 +179,6 @@
         Ok(next)
     }
 
-    /// Updates until the platform says how it ended.
-    ///
-    /// Repeating the same update is harmless, since at most one with the same expected version is
-    /// accepted. A plain read would not settle a lost answer: an update still on its way could
-    /// land after it.
     fn store(
         &mut self,
         before: &Configuration,
@@ -192,22 +186,10 @@
         deadline: Instant,
     ) -> Result<Put, WriteError> {
         let path = configuration_path(&next.firm);
-        let value = json!(next);
-        loop {
-            let error = match self.firms.platform().put(&path, before.version, &value) {
-                Ok(put) => return Ok(put),
-                Err(error) => error,
-            };
-            let is_open =
-                !matches!(error, PlatformError::NotTaken { .. } | PlatformError::Refused { .. });
-            if is_open {
-                self.unsettled = Some(error.to_string());
-            }
-            if self.unsettled.is_none() || Instant::now() >= deadline {
-                return Err(error.into());
-            }
-            sleep(RETRY_PAUSE);
-        }
+        let mut update = Update::new(self.firms.platform(), deadline);
+        let put = update.put(&path, before.version, &json!(next));
+        self.unsettled = update.unsettled;
+        Ok(put?)
     }
 
     fn failed(&self, error: WriteError) -> Written {
--- /dev/null
+++ b/crates/rattanarchd/tests/operator_server.rs
@@ -0,0 +1,104 @@
+//! The operators' HTTP server.
+
+mod operator_support;
+
+use std::sync::Arc;
+
+use operator_support::Fake;
+use operator_support::desk;
+use rattanarchd::operator::Access;
+use rattanarchd::operator::Server;
+use rattanarchd::process::OperatorSettings;
+use rattanarchd::version::View;
+use rattanarchd::version::Views;
+use serde_json::Value;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+
+fn settings(name: &str, token: &str) -> OperatorSettings {
+    let digest = Sha256::digest(token.as_bytes());
+    let token_sha256 = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    OperatorSettings { name: name.into(), firm: Some("coop".into()), token_sha256 }
+}
+
+fn start(operators: &[OperatorSettings], views: &Views) -> (Fake, Server) {
+    let fake = Fake::start();
+    let desk = Arc::new(desk(&fake, "coop", "trade-desk", views));
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let server = Server::start(address, Access::new(operators), desk).expect("a free port");
+    (fake, server)
+}
+
+fn call(server: &Server, path: &str, token: Option<&str>, body: Option<&Value>) -> (u16, Value) {
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().http_status_as_error(false).build().into();
+    let url = format!("http://{}{path}", server.address());
+    let answer = match body {
+        Some(body) => {
+            let mut request = agent.post(url);
+            if let Some(token) = token {
+                request = request.header("authorization", format!("Bearer {token}"));
+            }
+            request.send_json(body)
+        }
+        None => agent.get(url).call(),
+    };
+    let mut answer = answer.expect("an answer");
+    (answer.status().as_u16(), answer.body_mut().read_json().expect("JSON"))
+}
+
+fn create() -> Value {
+    json!({"statement": "create data-centre nordkuehl region upper-at"})
+}
+
+#[test]
+fn proved_operator() {
+    let operators = [settings("berta", "token-b"), settings("anna", "token-a")];
+    let (fake, server) = start(&operators, &Views::default());
+    let (status, answer) = call(&server, "/operate", Some("token-a"), Some(&create()));
+    assert_eq!((status, &answer["outcome"]), (200, &json!("accepted")));
+    assert_eq!(fake.entries("coop")[0].operator, "anna");
+}
+
+#[test]
+fn stale_token() {
+    let (fake, server) = start(&[settings("anna", "new")], &Views::default());
+    for token in [Some("old"), Some(""), None] {
+        let (status, answer) = call(&server, "/operate", token, Some(&create()));
+        assert_eq!(status, 401);
+        assert!(!answer.to_string().contains("old"), "{answer}");
+    }
+    assert_eq!(fake.versions("coop"), 0);
+}
+
+#[test]
+fn no_operators() {
+    let (_fake, server) = start(&[], &Views::default());
+    assert_eq!(call(&server, "/operate", Some(""), Some(&create())).0, 401);
+}
+
+#[test]
+fn bad_bodies() {
+    let (_fake, server) = start(&[settings("anna", "token")], &Views::default());
+    let unknown = json!({"statement": "show rules", "force": true});
+    let long = json!({"statement": " ".repeat(70_000)});
+    assert_eq!(call(&server, "/operate", Some("token"), Some(&unknown)).0, 400);
+    assert_eq!(call(&server, "/operate", Some("token"), Some(&long)).0, 400);
+    let typo = json!({"statement": "show ruels"});
+    let (status, answer) = call(&server, "/operate", Some("token"), Some(&typo));
+    assert_eq!((status, &answer["outcome"]), (200, &json!("malformed")));
+    assert_eq!((&answer["column"], &answer["nearest"]), (&json!(6), &json!("rules")));
+}
+
+#[test]
+fn health_and_status() {
+    let views = Views::default();
+    let (_fake, server) = start(&[], &views);
+    assert_eq!(call(&server, "/health", None, None).0, 200);
+    let (status, state) = call(&server, "/status", None, None);
+    assert_eq!((status, &state["instance"], &state["lease_ms"]), (200, &json!("t1"), &json!(null)));
+    views.publish(View { stopping: true, ..View::default() });
+    assert_eq!(call(&server, "/health", None, None).0, 503);
+    assert_eq!(call(&server, "/nothing", None, None).0, 404);
+}
