--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -12,6 +12,7 @@
 use rattanarch_ownership::Timing;
 use rattanarch_types::BootId;
 use rattanarch_types::Configuration;
+use rattanarch_types::Fence;
 use rattanarch_types::Member;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
@@ -95,8 +96,10 @@
     pub(crate) sender: UnboundedSender<Input>,
     /// Service of this member.
     pub(crate) service: String,
-    /// Whether the upstream checks fences and has taken one of this process.
-    pub(crate) fenced: bool,
+    /// Whether the upstream checks fences.
+    pub(crate) checks_fence: bool,
+    /// Fence that the upstream has taken of this process.
+    pub(crate) fence: Fence,
 }
 
 /// The control loop.
@@ -162,12 +165,17 @@
 
     /// Tells a new node what its predecessor or the start-up has settled already.
     fn start_node(&mut self) {
-        if self.parts.fenced {
-            self.step(Event::Fenced);
-        }
+        self.tell_fence(self.parts.fence);
         self.tell_intent();
     }
 
+    fn tell_fence(&mut self, fence: Fence) {
+        self.parts.fence = fence;
+        if self.parts.checks_fence {
+            self.step(Event::Fenced { fence });
+        }
+    }
+
     fn tick(&mut self) {
         let now = self.clock.now();
         self.step(Event::Tick);
@@ -226,7 +234,10 @@
                 self.grant = Some(grant);
                 self.publish();
             }
-            Input::Fenced(fence) => self.parts.quiescence.fenced(fence),
+            Input::Fenced(fence) => {
+                self.parts.quiescence.fenced(fence);
+                self.tell_fence(fence);
+            }
             Input::UpstreamSilent => {}
             Input::Superseded(fence) => {
                 log::error!(fence = fence; "a later process in this slot has taken the upstream");
@@ -264,6 +275,18 @@
         }
     }
 
+    /// Logs a change of the record that this member has applied.
+    fn log_record(&self) {
+        let serving = self.node.serving();
+        log::info!(
+            version = serving.record.version,
+            members = serving.record.members.len(),
+            slices = serving.record.slices_of(serving.me).count(),
+            boot = serving.me;
+            "record in force here"
+        );
+    }
+
     /// The record before anyone has written it; `None` until the configuration names the service.
     fn first_record(&self) -> Option<Record> {
         let service = self.configuration.services.get(&self.parts.service)?;
@@ -316,10 +339,14 @@
 
     fn step(&mut self, event: Event) {
         let now = self.clock.now();
+        let version = self.node.serving().record.version;
         for action in self.node.step(now, event) {
             self.perform(action);
         }
         self.send_outbox(now);
+        if self.node.serving().record.version != version {
+            self.log_record();
+        }
         if let Some(until) = self.node.serving().until {
             if !self.health.is_silent() {
                 self.parts.granter.extend(until);
@@ -342,6 +369,7 @@
             }
             // Without an answer the node waits until its older life is taken over.
             Action::Fence { above } => log::warn!(above; "older life has a higher fence"),
+            Action::Fence { above } => self.parts.granter.fence_above(above),
             Action::Rejoin => self.rejoin(),
             Action::Left => self.end = Some(ControlEnd::Left),
         }
--- a/crates/rattanarchd/src/process/granter.rs
+++ b/crates/rattanarchd/src/process/granter.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rattanarch_types::Fence;
+use rattanarch_types::Member;
 use rattanarch_types::Moment;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -29,8 +30,10 @@
 struct Wanted {
     /// End of the lease; the grant ends no later.
     until: Moment,
-    /// Counts the fences asked for: one more than the last makes the upstream refuse the last.
-    fences: u64,
+    /// Counts how often a higher fence was asked for.
+    raises: u64,
+    /// The fence must be above this.
+    above: Fence,
     /// Counts changes, so that the thread sees each.
     changes: u64,
 }
@@ -56,7 +59,9 @@
         let thread = GranterThread {
             upstream,
             reading,
-            first,
+            fence: first,
+            raises: 0,
+            settled: true,
             inputs,
             counters,
             wanted: Arc::clone(&wanted),
@@ -72,7 +77,15 @@
 
     /// Asks for a higher fence; [`Input::Fenced`] tells when nothing runs under lower ones.
     pub(crate) fn raise_fence(&self) {
-        self.change(|wanted| wanted.fences += 1);
+        self.change(|wanted| wanted.raises += 1);
+    }
+
+    /// Asks for a fence above `fence` and above the present one, as [`Self::raise_fence`] does.
+    pub(crate) fn fence_above(&self, fence: Fence) {
+        self.change(|wanted| {
+            wanted.raises += 1;
+            wanted.above = wanted.above.max(fence);
+        });
     }
 
     fn change(&self, change: impl FnOnce(&mut Wanted)) {
@@ -87,7 +100,12 @@
 struct GranterThread {
     upstream: UpstreamControl,
     reading: ClockReading,
-    first: Fence,
+    /// Fence of the next grant.
+    fence: Fence,
+    /// How many of the raises asked for `fence` has had.
+    raises: u64,
+    /// Whether nothing runs under fences lower than `fence`, and the control loop was told.
+    settled: bool,
     inputs: UnboundedSender<Input>,
     counters: Arc<Counters>,
     wanted: Arc<(Mutex<Wanted>, Condvar)>,
@@ -95,29 +113,45 @@
 
 impl GranterThread {
     fn run(mut self) {
-        let (mut seen, mut settled) = (0, 0);
+        let mut seen = 0;
         while !self.inputs.is_closed() {
             let wanted = self.wait(seen);
             seen = wanted.changes;
+            self.raise(wanted);
             match self.give(wanted) {
-                Ok(0) if settled < wanted.fences => {
-                    settled = wanted.fences;
-                    let _ = self.inputs.send(Input::Fenced(self.first + settled));
-                }
-                Ok(0) => {}
-                Ok(_) => {
-                    // Requests still run under a lower fence: look again soon.
-                    seen = 0;
-                    std::thread::sleep(RETRY_WAIT);
-                }
+                Ok(older_running) => self.settle(older_running),
                 Err(error) => {
                     log::debug!(reason:% = error; "grant not taken");
                     let _ = self.inputs.send(Input::UpstreamSilent);
-                    seen = 0;
-                    std::thread::sleep(RETRY_WAIT);
+                    self.settled = false;
                 }
             }
+            if !self.settled {
+                std::thread::sleep(RETRY_WAIT);
+                seen = 0;
+            }
+        }
+    }
+
+    /// Raises the fence as often and as far as asked for.
+    fn raise(&mut self, wanted: Wanted) {
+        if self.raises == wanted.raises {
+            return;
+        }
+        self.fence += wanted.raises - self.raises;
+        self.raises = wanted.raises;
+        if self.fence <= wanted.above {
+            self.fence = above(wanted.above);
+        }
+        self.settled = false;
+    }
+
+    fn settle(&mut self, older_running: u64) {
+        if self.settled || older_running > 0 {
+            return;
         }
+        self.settled = true;
+        let _ = self.inputs.send(Input::Fenced(self.fence));
     }
 
     /// Waits for a change after the change numbered `seen`.
@@ -135,7 +169,7 @@
 
     /// Gives the wanted grant; how many requests run under lower fences.
     fn give(&mut self, wanted: Wanted) -> Result<u64, ControlError> {
-        let fence = self.first + wanted.fences;
+        let fence = self.fence;
         match self.try_give(fence, wanted.until) {
             Ok(GrantOutcome::Taken { reading, older_running }) => {
                 self.reading = reading;
@@ -166,14 +200,13 @@
     }
 }
 
-/// Bits of a fence that are drawn at random, so that two processes that start at once in one slot
-/// do not both take the same fence for their own; the bits above count the lives in a slot.
-const RANDOM_BITS: u32 = 20;
+/// Fences of a process start this much at random above the least allowed, so that two processes
+/// that start at once in one slot do not both take the same fence for their own.
+const FENCE_SPREAD: Fence = 1 << 20;
 
-/// A fence above `taken`, and above any that its process can reach by raising it.
+/// A fence above `taken` and above any that its process can reach by raising it.
 fn above(taken: Fence) -> Fence {
-    let life = (taken >> RANDOM_BITS) + 1;
-    (life << RANDOM_BITS) | (random() % (1 << RANDOM_BITS))
+    taken + Member::FENCE_SPAN + random() % FENCE_SPREAD
 }
 
 /// Makes the upstream refuse every fence given before and returns the new one.
--- a/crates/rattanarchd/src/process/run.rs
+++ b/crates/rattanarchd/src/process/run.rs
@@ -184,7 +184,8 @@
         let timing = timing(&settings);
         let service = process.service.clone();
         let quiescence = Quiescence::new(path.running().clone());
-        let fenced = state.announcement.checks_fence;
+        let checks_fence = state.announcement.checks_fence;
+        let fence = state.fence;
         let (peer_udp, peer_tcp) = (listeners.peer_udp, listeners.peer_tcp);
         let run = move || {
             runtime.block_on(async move {
@@ -207,7 +208,8 @@
                     inputs: received,
                     sender,
                     service,
-                    fenced,
+                    checks_fence,
+                    fence,
                 };
                 Some(Control::new(parts).run().await)
             })
@@ -289,6 +291,7 @@
         term: 0,
         witnesses: Vec::new(),
         leaving: false,
+        fence: state.fence,
     }
 }
 
