Model the ownership rules in Promela; a grant outlives its term

Rule 3 needs: write the new term only once its acknowledgements cover every grant out. The lists in model/check are not filled in yet.

--- /dev/null
+++ b/model/ownership.pml
@@ -0,0 +1,757 @@
+/*
+ * Ownership of one key: an owner A with its witnesses, a sealer S that takes over for the member N,
+ * a later life P of A's instance, A's upstream, and the platform's record.
+ * docs/OWNERSHIP.md states the rules; docs/MODEL.md states what is modelled and what is left out.
+ *
+ * Each option of the main loop is one step of one party. A pause of a party is a run in which it
+ * takes no step while ticks go by; a cut or an outage is a run in which nothing is delivered.
+ * Durations count down to 0, one unit a tick. Messages are kept where they were sent to until a
+ * newer one replaces them, so each may be lost, delayed, reordered with others, or taken twice.
+ *
+ * Parameters (-D): NW witnesses named or nameable (1, 2, 3 or 4), MAXV highest record version, LEASE in
+ * ticks, MAXB lives of each witness, SWAP (new witness sets change places), RELEASE (planned
+ * release and return), SUCCESSION (rule 8), PROGRESS (bounded progress after faults end),
+ * SLOW_ACK (acknowledgements are delayed on their way to the owner), SLOW_ANSWER (as are answers
+ * to a seal). Without SLOW_ACK and SLOW_ANSWER they arrive at once or never, which allows the
+ * owner and the sealer more. NO_* and other names in model/check remove one rule each.
+ */
+
+#ifndef NW
+#define NW 3
+#endif
+#ifndef LEASE
+#define LEASE 2
+#endif
+#ifndef MAXV
+#define MAXV 3
+#endif
+#ifndef MAXB
+#define MAXB 1
+#endif
+
+/* Witnesses named at the start: all of them, or all but the last if sets change places. */
+#ifdef SWAP
+#define FIRST (NW / 2 + NW % 2 + (NW > 2 -> 1 : 0))
+#else
+#define FIRST NW
+#endif
+
+/* Owner in the record. */
+#define OWNER_A 0
+#define OWNER_N 1
+#define OWNER_P 2
+
+/* A's attempt to write the record. */
+#define IDLE 0
+#define RELEASE_OUT 1
+#define RENAME_OUT 2
+
+hidden int ticks;
+hidden byte i;
+hidden byte named;
+hidden byte held_old;
+hidden byte held_new;
+hidden byte level;
+hidden byte lease_old;
+hidden byte lease_new;
+hidden byte lease_a;
+hidden byte live_a;
+hidden byte proved;
+
+/* The platform's record. */
+byte version = 1;
+byte owner = OWNER_A;
+bool member_a = true;   /* A's boot id is a member */
+byte term = 1;          /* A's term */
+byte set[NW];           /* boot id of each witness of A; 0: not a witness */
+bool n_owns;            /* ghost: N was given the key and has not given it back */
+
+/* A, which applies records and serves. */
+byte a_version = 1;
+byte a_owner = OWNER_A;
+bool a_member = true;
+byte a_term = 1;
+byte a_set[NW];
+byte a_left[NW];        /* what is left of each acknowledgement of a_term */
+byte attempt = IDLE;
+bool attempt_flying;    /* the write may still reach the platform */
+byte new_set[NW];       /* set of a RENAME_OUT attempt, whose term is a_version + 1 */
+byte new_left[NW];      /* what is left of each acknowledgement of that term */
+bool request;           /* a request has passed A's check and not yet reached the upstream */
+
+/* A's upstream. */
+byte grant;             /* what is left of A's grant */
+bool fenced;            /* a later life's fence has been taken: A's is refused */
+
+/* Witnesses. */
+byte boot[NW];
+byte sealed[NW];        /* highest term of A that it will not acknowledge */
+byte acked[NW];         /* how long its last acknowledgement may still count */
+
+/* The sealer. */
+byte s_version;         /* record version that it last read; 0: none */
+byte s_term;
+byte s_set[NW];
+byte s_asked;           /* highest term that it ever asked to seal */
+bool s_got[NW];         /* the witness has sealed s_term */
+byte s_wait;            /* until the last acknowledgement has lapsed */
+bool s_flying;
+byte s_expect;
+
+#ifdef SLOW_ACK
+byte ack_left[NW];      /* acknowledgement of a_term on its way: what is left of it; 0: none */
+byte ack_boot[NW];
+byte new_ack_left[NW];
+byte new_ack_boot[NW];
+#endif
+
+#ifdef SLOW_ANSWER
+byte answer_term[NW];   /* answer to a seal on its way; 0: none */
+byte answer_boot[NW];
+byte answer_left[NW];
+#endif
+
+#ifdef SUCCESSION
+bool p_started;
+byte p_expect;
+bool p_flying;
+#endif
+
+#ifdef PROGRESS
+byte rounds;            /* calm rounds so far; 0: faults still happen */
+bool a_lost;
+#endif
+
+#define LESS(x) if :: x > 0 -> x-- :: else fi
+
+#ifdef NO_MAJORITY_OWNER
+#define ENOUGH(held, of) (held > 0)
+#else
+#define ENOUGH(held, of) (2 * held > of)
+#endif
+
+/* Sets `result` to what is left of the lease that the acknowledgements `l` of the set `s` give:
+ * the longest time that a majority of them still counts. */
+#define MEASURE(s, l, result) \
+    named = 0; \
+    i = 0; \
+    do \
+    :: i < NW -> if :: s[i] != 0 -> named++ :: else fi; i++ \
+    :: else -> break \
+    od; \
+    result = 0; \
+    level = 1; \
+    do \
+    :: level <= LEASE -> \
+        held_old = 0; \
+        i = 0; \
+        do \
+        :: i < NW -> if :: s[i] != 0 && l[i] >= level -> held_old++ :: else fi; i++ \
+        :: else -> break \
+        od; \
+        if :: ENOUGH(held_old, named) -> result = level :: else fi; \
+        level++ \
+    :: else -> break \
+    od; \
+    held_old = 0
+
+/* Rules 1 and 3: sets lease_a to what is left of A's lease. */
+inline measure_lease() {
+    MEASURE(a_set, a_left, lease_old);
+    lease_a = lease_old;
+    if
+    :: attempt == RENAME_OUT ->
+        MEASURE(new_set, new_left, lease_new);
+#if defined(NO_JOINT)
+        lease_a = lease_old;
+#elif defined(NEW_EARLY)
+        lease_a = lease_new;
+#else
+        if :: lease_new < lease_old -> lease_a = lease_new :: else fi;
+#endif
+        lease_new = 0
+    :: else
+    fi;
+    lease_old = 0;
+    named = 0;
+    level = 0;
+    i = 0
+}
+
+/* Sets live_a: a request can start at A's upstream, now or by one on its way there. */
+inline measure_live() {
+    measure_lease();
+    live_a = a_member && a_owner == OWNER_A && lease_a > 0 && attempt != RELEASE_OUT && !fenced;
+#ifdef NO_UPSTREAM_CHECK
+    live_a = live_a || request;
+#else
+    live_a = live_a || (request && grant > 0 && !fenced);
+#endif
+}
+
+/* Sets proved: the sealer has a majority of its set and the wait is over. */
+inline measure_proof() {
+    named = 0;
+    held_new = 0;
+    i = 0;
+    do
+    :: i < NW ->
+        if :: s_set[i] != 0 -> named++ :: else fi;
+        if :: s_set[i] != 0 && s_got[i] -> held_new++ :: else fi;
+        i++
+    :: else -> break
+    od;
+#ifdef NO_MAJORITY_SEALER
+    proved = s_version != 0 && held_new > 0;
+#else
+    proved = s_version != 0 && 2 * held_new > named;
+#endif
+#ifndef NO_WAIT
+    proved = proved && s_wait == 0;
+#endif
+    named = 0;
+    held_new = 0;
+    i = 0
+}
+
+/* Checked after each step. */
+inline check() {
+    measure_live();
+    measure_proof();
+    /* Sole ownership. */
+    assert(!(live_a && owner != OWNER_A));
+    /* A sealed owner never serves. */
+    assert(!(live_a && proved && s_version == version && s_term == term && member_a));
+    /* No lost assignment: only N takes the key from N. */
+    assert(!n_owns || owner == OWNER_N);
+    live_a = false;
+    lease_a = 0;
+    proved = false
+}
+
+inline renew(w) {
+    printf("@ %d A renew %d %d\n", ticks, w, a_term);
+#ifdef NO_SEAL_MEMORY
+    if
+    :: true ->
+#else
+    if
+    :: a_term > sealed[w] ->
+#endif
+        printf("@ %d W%d ack %d %d\n", ticks, w, a_term, boot[w]);
+        acked[w] = LEASE;
+#ifdef SLOW_ACK
+        ack_left[w] = LEASE;
+        ack_boot[w] = boot[w]
+#else
+#ifndef NO_BOOT_OWNER
+        if :: boot[w] == a_set[w] -> a_left[w] = LEASE :: else fi
+#else
+        a_left[w] = LEASE
+#endif
+#endif
+    :: else -> printf("@ %d W%d refuse %d %d\n", ticks, w, a_term, boot[w])
+    fi
+}
+
+inline renew_new(w) {
+    printf("@ %d A renew %d %d\n", ticks, w, a_version + 1);
+    if
+    :: a_version + 1 > sealed[w] ->
+        printf("@ %d W%d ack %d %d\n", ticks, w, a_version + 1, boot[w]);
+        acked[w] = LEASE;
+#ifdef SLOW_ACK
+        new_ack_left[w] = LEASE;
+        new_ack_boot[w] = boot[w]
+#else
+        if :: boot[w] == new_set[w] -> new_left[w] = LEASE :: else fi
+#endif
+    :: else -> printf("@ %d W%d refuse %d %d\n", ticks, w, a_version + 1, boot[w])
+    fi
+}
+
+#ifdef SLOW_ACK
+/* A takes an acknowledgement, counted from its own send. */
+inline take_ack(w) {
+    printf("@ %d A take_ack %d %d\n", ticks, w, a_term);
+#ifdef FROM_RECEIPT
+    a_left[w] = LEASE
+#else
+    if :: ack_left[w] > a_left[w] -> a_left[w] = ack_left[w] :: else fi
+#endif
+}
+
+inline take_new_ack(w) {
+    printf("@ %d A take_ack %d %d\n", ticks, w, a_version + 1);
+#ifdef FROM_RECEIPT
+    new_left[w] = LEASE
+#else
+    if :: new_ack_left[w] > new_left[w] -> new_left[w] = new_ack_left[w] :: else fi
+#endif
+}
+
+#ifdef NO_BOOT_OWNER
+#define ACK_FITS(w) (ack_left[w] > 0 && a_set[w] != 0)
+#else
+#define ACK_FITS(w) (ack_left[w] > 0 && ack_boot[w] == a_set[w])
+#endif
+#define NEW_ACK_FITS(w) (new_ack_left[w] > 0 && new_ack_boot[w] == new_set[w])
+#endif
+
+/* Forgets the attempt; `kept` says whether its acknowledgements are those of the term in force. */
+inline end_attempt(kept) {
+    attempt = IDLE;
+    attempt_flying = false;
+    i = 0;
+    do
+    :: i < NW ->
+        if
+        :: kept ->
+            a_left[i] = new_left[i];
+#ifdef SLOW_ACK
+            ack_left[i] = new_ack_left[i];
+            ack_boot[i] = new_ack_boot[i];
+#endif
+        :: else
+        fi;
+        new_set[i] = 0;
+        new_left[i] = 0;
+#ifdef SLOW_ACK
+        new_ack_left[i] = 0;
+        new_ack_boot[i] = 0;
+#endif
+        i++
+    :: else -> break
+    od;
+    i = 0
+}
+
+/* Rules 2, 3, 6 and 10: A applies the record that stands, which settles its attempt. */
+inline a_read() {
+    printf("@ %d A read %d %d %d\n", ticks, version, owner, member_a);
+    if
+    :: attempt != IDLE && version > a_version ->
+        if
+        :: attempt == RENAME_OUT && term == a_version + 1 -> end_attempt(true)
+        :: else -> end_attempt(false)
+        fi
+    :: else
+    fi;
+    a_version = version;
+    a_owner = owner;
+    a_member = member_a;
+    a_term = term;
+    i = 0;
+    do
+    :: i < NW -> a_set[i] = set[i]; i++
+    :: else -> break
+    od;
+    i = 0;
+    if
+    :: !a_member ->
+        do
+        :: i < NW ->
+            a_left[i] = 0;
+            a_set[i] = 0;
+#ifdef SLOW_ACK
+            ack_left[i] = 0;
+            ack_boot[i] = 0;
+#endif
+            i++
+        :: else -> break
+        od;
+        i = 0
+    :: else
+    fi
+}
+
+/* Rule 2. */
+inline a_release() {
+    printf("@ %d A write_release %d\n", ticks, a_version + 1);
+    attempt = RELEASE_OUT;
+    attempt_flying = true
+}
+
+/* Rule 3: names the witnesses whose numbers are at least `low` and less than `high`. */
+inline a_rename(low, high) {
+    printf("@ %d A prepare_rename %d %d %d\n", ticks, a_version + 1, low, high);
+    attempt = RENAME_OUT;
+    i = 0;
+    do
+    :: i < NW -> new_set[i] = (i >= low && i < high -> boot[i] : 0); i++
+    :: else -> break
+    od;
+    i = 0
+}
+
+/* Sends the attempt, or sends it again. Grants that the upstream holds must be covered by the
+ * acknowledgements of the new term before the record can carry it, since a sealer of the new term
+ * waits for those alone. */
+inline a_write() {
+    lease_new = LEASE;
+#ifndef NO_GRANT_COVER
+    if
+    :: attempt == RENAME_OUT -> MEASURE(new_set, new_left, lease_new); level = 0; i = 0; named = 0
+    :: else
+    fi;
+#endif
+    if
+    :: grant <= lease_new -> printf("@ %d A write %d\n", ticks, a_version + 1); attempt_flying = true
+    :: else -> printf("@ %d A uncovered %d\n", ticks, grant)
+    fi;
+    lease_new = 0
+}
+
+#ifdef NO_CONDITION
+#define STANDS(v) (true)
+#else
+#define STANDS(v) (version == v)
+#endif
+
+/* The platform takes A's write, if the version that it replaces still stands. */
+inline take_attempt() {
+    attempt_flying = false;
+    if
+    :: STANDS(a_version) ->
+        printf("@ %d platform accept A %d\n", ticks, a_version + 1);
+        if
+        :: attempt == RELEASE_OUT -> owner = OWNER_N; n_owns = true
+        :: else ->
+            term = a_version + 1;
+            owner = a_owner;
+            i = 0;
+            do
+            :: i < NW -> set[i] = new_set[i]; i++
+            :: else -> break
+            od;
+            i = 0
+        fi;
+        version++
+    :: else -> printf("@ %d platform conflict A %d\n", ticks, version)
+    fi
+}
+
+/* The sealer reads the record; seals of an older term prove nothing about a newer one. */
+inline s_read() {
+    printf("@ %d S read %d %d\n", ticks, version, term);
+    s_version = version;
+    i = 0;
+    do
+    :: i < NW ->
+        s_set[i] = set[i];
+#ifndef NO_TERM
+        if :: s_term != term -> s_got[i] = false :: else fi;
+#endif
+        i++
+    :: else -> break
+    od;
+#ifndef NO_TERM
+    if :: s_term != term -> s_wait = 0 :: else fi;
+#endif
+    s_term = term;
+    i = 0;
+    if :: s_term > s_asked -> s_asked = s_term :: else fi
+}
+
+inline take_answer(w, left) {
+    printf("@ %d S take_sealed %d %d\n", ticks, w, left);
+    s_got[w] = true;
+    if :: left > s_wait -> s_wait = left :: else fi
+}
+
+/* Rule 4: a witness promises to acknowledge no term up to `s_asked`. */
+inline seal(w) {
+    printf("@ %d W%d seal %d %d %d\n", ticks, w, s_asked, acked[w], boot[w]);
+    if :: s_asked > sealed[w] -> sealed[w] = s_asked :: else fi;
+#ifdef SLOW_ANSWER
+    answer_term[w] = s_asked;
+    answer_boot[w] = boot[w];
+    answer_left[w] = acked[w]
+#else
+#ifdef NO_BOOT_SEALER
+    if :: s_set[w] != 0 && s_asked == s_term -> take_answer(w, acked[w]) :: else fi
+#else
+    if :: s_set[w] == boot[w] && s_asked == s_term -> take_answer(w, acked[w]) :: else fi
+#endif
+#endif
+}
+
+#ifdef NO_BOOT_SEALER
+#define ANSWER_FITS(w) (answer_term[w] == s_term && s_set[w] != 0)
+#else
+#define ANSWER_FITS(w) (answer_term[w] == s_term && answer_boot[w] == s_set[w])
+#endif
+
+inline s_write() {
+    printf("@ %d S write_removal %d\n", ticks, s_version + 1);
+    s_flying = true;
+    s_expect = s_version
+}
+
+inline take_removal() {
+    s_flying = false;
+    if
+    :: STANDS(s_expect) ->
+        printf("@ %d platform accept S %d\n", ticks, s_expect + 1);
+        member_a = false;
+        if :: owner == OWNER_A -> owner = OWNER_N; n_owns = true :: else fi;
+        version++
+    :: else -> printf("@ %d platform conflict S %d\n", ticks, version)
+    fi;
+    s_expect = 0
+}
+
+/* Rule 7. */
+inline restart(w) {
+    boot[w]++;
+    printf("@ %d W%d restart %d\n", ticks, w, boot[w]);
+    sealed[w] = 0;
+    acked[w] = 0
+}
+
+inline tick() {
+    ticks++;
+    i = 0;
+    do
+    :: i < NW ->
+        LESS(a_left[i]);
+        LESS(new_left[i]);
+        LESS(acked[i]);
+#if defined(SLOW_ACK) && !defined(FROM_RECEIPT)
+        LESS(ack_left[i]);
+        if :: ack_left[i] == 0 -> ack_boot[i] = 0 :: else fi;
+        LESS(new_ack_left[i]);
+        if :: new_ack_left[i] == 0 -> new_ack_boot[i] = 0 :: else fi;
+#endif
+        i++
+    :: else -> break
+    od;
+    i = 0;
+    LESS(grant);
+    LESS(s_wait)
+}
+
+#ifdef PROGRESS
+/* Rounds of calm in which a reader, an owner, a sealer and a witness do all they have to. */
+#define ROUNDS (3 * LEASE + 6)
+
+inline calm_owner() {
+    if :: attempt_flying -> take_attempt() :: else fi;
+    if :: version > a_version -> a_read() :: else fi;
+    if
+    :: a_member && a_owner == OWNER_A ->
+        measure_lease();
+        if
+        :: attempt == IDLE && lease_a == 0 && rounds > LEASE -> a_rename(0, FIRST)
+        :: else
+        fi;
+        lease_a = 0;
+        level = 0;
+        do
+        :: level < NW ->
+            if :: a_set[level] != 0 -> renew(level) :: else fi;
+            if :: attempt == RENAME_OUT && new_set[level] != 0 -> renew_new(level) :: else fi;
+            level++
+        :: else -> break
+        od;
+        level = 0;
+        if :: attempt != IDLE -> a_write() :: else fi
+    :: else
+    fi
+}
+
+inline calm_sealer() {
+    if :: s_flying -> take_removal() :: else fi;
+    if :: s_version != version && member_a -> s_read() :: else fi;
+    level = 0;
+    do
+    :: level < NW && member_a -> seal(level); level++
+    :: else -> break
+    od;
+    level = 0;
+    measure_proof();
+    if :: proved && member_a -> s_write() :: else fi;
+    proved = false
+}
+
+/* Whether what the record names of A's witnesses still lives in majority. */
+inline measure_witnesses() {
+    named = 0;
+    held_old = 0;
+    i = 0;
+    do
+    :: i < NW ->
+        if :: set[i] != 0 -> named++ :: else fi;
+        if :: set[i] != 0 && set[i] == boot[i] -> held_old++ :: else fi;
+        i++
+    :: else -> break
+    od;
+    proved = 2 * held_old > named;
+    named = 0;
+    held_old = 0;
+    i = 0
+}
+
+inline calm_round() {
+    if
+    :: !a_lost -> calm_owner()
+    :: else ->
+        if :: attempt_flying -> take_attempt() :: else fi;
+        calm_sealer()
+    fi;
+    request = false;
+    rounds++;
+    if
+    :: rounds > ROUNDS ->
+        measure_live();
+        measure_witnesses();
+        assert(owner != OWNER_A || (live_a && !a_lost) || (a_lost && !proved));
+        live_a = false;
+        lease_a = 0;
+        proved = false
+    :: else
+    fi;
+    tick()
+}
+#define FAULTY (rounds == 0)
+#else
+#define FAULTY (true)
+#endif
+
+#define WITNESS(w) \
+    :: d_step { FAULTY && a_member && a_set[w] != 0 -> renew(w); check() } \
+    :: d_step { FAULTY && attempt == RENAME_OUT && new_set[w] != 0 -> renew_new(w); check() } \
+    :: d_step { FAULTY && s_asked > 0 -> seal(w); check() } \
+    :: d_step { FAULTY && boot[w] < MAXB -> restart(w); check() } \
+    TAKE_ACK(w) TAKE_ANSWER(w)
+
+#ifdef SLOW_ACK
+#define TAKE_ACK(w) \
+    :: d_step { FAULTY && ACK_FITS(w) -> take_ack(w); check() } \
+    :: d_step { FAULTY && attempt == RENAME_OUT && NEW_ACK_FITS(w) -> take_new_ack(w); check() }
+#else
+#define TAKE_ACK(w)
+#endif
+
+#ifdef SLOW_ANSWER
+#define TAKE_ANSWER(w) \
+    :: d_step { FAULTY && s_version > 0 && ANSWER_FITS(w) && !s_got[w] -> \
+        take_answer(w, answer_left[w]); check() }
+#else
+#define TAKE_ANSWER(w)
+#endif
+
+active proctype ownership() {
+    d_step {
+        i = 0;
+        do
+        :: i < NW ->
+            boot[i] = 1;
+            if :: i < FIRST -> set[i] = 1; a_set[i] = 1 :: else fi;
+            i++
+        :: else -> break
+        od;
+        i = 0
+    };
+    do
+    /* Time. */
+    :: d_step { FAULTY -> tick(); printf("@ %d all tick\n", ticks); check() }
+
+    /* Witnesses, and A's messages to them. */
+    WITNESS(0)
+#if NW > 1
+    WITNESS(1)
+#endif
+#if NW > 2
+    WITNESS(2)
+#endif
+#if NW > 3
+    WITNESS(3)
+#endif
+
+    /* A and its upstream. */
+    :: d_step { FAULTY && version > a_version && a_member -> a_read(); check() }
+    :: d_step { FAULTY && attempt == IDLE && a_member && a_version < MAXV -> a_rename(0, FIRST); check() }
+#ifdef SWAP
+    :: d_step { FAULTY && attempt == IDLE && a_member && a_version < MAXV ->
+        a_rename(NW - FIRST, NW); check() }
+#endif
+#ifdef RELEASE
+#ifdef NO_QUIET
+    :: d_step { FAULTY && attempt == IDLE && a_member && a_owner == OWNER_A && a_version < MAXV ->
+        a_release(); check() }
+#else
+    :: d_step { FAULTY && attempt == IDLE && a_member && a_owner == OWNER_A && a_version < MAXV && !request ->
+        a_release(); check() }
+#endif
+    :: d_step { FAULTY && owner == OWNER_N && member_a && version < MAXV ->
+        printf("@ %d N write_return %d\n", ticks, version + 1);
+        n_owns = false; owner = OWNER_A; version++; check() }
+#endif
+    :: d_step { FAULTY && attempt != IDLE && !attempt_flying -> a_write(); check() }
+#ifdef NO_READBACK
+    :: d_step { FAULTY && attempt == RELEASE_OUT ->
+        printf("@ %d A give_up %d\n", ticks, a_version + 1); attempt = IDLE; check() }
+    :: d_step { FAULTY && attempt == RENAME_OUT ->
+        printf("@ %d A give_up %d\n", ticks, a_version + 1); attempt = IDLE; check() }
+#endif
+    :: d_step { FAULTY && a_member && a_owner == OWNER_A && attempt != RELEASE_OUT && !fenced ->
+        measure_lease();
+        if
+        :: lease_a > 0 ->
+            printf("@ %d A dispatch %d\n", ticks, lease_a);
+            request = true;
+            if :: lease_a > grant -> grant = lease_a :: else fi
+        :: else -> printf("@ %d A no_lease\n", ticks)
+        fi;
+        lease_a = 0;
+        check() }
+    :: d_step { FAULTY && request -> printf("@ %d upstream take %d\n", ticks, grant); request = false; check() }
+
+    /* The platform. */
+    :: d_step { FAULTY && attempt_flying -> take_attempt(); check() }
+    :: d_step { FAULTY && s_flying -> take_removal(); check() }
+
+    /* The sealer. */
+    :: d_step { FAULTY && s_version != version && member_a -> s_read(); check() }
+    :: d_step { FAULTY && !s_flying && s_version > 0 && s_version < MAXV ->
+        measure_proof();
+        if :: proved -> s_write() :: else fi;
+        proved = false;
+        check() }
+
+#ifdef SUCCESSION
+    /* A later life of A's instance. */
+    :: d_step { FAULTY && !p_started ->
+        printf("@ %d P fence\n", ticks);
+        p_started = true;
+#ifndef NO_FENCE
+        fenced = true;
+#endif
+        check() }
+    :: d_step { FAULTY && p_started && !p_flying && member_a && p_expect != version && version < MAXV ->
+        printf("@ %d P write_succession %d\n", ticks, version + 1);
+        p_expect = version;
+        p_flying = true;
+        check() }
+    :: d_step { FAULTY && p_flying ->
+        p_flying = false;
+        if
+        :: STANDS(p_expect) ->
+            printf("@ %d platform accept P %d\n", ticks, p_expect + 1);
+            member_a = false;
+            if :: owner == OWNER_A -> owner = OWNER_P :: else fi;
+            version++
+        :: else -> printf("@ %d platform conflict P %d\n", ticks, version)
+        fi;
+        check() }
+#endif
+
+#ifdef PROGRESS
+    :: d_step { FAULTY -> rounds = 1; a_lost = false }
+    :: d_step { FAULTY -> rounds = 1; a_lost = true }
+    :: d_step { rounds > 0 && rounds <= ROUNDS -> calm_round() }
+    :: rounds > ROUNDS -> break
+#endif
+    od
+}
