Let a joining node succeed its old life once it is declared lost

Found by: both of two members lost at once, upstreams without fences; nobody was a member any more to carry out the operators' word. Harness: an upstream runs requests for the process that took a fence last.

--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -122,6 +122,12 @@
         self.lost = lost.into_iter().map(since).collect();
     }
 
+    /// Whether an operator has declared `owner` lost, and a lease has lapsed since.
+    pub(crate) fn is_lapsed(&self, now: Moment, owner: BootId) -> bool {
+        let lease = self.timing.stretched(self.timing.lease);
+        self.lost.get(&owner).is_some_and(|learned| now >= *learned + lease)
+    }
+
     /// Takes this member's own load.
     pub(crate) fn load(&mut self, slices: &BTreeMap<SliceId, u32>, keys: BTreeMap<KeyHash, u32>) {
         let total = slices.values().fold(0, |total: u32, load| total.saturating_add(*load));
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -23,7 +23,7 @@
     pub(crate) fn advance(&mut self, core: &mut Core, now: Moment) {
         let Some(record) = core.record.clone() else { return core.read(now) };
         let old = old_life(&record, &core.member.instance);
-        self.old = old.filter(|old| !may_succeed(core, &record, *old));
+        self.old = old.filter(|old| !may_succeed(core, now, &record, *old));
         if let Some(old) = self.old {
             return self.wait(core, now, &record, old);
         }
@@ -51,11 +51,12 @@
 }
 
 /// Whether this node may take the place of its old life: the upstream refuses that one's work for
-/// good, or it owns nothing.
-fn may_succeed(core: &Core, record: &Record, old: BootId) -> bool {
+/// good, it owns nothing, or an operator has declared it lost and its lease has lapsed since.
+fn may_succeed(core: &Core, now: Moment, record: &Record, old: BootId) -> bool {
     let owns = record.owners.contains(&Some(old)) || record.hot.values().any(|id| *id == old);
     let fence = record.members.get(&old).map(|member| member.fence).unwrap_or_default();
-    !owns || fence > 0 && core.member.fence > fence
+    let fenced = fence > 0 && core.member.fence > fence;
+    !owns || fenced || core.is_lapsed(now, old)
 }
 
 /// The next record, with this node in it and in the place of `old`.
--- a/crates/rattanarch_ownership/src/takeovers.rs
+++ b/crates/rattanarch_ownership/src/takeovers.rs
@@ -54,9 +54,8 @@
         owner: BootId,
         member: &Member,
     ) {
-        if let Some(learned) = core.lost.get(&owner).copied() {
-            self.begin_lost(core, now, owner, member, learned);
-            return;
+        if core.lost.contains_key(&owner) {
+            return self.begin_lost(core, now, owner, member);
         }
         if self.stages.contains_key(&owner) || !member.witnesses.contains(&core.me) {
             return;
@@ -76,20 +75,13 @@
 
     /// An owner declared lost: its witnesses are asked at once, and after a lease the operator's
     /// word stands in for those that do not answer.
-    fn begin_lost(
-        &mut self,
-        core: &mut Core,
-        now: Moment,
-        owner: BootId,
-        member: &Member,
-        learned: Moment,
-    ) {
+    fn begin_lost(&mut self, core: &Core, now: Moment, owner: BootId, member: &Member) {
         let takeover = Takeover::new(member.term, member.witnesses.clone());
         let stage = self.stages.entry(owner).or_insert(Stage::Sealing(takeover));
         let able: Vec<_> = core.record.iter().flat_map(|r| r.members.keys()).copied().collect();
         let delay = rank_delay(owner, core.me, &able);
-        let lapse = learned + core.timing.stretched(core.timing.lease) + delay;
-        if now >= lapse && matches!(stage, Stage::Sealing(_)) {
+        let lapsed = core.is_lapsed(now.saturating_sub(delay), owner);
+        if lapsed && matches!(stage, Stage::Sealing(_)) {
             *stage = Stage::declared(member.term);
         }
     }
--- a/crates/rattanarch_ownership/tests/harness/check.rs
+++ b/crates/rattanarch_ownership/tests/harness/check.rs
@@ -12,7 +12,7 @@
         let slices = u64::from(self.setting.slices);
         let step = u64::MAX / slices;
         let slice_keys = (0..slices).map(|slice| slice * step + step / 2);
-        slice_keys.chain((0..4).map(|key| Self::hot_key(key))).collect()
+        slice_keys.chain((0..4).map(Self::hot_key)).collect()
     }
 
     /// A key that `Fault::Heat` names.
@@ -26,7 +26,8 @@
     pub fn servers(&self, hash: KeyHash) -> Vec<usize> {
         let serves = |index: &usize| {
             let process = &self.processes[*index];
-            self.fences[process.slot] <= process.fence && process.serves(self.now, hash)
+            let fenced = process.fence > 0 && self.holders[process.slot] != *index;
+            !fenced && process.serves(self.now, hash)
         };
         (0..self.processes.len()).filter(serves).collect()
     }
--- a/crates/rattanarch_ownership/tests/harness/fault.rs
+++ b/crates/rattanarch_ownership/tests/harness/fault.rs
@@ -28,7 +28,8 @@
     Noise { millis: u16 },
     /// Operators take a member out, or in again.
     Bar { slot: u8, out: bool },
-    /// The slot's upstream restarts and forgets its fences.
+    /// The slot's upstream restarts and forgets its fences, so that a new process first takes a low
+    /// one. Older processes that it refused are still refused: see the limits in the page.
     Forget { slot: u8 },
     /// Operators declare dead processes lost.
     Declare,
--- a/crates/rattanarch_ownership/tests/harness/world.rs
+++ b/crates/rattanarch_ownership/tests/harness/world.rs
@@ -79,6 +79,8 @@
     pub current: Vec<usize>,
     /// Highest fence that each slot's upstream has taken.
     pub fences: Vec<Fence>,
+    /// Process that took a fence last, by slot; the upstream runs nothing for any other.
+    pub holders: Vec<usize>,
     pub platform: Platform,
     pub messages: u64,
     pub quiesced: u64,
@@ -102,6 +104,7 @@
             processes: Vec::new(),
             current: vec![usize::MAX; setting.slots],
             fences: vec![0; setting.slots],
+            holders: vec![0; setting.slots],
             platform: Platform::new(Record::new("trade-desk", setting.slices)),
             messages: 0,
             quiesced: 0,
@@ -145,7 +148,7 @@
         let reused = old.filter(|_| !self.setting.rules.new_boot_ids).map(|old| old.node.me());
         let me = reused.unwrap_or(self.processes.len() as u64 + 1);
         let index = self.processes.len();
-        let process = self.process(slot, me, seed);
+        let process = self.process(index, slot, me, seed);
         self.processes.push(process);
         self.current[slot] = index;
         let first = self.below(TICK);
@@ -154,7 +157,7 @@
         self.plan(first, Due::Deliver(index, intent));
     }
 
-    fn process(&mut self, slot: usize, me: u64, seed: u64) -> Process {
+    fn process(&mut self, index: usize, slot: usize, me: u64, seed: u64) -> Process {
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
         let member = Member {
             instance: format!("slot-{slot}"),
@@ -167,7 +170,7 @@
             witnesses: Vec::new(),
             leaving: false,
         };
-        let fence = self.take_fence(slot, 0);
+        let fence = self.take_fence(index, slot, 0);
         let member = Member { fence, ..member };
         let half = i64::from(self.setting.drift_ppm / 2);
         let node = Node::new(me, member, self.setting.timing, seed).with_rules(self.setting.rules);
@@ -188,10 +191,11 @@
     }
 
     /// The upstream of `slot` takes a fence above `above` and all before; 0 if it checks none.
-    fn take_fence(&mut self, slot: usize, above: Fence) -> Fence {
+    fn take_fence(&mut self, index: usize, slot: usize, above: Fence) -> Fence {
         if !self.checks_fence[slot] {
             return 0;
         }
+        self.holders[slot] = index;
         let taken = self.fences[slot].max(above);
         self.fences[slot] = taken + Member::FENCE_SPAN;
         self.fences[slot]
@@ -298,7 +302,7 @@
                     self.plan(delay, Due::Deliver(index, Event::Quiet { slices, hot }));
                 }
                 Action::Fence { above } => {
-                    let fence = self.take_fence(self.processes[index].slot, above);
+                    let fence = self.take_fence(index, self.processes[index].slot, above);
                     self.processes[index].fence = fence;
                     self.plan(3 * MILLI, Due::Deliver(index, Event::Fenced { fence }));
                 }
--- a/crates/rattanarch_ownership/tests/named_schedules.rs
+++ b/crates/rattanarch_ownership/tests/named_schedules.rs
@@ -23,6 +23,21 @@
     live(14_876_181_135_188_861_949, 4, &faults);
 }
 
+#[test]
+fn forgotten_fence() {
+    live(
+        73_408_752_841,
+        4,
+        &[Fault::Zombie { slot: 144, millis: 3_145 }, Fault::Forget { slot: 136 }],
+    );
+}
+
+#[test]
+fn all_lost() {
+    let faults = [Fault::Kill { slot: 34, millis: 1_995 }, Fault::Kill { slot: 11, millis: 1_348 }];
+    live(558_653_541_818_655, 2, &faults);
+}
+
 #[test]
 fn stop_after_kill() {
     let faults = [Fault::Kill { slot: 64, millis: 1_120 }, Fault::Stop { slot: 101 }];
--- a/crates/rattanarch_ownership/tests/thin_path.rs
+++ b/crates/rattanarch_ownership/tests/thin_path.rs
@@ -57,7 +57,9 @@
                         (to, Event::Message { from: me, message })
                     }
                     Action::Quiesce { slices, hot } => (index, Event::Quiet { slices, hot }),
-                    Action::Rejoin | Action::Left => panic!("member {me} is out"),
+                    Action::Fence { .. } | Action::Rejoin | Action::Left => {
+                        panic!("member {me} is out")
+                    }
                 };
                 inbox.push(answer);
             }
