--- a/crates/rattanarchd/tests/serving.rs
+++ b/crates/rattanarchd/tests/serving.rs
@@ -74,3 +74,28 @@
     assert_eq!((got.status, got.verdict()), (503, "not-run"));
     assert_eq!(upstream.asks().len(), 0);
 }
+
+#[tokio::test]
+async fn moved_while_queued() {
+    let upstream = FakeUpstream::start(|_, number| match number {
+        0 => Reply::Late(SECOND / 20, 200, Vec::new()),
+        _ => Reply::Answer(200, Vec::new()),
+    })
+    .await;
+    let settings = rattanarchd::request::RequestSettings::default().with_slots(1);
+    let rig = Rig::with(settings, upstream.address, SECOND);
+    let first = ask(rig.address, "POST", "/trade-desk/reserve/a");
+    let second = async {
+        tokio::time::sleep(SECOND / 50).await;
+        let got = ask(rig.address, "POST", "/trade-desk/reserve/b");
+        let hold = async {
+            tokio::time::sleep(SECOND / 100).await;
+            rig.change(|view| view.serving.held = std::sync::Arc::new((0..8).collect()));
+        };
+        tokio::join!(got, hold).0
+    };
+    let (first, second) = tokio::join!(first, second);
+    assert_eq!(first.status, 200);
+    assert_eq!((second.status, second.verdict()), (503, "not-run"));
+    assert_eq!(upstream.asks().len(), 1);
+}
