Add the operators' program

A command keeps one write id over all daemons it is sent to, so that a daemon that does not answer may be passed over; a request now says what was seen with its firm, since the rota's commands find their firm by name. Shown to fail: waits_for_own_version without the session's version; unanswered_command when a later unsent call hides an earlier sent one; waits_for_all when only the first daemon is asked; stops_at_failure without the stop.

--- /dev/null
+++ b/crates/rattanarch_cli/src/render.rs
@@ -0,0 +1,94 @@
+//! Answers as text for people.
+
+use std::fmt::Write;
+
+use rattanarch_config::Answer;
+use rattanarch_config::Coverage;
+use rattanarch_config::Table;
+
+use crate::Exit;
+
+/// The answer as text; ends with a line's end.
+pub(crate) fn render(answer: &Answer) -> String {
+    match answer {
+        Answer::Table { firm, table, version, age_ms, notes } => {
+            let state = format!("firm {firm}, version {version}, {}\n", age_text(*age_ms));
+            table_text(table) + &state + &notes_text(notes)
+        }
+        Answer::Accepted { firm, version, coverage, notes, .. } => {
+            let accepted = format!("accepted at version {version} of firm {firm}; ");
+            accepted + &coverage_text(coverage) + &notes_text(notes)
+        }
+        Answer::AlreadySo { firm, version, coverage } => {
+            let already = format!("already so at version {version} of firm {firm}; ");
+            already + &coverage_text(coverage)
+        }
+        Answer::DryRun { firm, version, effects } => {
+            let tried = format!("tried on version {version} of firm {firm}; nothing changed\n");
+            tried + &effects.iter().map(|effect| format!("  {effect}\n")).collect::<String>()
+        }
+        Answer::NotAccepted { reason, risk, .. } => {
+            let hint = if *risk { "to do it, add the word \"twice\"\n" } else { "" };
+            format!("not accepted: {reason}\n{hint}")
+        }
+        Answer::Unknown { write_id, reason } => format!(
+            "unknown whether accepted: {reason}\nto settle it, repeat it with --write-id {write_id}\n"
+        ),
+        Answer::Condition { met, detail } => {
+            let state = if *met { "met" } else { "not met" };
+            format!("{state}: {detail}\n")
+        }
+        Answer::Failed { reason } | Answer::Malformed { reason, .. } => format!("{reason}\n"),
+    }
+}
+
+/// Exit status that the answer stands for.
+pub(crate) fn exit_of(answer: &Answer) -> Exit {
+    match answer {
+        Answer::Table { .. }
+        | Answer::Accepted { .. }
+        | Answer::AlreadySo { .. }
+        | Answer::DryRun { .. }
+        | Answer::Condition { met: true, .. } => Exit::Done,
+        Answer::Condition { met: false, .. } => Exit::TimedOut,
+        Answer::NotAccepted { .. } | Answer::Failed { .. } => Exit::Refused,
+        Answer::Unknown { .. } => Exit::Unknown,
+        Answer::Malformed { .. } => Exit::Usage,
+    }
+}
+
+fn table_text(table: &Table) -> String {
+    let lines = || std::iter::once(&table.columns).chain(&table.rows);
+    let width = |at: usize| lines().map(|line| line[at].chars().count()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..table.columns.len()).map(width).collect();
+    let mut text = String::new();
+    for line in lines() {
+        let mut row = String::new();
+        for (cell, width) in line.iter().zip(&widths) {
+            let _ = write!(row, "{cell:width$}  ");
+        }
+        text += row.trim_end();
+        text += "\n";
+    }
+    text
+}
+
+fn age_text(age_ms: u64) -> String {
+    match age_ms {
+        0 => "as read now".to_owned(),
+        _ => format!("as known {}.{:03} s ago", age_ms / 1_000, age_ms % 1_000),
+    }
+}
+
+fn notes_text(notes: &[String]) -> String {
+    notes.iter().map(|note| format!("note: {note}\n")).collect()
+}
+
+fn coverage_text(coverage: &Coverage) -> String {
+    let Coverage { reported, members, unseen } = coverage;
+    let mut text = format!("in force at {reported} of {members} members that this daemon sees");
+    if !unseen.is_empty() {
+        let _ = write!(text, ", no reports of {}", unseen.join(", "));
+    }
+    text + "\n"
+}
--- /dev/null
+++ b/crates/rattanarch_cli/tests/scripts.rs
@@ -0,0 +1,89 @@
+//! Scripts from a file or standard input.
+
+mod cli_support;
+
+use cli_support::FakeDaemon;
+use cli_support::accepted;
+use cli_support::condition;
+use cli_support::file;
+use cli_support::options;
+use cli_support::run_with;
+use cli_support::table;
+use rattanarch_cli::Exit;
+use rattanarch_cli::Options;
+use rattanarch_config::Answer;
+
+const SCRIPT: &str = "# evening\ntake out data-centre nordkuehl; show data-centres\n\nshow rules\n";
+
+fn statements(daemon: &FakeDaemon) -> Vec<String> {
+    daemon.requests().into_iter().map(|request| request.statement).collect()
+}
+
+#[test]
+fn from_file() {
+    let daemon = FakeDaemon::start(vec![accepted(8), table()]);
+    let options = Options { script: Some(file(SCRIPT)), ..options(&[&daemon.url]) };
+    assert_eq!(run_with(&options, "").0, Exit::Done);
+    let wanted = ["take out data-centre nordkuehl", "show data-centres", "show rules"];
+    assert_eq!(statements(&daemon), wanted);
+}
+
+#[test]
+fn from_input() {
+    let daemon = FakeDaemon::start(vec![table()]);
+    let options = Options { script: Some("-".into()), ..options(&[&daemon.url]) };
+    assert_eq!(run_with(&options, "show rules # all\n").0, Exit::Done);
+    assert_eq!(statements(&daemon), ["show rules"]);
+}
+
+#[test]
+fn stops_at_failure() {
+    let refused = Answer::NotAccepted { reason: "no".into(), winner: None, risk: false };
+    let daemon = FakeDaemon::start(vec![refused, table()]);
+    let options = Options { script: Some(file(SCRIPT)), ..options(&[&daemon.url]) };
+    assert_eq!(run_with(&options, "").0, Exit::Refused);
+    assert_eq!(daemon.requests().len(), 1);
+}
+
+#[test]
+fn malformed_runs_nothing() {
+    let daemon = FakeDaemon::start(vec![accepted(8)]);
+    let text = "take out data-centre nordkuehl\nshow ruels\n";
+    let options = Options { script: Some(file(text)), ..options(&[&daemon.url]) };
+    let (exit, _, errors) = run_with(&options, "");
+    assert_eq!(exit, Exit::Usage);
+    assert!(errors.contains("line 2, column 6"), "{errors}");
+    assert!(daemon.requests().is_empty());
+}
+
+/// After a command, `wait until in force` means the version that it made.
+#[test]
+fn waits_for_own_version() {
+    let answers = vec![accepted(8), condition(false), condition(false), condition(true)];
+    let daemon = FakeDaemon::start(answers);
+    let text = "take out data-centre nordkuehl\nwait until in force within 10s\n";
+    let options = Options { script: Some(file(text)), ..options(&[&daemon.url]) };
+    assert_eq!(run_with(&options, "").0, Exit::Done);
+    let wait = "wait until version 8 in force within 10000ms for coop";
+    assert_eq!(statements(&daemon)[1..], [wait, wait, wait]);
+}
+
+#[test]
+fn wait_times_out() {
+    let daemon = FakeDaemon::start(vec![condition(false)]);
+    let statement = vec!["wait until version 9 in force within 300ms".to_owned()];
+    let options = Options { statement, ..options(&[&daemon.url]) };
+    assert_eq!(run_with(&options, "").0, Exit::TimedOut);
+}
+
+/// What is in force is asked of every daemon given: each sees only its own service.
+#[test]
+fn waits_for_all() {
+    let (met, unmet) = (vec![condition(true)], vec![condition(false)]);
+    let daemons = [FakeDaemon::start(met), FakeDaemon::start(unmet)];
+    let urls = [&*daemons[0].url, &*daemons[1].url];
+    let statement = vec!["wait until version 9 in force within 0s".to_owned()];
+    let options = Options { statement, ..options(&urls) };
+    assert_eq!(run_with(&options, "").0, Exit::TimedOut);
+    assert_eq!(daemons[1].requests().len(), 1);
+}
--- a/crates/rattanarch_config/src/answer.rs
+++ b/crates/rattanarch_config/src/answer.rs
@@ -9,6 +9,15 @@
 
 use crate::Table;
 
+/// A configuration version that an operator has seen.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Seen {
+    /// Firm of the configuration.
+    pub firm: FirmName,
+    /// The version.
+    pub version: Version,
+}
+
 /// Body of `POST /operate`.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -17,11 +26,13 @@
     pub statement: String,
     /// Configuration version that a command is for; any other is refused.
     pub expected: Option<Version>,
-    /// Configuration version that the operator saw; a later change of the same object is refused.
-    pub seen: Option<Version>,
+    /// What the operator saw last; if the command is about the same firm, a later change of the
+    /// same object is refused.
+    pub seen: Option<Seen>,
     /// Whether the risk of a command is accepted, as by the word `twice`.
     pub confirmed: bool,
-    /// The write id of an earlier answer, to repeat a command whose outcome is unknown.
+    /// Unique to a command and the same when it is repeated, so that it takes effect once; the
+    /// daemon draws one when it is absent.
     pub write_id: Option<WriteId>,
 }
 
--- a/crates/rattanarch_config/src/lib.rs
+++ b/crates/rattanarch_config/src/lib.rs
@@ -36,6 +36,7 @@
 pub use answer::Answer;
 pub use answer::Coverage;
 pub use answer::Request;
+pub use answer::Seen;
 pub use apply::Applied;
 pub use apply::apply;
 pub use command::Command;
--- a/crates/rattanarchd/src/operator/desk.rs
+++ b/crates/rattanarchd/src/operator/desk.rs
@@ -98,9 +98,10 @@
         match statement.action {
             Action::Show(query) => self.show(operator, &firm, &query),
             Action::Change { command, expected, confirmed } => {
+                let seen = request.seen.as_ref().filter(|seen| seen.firm == firm);
                 let order = Order::new(operator.clone(), command)
                     .with_expected(expected.or(request.expected))
-                    .with_seen(request.seen)
+                    .with_seen(seen.map(|seen| seen.version))
                     .with_confirmed(confirmed || request.confirmed)
                     .with_time(unix_ms())
                     .with_write(request.write_id.unwrap_or_else(draw_write_id));
--- a/crates/rattanarchd/src/operator/ids.rs
+++ b/crates/rattanarchd/src/operator/ids.rs
@@ -13,8 +13,8 @@
     since.as_millis() as u64
 }
 
-/// Draws a write id, unique over all daemons. Never zero.
-pub(crate) fn draw_write_id() -> WriteId {
+/// Draws a write id, unique over all processes. Never zero.
+pub fn draw_write_id() -> WriteId {
     // Every `RandomState` has fresh keys from the operating system's randomness.
     let drawn = RandomState::new().hash_one(unix_ms());
     drawn.max(1)
--- a/crates/rattanarchd/src/operator/mod.rs
+++ b/crates/rattanarchd/src/operator/mod.rs
@@ -26,6 +26,7 @@
 pub use fleet::Fleet;
 pub use fleet::MemberLoad;
 pub use fleet::ViewFleet;
+pub use ids::draw_write_id;
 pub use server::Server;
 pub use server::ServerError;
 pub use status::MemberStatus;
--- a/crates/rattanarchd/src/operator/writer.rs
+++ b/crates/rattanarchd/src/operator/writer.rs
@@ -119,7 +119,6 @@
             }
             // The configuration has moved on without this order, so no attempt of it can land.
             self.unsettled = None;
-            self.repeated = false;
             let next = match apply(&configuration, &self.order)? {
                 Applied::AlreadySo => return Ok(Written::AlreadySo(configuration.version)),
                 Applied::Changed(next) => self.prepare(&configuration, next, deadline)?,
--- a/crates/rattanarchd/tests/operator_races.rs
+++ b/crates/rattanarchd/tests/operator_races.rs
@@ -19,6 +19,7 @@
 use rattanarch_config::Operator;
 use rattanarch_config::Order;
 use rattanarch_config::Request;
+use rattanarch_config::Seen;
 use rattanarch_config::apply;
 use rattanarch_types::Configuration;
 use rattanarchd::operator::Desk;
@@ -170,7 +171,11 @@
     let seen = accepted(&say(&desk, &anna(), "create data-centre nordkuehl region upper-at"));
     let change = |name: &str, region: &str| {
         let statement = format!("change data-centre nordkuehl region {region}");
-        let request = Request { statement, seen: Some(seen), ..Request::default() };
+        let request = Request {
+            statement,
+            seen: Some(Seen { firm: "coop".into(), version: seen }),
+            ..Request::default()
+        };
         desk.answer(&Operator::of_firm(name, "coop"), &request)
     };
     accepted(&change("berta", "r-1"));
