--- a/crates/rattanarchd/src/operator/desk.rs
+++ b/crates/rattanarchd/src/operator/desk.rs
@@ -141,6 +141,11 @@
         let operator = order.operator.name.clone();
         let written = write(&self.firms, firm, order, repeated, &places);
         log::info!(operator = operator.as_str(), firm, outcome:? = written; "{command}");
+        if matches!(written, Written::Accepted(_))
+            && let Some(configuration) = self.firms.known_configuration(firm)
+        {
+            self.fleet.spread(&configuration);
+        }
         match written {
             Written::Accepted(version) => Answer::Accepted {
                 firm: firm.to_owned(),
@@ -256,8 +261,8 @@
     }
 
     fn coverage(&self, firm: &str, version: Version) -> Coverage {
-        let look = self.firms.look_configuration(firm);
-        coverage(&self.views.current(), &*self.fleet, &look.value, version)
+        let configuration = self.firms.known_configuration(firm).unwrap_or_default();
+        coverage(&self.views.current(), &*self.fleet, &configuration, version)
     }
 
     fn ground(&self, firm: &str, query: &Query) -> Ground {
--- a/crates/rattanarchd/src/operator/firms.rs
+++ b/crates/rattanarchd/src/operator/firms.rs
@@ -103,6 +103,11 @@
         self.configurations.learn(&configuration.firm, value.version, value, Clock.now());
     }
 
+    /// The newest configuration of the firm that the platform is known to have stored.
+    pub(crate) fn known_configuration(&self, firm: &str) -> Option<Arc<Configuration>> {
+        self.configurations.get(firm).map(|look| look.value)
+    }
+
     /// The firm's configuration for a query: read now, or as last known to this daemon.
     pub(crate) fn look_configuration(&self, firm: &str) -> Look<Configuration> {
         let fault = match self.read_configuration(firm) {
--- a/crates/rattanarchd/src/operator/fleet.rs
+++ b/crates/rattanarchd/src/operator/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use rattanarch_types::BootId;
+use rattanarch_types::Configuration;
 use rattanarch_types::Version;
 
 use crate::version::Views;
@@ -26,6 +27,12 @@
 
     /// Requests that this daemon has refused since its start, by reason.
     fn refusals(&self) -> BTreeMap<String, u64>;
+
+    /// Takes a configuration that a command of this daemon has just made, so that it need not
+    /// come back through a watch of the platform. Its firm may be another than the daemon's.
+    fn spread(&self, configuration: &Configuration) {
+        let _ = configuration;
+    }
 }
 
 /// A fleet of which only this daemon is known.
