--- a/crates/rattanarch_cli/src/options.rs
+++ b/crates/rattanarch_cli/src/options.rs
@@ -10,17 +10,25 @@
 pub struct Options {
     /// Prints this help.
     pub help: bool,
-    /// Daemon's operator address, such as http://10.0.0.1:8300; may be given several times, the
-    /// first that answers is used. Default: RATTANARCH_AT, separated by commas.
-    #[options(meta = "URL", no_short)]
+    /// Daemons' operator addresses, such as `http://10.0.0.1:8300`; the first that answers is used.
+    #[options(
+        meta = "URL",
+        no_short,
+        help = "operator address of a daemon, such as http://10.0.0.1:8300; may be given several \
+                times, the first that answers is used [default: RATTANARCH_AT, with commas]"
+    )]
     pub at: Vec<String>,
-    /// File that holds the operator's token. Default: the token in RATTANARCH_TOKEN.
-    #[options(meta = "FILE", no_short)]
+    /// File that holds the operator's token.
+    #[options(
+        meta = "FILE",
+        no_short,
+        help = "file that holds the operator's token [default: the token in RATTANARCH_TOKEN]"
+    )]
     pub token_file: Option<String>,
     /// Prints answers as JSON, one a line.
     #[options(no_short)]
     pub json: bool,
-    /// Runs the statements of a file; - for standard input. Stops at the first that fails.
+    /// Runs the statements of a file, or `-` for standard input; stops at the first that fails.
     #[options(meta = "FILE", no_short)]
     pub script: Option<String>,
     /// Repeats a command whose outcome is unknown, under its write id.
--- a/crates/rattanarchd/src/operator/writer.rs
+++ b/crates/rattanarchd/src/operator/writer.rs
@@ -55,7 +55,7 @@
     #[error(transparent)]
     Command(#[from] CommandError),
     /// The platform could not be read, or did not take the write.
-    #[error("not accepted: {0}")]
+    #[error(transparent)]
     Read(#[from] ReadError),
     /// Another firm has the name.
     #[error("{object} belongs to firm {firm:?}")]
@@ -72,7 +72,7 @@
         size: usize,
     },
     /// Too many others wrote at the same time.
-    #[error("not accepted: lost {RACES} races against changes of other objects; try again")]
+    #[error("lost {RACES} races against changes of other objects; try again")]
     Races,
 }
 
--- a/crates/rattanarchd/tests/operator_lost_answers.rs
+++ b/crates/rattanarchd/tests/operator_lost_answers.rs
@@ -80,7 +80,7 @@
     let (fake, desk) = start();
     fake.store().down = true;
     let (reason, _) = refused(say(&desk, &anna(), TAKE_OUT));
-    assert!(reason.starts_with("not accepted"), "{reason}");
+    assert!(reason.starts_with("platform did not take the call"), "{reason}");
     fake.store().down = false;
     assert_eq!(fake.versions("coop"), 1);
 }
