--- a/crates/rattanarch_cli/src/options.rs
+++ b/crates/rattanarch_cli/src/options.rs
@@ -25,6 +25,8 @@
         help = "file that holds the operator's token [default: the token in RATTANARCH_TOKEN]"
     )]
     pub token_file: Option<String>,
+    /// Reads statements one by one, also when standard input is no terminal.
+    pub interactive: bool,
     /// Prints answers as JSON, one a line.
     #[options(no_short)]
     pub json: bool,
--- a/crates/rattanarch_cli/src/run.rs
+++ b/crates/rattanarch_cli/src/run.rs
@@ -48,8 +48,8 @@
             return Exit::Usage;
         }
     };
-    let is_interactive =
-        options.script.is_none() && options.statement.is_empty() && stdin().is_terminal();
+    let has_statement = options.script.is_some() || !options.statement.is_empty();
+    let is_interactive = !has_statement && (options.interactive || stdin().is_terminal());
     let session = Session::new(client, is_interactive);
     let mut program = Program { session, json: options.json, output, errors };
     if is_interactive {
