--- a/crates/rattanarchd/src/operator/desk.rs
+++ b/crates/rattanarchd/src/operator/desk.rs
@@ -98,9 +98,10 @@
         match statement.action {
             Action::Show(query) => self.show(operator, &firm, &query),
             Action::Change { command, expected, confirmed } => {
+                let seen = request.seen.as_ref().filter(|seen| seen.firm == firm);
                 let order = Order::new(operator.clone(), command)
                     .with_expected(expected.or(request.expected))
-                    .with_seen(request.seen)
+                    .with_seen(seen.map(|seen| seen.version))
                     .with_confirmed(confirmed || request.confirmed)
                     .with_time(unix_ms())
                     .with_write(request.write_id.unwrap_or_else(draw_write_id));
@@ -140,6 +141,11 @@
         let operator = order.operator.name.clone();
         let written = write(&self.firms, firm, order, repeated, &places);
         log::info!(operator = operator.as_str(), firm, outcome:? = written; "{command}");
+        if matches!(written, Written::Accepted(_))
+            && let Some(configuration) = self.firms.known_configuration(firm)
+        {
+            self.fleet.spread(&configuration);
+        }
         match written {
             Written::Accepted(version) => Answer::Accepted {
                 firm: firm.to_owned(),
@@ -255,8 +261,8 @@
     }
 
     fn coverage(&self, firm: &str, version: Version) -> Coverage {
-        let look = self.firms.look_configuration(firm);
-        coverage(&self.views.current(), &*self.fleet, &look.value, version)
+        let configuration = self.firms.known_configuration(firm).unwrap_or_default();
+        coverage(&self.views.current(), &*self.fleet, &configuration, version)
     }
 
     fn ground(&self, firm: &str, query: &Query) -> Ground {
--- a/crates/rattanarchd/src/operator/writer.rs
+++ b/crates/rattanarchd/src/operator/writer.rs
@@ -55,7 +55,7 @@
     #[error(transparent)]
     Command(#[from] CommandError),
     /// The platform could not be read, or did not take the write.
-    #[error("not accepted: {0}")]
+    #[error(transparent)]
     Read(#[from] ReadError),
     /// Another firm has the name.
     #[error("{object} belongs to firm {firm:?}")]
@@ -72,7 +72,7 @@
         size: usize,
     },
     /// Too many others wrote at the same time.
-    #[error("not accepted: lost {RACES} races against changes of other objects; try again")]
+    #[error("lost {RACES} races against changes of other objects; try again")]
     Races,
 }
 
@@ -119,7 +119,6 @@
             }
             // The configuration has moved on without this order, so no attempt of it can land.
             self.unsettled = None;
-            self.repeated = false;
             let next = match apply(&configuration, &self.order)? {
                 Applied::AlreadySo => return Ok(Written::AlreadySo(configuration.version)),
                 Applied::Changed(next) => self.prepare(&configuration, next, deadline)?,
