Ask members which configuration they have in force

Cause: "accepted" and "in force everywhere" must be told apart; a daemon knew only its own version. Weighed: every member's version in gossip (64 numbers in each packet, over 3 KB/s); asking every member on demand over bulk exchanges, 32 at a time, costs nothing while nobody asks. Neighbours' versions are also kept from packets; counters are shown by the status endpoint.

--- a/crates/rattanarchd/src/operator/fleet.rs
+++ b/crates/rattanarchd/src/operator/fleet.rs
@@ -4,8 +4,10 @@
 
 use rattanarch_types::BootId;
 use rattanarch_types::Configuration;
+use rattanarch_types::ServiceName;
 use rattanarch_types::Version;
 
+use crate::version::View;
 use crate::version::Views;
 
 /// Load of one member.
@@ -17,11 +19,44 @@
     pub limit: u32,
 }
 
+/// Answer to the question which members have a configuration in force.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Survey {
+    /// Number of members asked.
+    pub members: usize,
+    /// Configuration version in force at each member that answered.
+    pub versions: BTreeMap<BootId, Version>,
+    /// Services whose members are not known.
+    pub unseen: Vec<ServiceName>,
+}
+
 /// Source of what members report.
 pub trait Fleet: Send + Sync {
     /// Configuration version that each member last reported to have in force.
     fn versions(&self) -> BTreeMap<BootId, Version>;
 
+    /// Asks every member that can be found which version of `configuration` it has in force.
+    ///
+    /// By default only the members of the daemon's own service, by what they last reported.
+    fn survey(&self, view: &View, configuration: &Configuration) -> Survey {
+        let record = &view.serving.record;
+        let is_own = |service: &&ServiceName| **service == record.service;
+        let own = configuration.services.keys().any(|service| is_own(&service));
+        let unseen = configuration.services.keys().filter(|service| !is_own(service));
+        let unseen = unseen.cloned().collect();
+        if !own {
+            return Survey { unseen, ..Survey::default() };
+        }
+        let mut versions = self.versions();
+        versions.retain(|boot, _| record.members.contains_key(boot));
+        Survey { members: record.members.len(), versions, unseen }
+    }
+
+    /// Counters of this daemon since its start, by name.
+    fn counters(&self) -> BTreeMap<String, u64> {
+        BTreeMap::new()
+    }
+
     /// Load that each member last reported.
     fn loads(&self) -> BTreeMap<BootId, MemberLoad>;
 
--- a/crates/rattanarchd/src/operator/mod.rs
+++ b/crates/rattanarchd/src/operator/mod.rs
@@ -25,6 +25,7 @@
 pub use desk::Desk;
 pub use fleet::Fleet;
 pub use fleet::MemberLoad;
+pub use fleet::Survey;
 pub use fleet::ViewFleet;
 pub use ids::draw_write_id;
 pub use server::Server;
--- a/crates/rattanarchd/src/operator/status.rs
+++ b/crates/rattanarchd/src/operator/status.rs
@@ -51,6 +51,8 @@
     pub members: BTreeMap<InstanceId, MemberStatus>,
     /// Requests that it has refused, by reason.
     pub refusals: BTreeMap<String, u64>,
+    /// Counters since its start, by the names of the metrics.
+    pub counters: BTreeMap<String, u64>,
 }
 
 /// What a daemon knows of a member of its service.
@@ -102,6 +104,7 @@
             stopping: view.stopping,
             members: members(view, fleet),
             refusals: fleet.refusals(),
+            counters: fleet.counters(),
         }
     }
 }
--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -36,6 +36,7 @@
 use crate::process::PlatformWorker;
 use crate::process::Publisher;
 use crate::process::Quiescence;
+use crate::process::Reports;
 use crate::process::Snapshot;
 use crate::process::UpstreamHealth;
 use crate::version::Freshness;
@@ -82,6 +83,8 @@
     pub(crate) quiescence: Quiescence,
     /// Tells the rest of the process.
     pub(crate) publisher: Publisher,
+    /// What members reported.
+    pub(crate) reports: Reports,
     /// Sends metrics.
     pub(crate) metrics: Metrics,
     /// Counters.
@@ -403,6 +406,7 @@
     /// Takes what a peer says it knows, and asks it for what is newer.
     fn hear(&mut self, from: BootId, theirs: Knowledge) {
         let now = self.clock.now();
+        self.parts.reports.hear(from, theirs.configuration);
         let mine = self.knowledge(now);
         self.freshness.hear(now, (mine.record, mine.configuration), theirs);
         let newer = theirs.record > mine.record || theirs.configuration > mine.configuration;
@@ -454,6 +458,7 @@
         let sources = &self.sources;
         let known = |boot| record.members.contains_key(&boot) || sources.contains_key(&boot);
         self.parts.socket.retain(known);
+        self.parts.reports.retain(known);
     }
 
     fn publish(&mut self) {
--- a/crates/rattanarchd/src/process/run.rs
+++ b/crates/rattanarchd/src/process/run.rs
@@ -23,9 +23,9 @@
 use crate::connection::PeerSocket;
 use crate::operator::Access;
 use crate::operator::Desk;
+use crate::operator::Fleet;
 use crate::operator::Server;
 use crate::operator::ServerError;
-use crate::operator::ViewFleet;
 use crate::process::Announcement;
 use crate::process::Clock;
 use crate::process::Control;
@@ -37,9 +37,11 @@
 use crate::process::ListenError;
 use crate::process::Listeners;
 use crate::process::Metrics;
+use crate::process::PeerFleet;
 use crate::process::PlatformWorker;
 use crate::process::Publisher;
 use crate::process::Quiescence;
+use crate::process::Reports;
 use crate::process::Settings;
 use crate::process::UpstreamControl;
 use crate::process::fence_earlier_lives;
@@ -47,7 +49,6 @@
 use crate::process::upstream_control::ClockReading;
 use crate::request::RequestPath;
 use crate::request::RequestSettings;
-use crate::request::Running;
 use crate::version::Views;
 
 /// Threads that carry requests; the control loop has its own, which requests can't hold up.
@@ -167,22 +168,28 @@
         let callers = CallerServer::start(requests.handle(), listeners.caller, Arc::clone(&path))?;
         let platform = Platform::new(&*settings.platform.address, &*settings.platform.token)
             .with_timeout(Duration::from_millis(settings.platform.timeout_ms));
-        let operators = start_operators(&settings, &views, platform.clone())?;
+        let (inputs, received) = unbounded_channel();
+        let fleet = PeerFleet {
+            reports: Reports::default(),
+            views: views.clone(),
+            running: path.running().clone(),
+            slots: state.announcement.slots,
+            counters: Arc::new(Counters::default()),
+            codec: Codec::new(settings.peers.secret.as_bytes()),
+            platform: platform.clone(),
+            runtime: requests.handle().clone(),
+            inputs: inputs.clone(),
+        };
+        let fleet = Arc::new(fleet);
+        let operators = start_operators(&settings, &fleet)?;
         log::info!(
             caller:% = caller, peer:% = peer, operator:% = operators.address(),
             slots = state.announcement.slots, fence = state.fence;
             "listening"
         );
-        let start = ControlStart {
-            settings: &settings,
-            state,
-            member: member(&settings, state, (caller, peer)),
-            platform,
-            upstream,
-            running: path.running().clone(),
-            views,
-        };
-        let (inputs, control) = start.spawn(listeners.peer_udp, listeners.peer_tcp)?;
+        let member = member(&settings, state, (caller, peer));
+        let start = ControlStart { settings: &settings, state, member, upstream, fleet: &fleet };
+        let control = start.spawn(listeners.peer_udp, listeners.peer_tcp, received)?;
         Ok(Self { settings, requests, callers, control, inputs, _operators: operators })
     }
 
@@ -224,10 +231,8 @@
     settings: &'a Settings,
     state: &'a UpstreamState,
     member: Member,
-    platform: Platform,
     upstream: UpstreamControl,
-    running: Running,
-    views: Views,
+    fleet: &'a PeerFleet,
 }
 
 impl ControlStart<'_> {
@@ -236,16 +241,15 @@
         self,
         peer_udp: std::net::UdpSocket,
         peer_tcp: std::net::TcpListener,
-    ) -> Result<(UnboundedSender<Input>, ControlThread), RunError> {
+        inputs: UnboundedReceiver<Input>,
+    ) -> Result<ControlThread, RunError> {
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let entered = runtime.enter();
         let socket = tokio::net::UdpSocket::from_std(peer_udp)?;
         let listener = tokio::net::TcpListener::from_std(peer_tcp)?;
-        let codec = Codec::new(self.settings.peers.secret.as_bytes());
         let (holdings, held) = watch::channel(Holdings::default());
-        let bulk = BulkServer::new(codec.clone(), held);
-        let (sender, inputs) = unbounded_channel();
-        let parts = self.parts(socket, codec, holdings, (sender.clone(), inputs))?;
+        let bulk = BulkServer::new(self.fleet.codec.clone(), held);
+        let parts = self.parts(socket, holdings, inputs)?;
         drop(entered);
         let run = move || {
             runtime.block_on(async move {
@@ -253,37 +257,33 @@
                 Control::new(parts).run().await
             })
         };
-        let thread = std::thread::Builder::new().name("control".to_owned()).spawn(run)?;
-        Ok((sender, thread))
+        Ok(std::thread::Builder::new().name("control".to_owned()).spawn(run)?)
     }
 
     fn parts(
         self,
         socket: tokio::net::UdpSocket,
-        codec: Codec,
         holdings: watch::Sender<Holdings>,
-        (sender, inputs): (UnboundedSender<Input>, UnboundedReceiver<Input>),
+        inputs: UnboundedReceiver<Input>,
     ) -> Result<ControlParts, RunError> {
-        let counters = Arc::new(Counters::default());
         let process = &self.settings.process;
         let names = (&*process.firm, &*process.service);
+        let (fleet, sender) = (self.fleet, self.fleet.inputs.clone());
+        let counters = || Arc::clone(&fleet.counters);
         let first = (self.state.reading, self.state.fence);
+        let platform = fleet.platform.clone();
         Ok(ControlParts {
             member: self.member,
             timing: timing(self.settings),
-            socket: PeerSocket::new(socket, codec.clone(), Arc::clone(&counters)),
-            codec,
-            worker: PlatformWorker::start(
-                self.platform,
-                names,
-                sender.clone(),
-                Arc::clone(&counters),
-            )?,
-            granter: Granter::start(self.upstream, first, sender.clone(), Arc::clone(&counters))?,
-            quiescence: Quiescence::new(self.running),
-            publisher: Publisher::new(self.views, holdings),
-            metrics: Metrics::new(self.settings.metrics.statsd, Arc::clone(&counters))?,
-            counters,
+            socket: PeerSocket::new(socket, fleet.codec.clone(), counters()),
+            codec: fleet.codec.clone(),
+            worker: PlatformWorker::start(platform, names, sender.clone(), counters())?,
+            granter: Granter::start(self.upstream, first, sender.clone(), counters())?,
+            quiescence: Quiescence::new(fleet.running.clone()),
+            publisher: Publisher::new(fleet.views.clone(), holdings),
+            reports: fleet.reports.clone(),
+            metrics: Metrics::new(self.settings.metrics.statsd, counters())?,
+            counters: counters(),
             inputs,
             sender,
             service: process.service.clone(),
@@ -298,13 +298,10 @@
 /// Least time that callers get to take their answers, also when the stop is late.
 const MIN_SERVE_OUT: Duration = Duration::from_secs(1);
 
-fn start_operators(
-    settings: &Settings,
-    views: &Views,
-    platform: Platform,
-) -> Result<Server, ServerError> {
-    let fleet = Arc::new(ViewFleet::new(views.clone()));
-    let desk = Desk::new(settings.process.clone(), views.clone(), platform, fleet);
+fn start_operators(settings: &Settings, fleet: &Arc<PeerFleet>) -> Result<Server, ServerError> {
+    let (views, platform) = (fleet.views.clone(), fleet.platform.clone());
+    let fleet = Arc::clone(fleet) as Arc<dyn Fleet>;
+    let desk = Desk::new(settings.process.clone(), views, platform, fleet);
     Server::start(settings.listen.operator, Access::new(&settings.operators), Arc::new(desk))
 }
 
