--- a/crates/rattanarch_ownership/src/event.rs
+++ b/crates/rattanarch_ownership/src/event.rs
@@ -26,9 +26,11 @@
         /// if the answer came by a watch that was sent long ago.
         read_sent: Option<Moment>,
     },
-    /// The end of an [`Action::Fence`](crate::Action::Fence): the upstream has taken this fence, and
-    /// this process uses none below it any more.
+    /// The end of an [`Action::Fence`](crate::Action::Fence): the upstream has taken this fence after
+    /// it was asked, and this process uses none below it any more.
     Fenced {
+        /// Older life, copied from the action.
+        old: BootId,
         /// First fence that this process may use from now on.
         fence: Fence,
     },
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -115,7 +115,11 @@
     fn take(&mut self, now: Moment, event: Event) {
         match event {
             Event::Record { record, read_sent } => self.core.learn(now, record, read_sent),
-            Event::Fenced { fence } => self.core.member.fence = fence,
+            Event::Fenced { old, fence } => {
+                if let Life::Joining(joining) = &mut self.life {
+                    joining.fenced(&mut self.core, old, fence);
+                }
+            }
             Event::Message { from, message } => self.receive(now, from, message),
             Event::Written { write_id, outcome } => self.core.written(now, write_id, outcome),
             Event::Quiet { slices, hot } => self.quiet(&slices, &hot),
--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -329,7 +329,7 @@
                 }
             }
             // Without an answer the node waits until its older life is taken over.
-            Action::Fence { above } => log::warn!(above; "older life has a higher fence"),
+            Action::Fence { old, above } => log::warn!(old, above; "waiting for older life"),
             Action::Rejoin => self.rejoin(),
             Action::Left => self.end = Some(ControlEnd::Left),
         }
