--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -97,8 +97,6 @@
     pub(crate) service: String,
     /// Whether the upstream checks fences.
     pub(crate) checks_fence: bool,
-    /// Fence that the upstream has taken of this process.
-    pub(crate) fence: Fence,
 }
 
 /// The control loop.
@@ -111,6 +109,8 @@
     configuration: Arc<Configuration>,
     freshness: Freshness,
     grant: Option<Grant>,
+    /// Older life that the upstream is asked to refuse, and the fence to be exceeded for it.
+    fencing: Option<(BootId, Fence)>,
     health: UpstreamHealth,
     outbox: Outbox,
     /// Where members that the record does not name yet were heard from.
@@ -134,6 +134,7 @@
             configuration: Arc::default(),
             freshness: Freshness::default(),
             grant: None,
+            fencing: None,
             health: UpstreamHealth::new(clock.now()),
             outbox: Outbox::default(),
             sources: BTreeMap::new(),
@@ -146,7 +147,7 @@
 
     /// Runs until the member has left.
     pub(crate) async fn run(mut self) -> ControlEnd {
-        self.start_node();
+        self.tell_intent();
         let mut ticks = tokio::time::interval(self.parts.timing.heartbeat / TICKS);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -162,19 +163,6 @@
         }
     }
 
-    /// Tells a new node what its predecessor or the start-up has settled already.
-    fn start_node(&mut self) {
-        self.tell_fence(self.parts.fence);
-        self.tell_intent();
-    }
-
-    fn tell_fence(&mut self, fence: Fence) {
-        self.parts.fence = fence;
-        if self.parts.checks_fence {
-            self.step(Event::Fenced { fence });
-        }
-    }
-
     fn tick(&mut self) {
         let now = self.clock.now();
         self.step(Event::Tick);
@@ -227,15 +215,8 @@
                 self.pulling = false;
                 log::debug!(peer = peer; "peer did not answer a pull");
             }
-            Input::Granted(grant) => {
-                self.health.hear(self.clock.now());
-                self.grant = Some(grant);
-                self.publish();
-            }
-            Input::Fenced(fence) => {
-                self.parts.quiescence.fenced(fence);
-                self.tell_fence(fence);
-            }
+            Input::Granted(grant) => self.take_grant(grant),
+            Input::Fenced(fence) => self.parts.quiescence.fenced(fence),
             Input::ReadFailed | Input::UpstreamSilent => {}
             Input::Superseded(fence) => {
                 log::error!(fence = fence; "a later process in this slot has taken the upstream");
@@ -249,6 +230,29 @@
         }
     }
 
+    /// Has the upstream refuse an older life of this instance.
+    fn ask_fence(&mut self, old: BootId, above: Fence) {
+        if !self.parts.checks_fence || self.fencing.is_some_and(|(asked, _)| asked == old) {
+            return;
+        }
+        let above = above.max(self.parts.member.fence);
+        self.fencing = Some((old, above));
+        self.parts.granter.fence_above(above);
+    }
+
+    fn take_grant(&mut self, grant: Grant) {
+        self.health.hear(self.clock.now());
+        self.grant = Some(grant);
+        self.parts.member.fence = self.parts.member.fence.max(grant.fence);
+        if let Some((old, above)) = self.fencing
+            && grant.fence > above
+        {
+            self.fencing = None;
+            self.step(Event::Fenced { old, fence: grant.fence });
+        }
+        self.publish();
+    }
+
     fn take_record(&mut self, record: Record, sent: Option<Moment>) {
         let record = if record.version == 0 { self.first_record() } else { Some(record) };
         let Some(record) = record else { return };
@@ -365,8 +369,7 @@
                 self.publish();
                 self.parts.quiescence.start(slices, hot);
             }
-            // Without an answer the node waits until its older life is taken over.
-            Action::Fence { above } => self.parts.granter.fence_above(above),
+            Action::Fence { old, above } => self.ask_fence(old, above),
             Action::Rejoin => self.rejoin(),
             Action::Left => self.end = Some(ControlEnd::Left),
         }
@@ -375,11 +378,12 @@
     fn rejoin(&mut self) {
         log::warn!(boot = self.node.me(); "taken over; joining again");
         self.node = new_node(&self.parts);
+        self.fencing = None;
         self.parts.granter.raise_fence();
         if self.stopping {
             self.end = Some(ControlEnd::Left);
         }
-        self.start_node();
+        self.tell_intent();
     }
 
     fn send_outbox(&mut self, now: Moment) {
--- a/crates/rattanarchd/src/process/run.rs
+++ b/crates/rattanarchd/src/process/run.rs
@@ -288,7 +288,6 @@
             sender,
             service: process.service.clone(),
             checks_fence: self.state.announcement.checks_fence,
-            fence: self.state.fence,
         })
     }
 }
