Retry where the verdict allows it, and spread unkeyed requests

Cause: a request that certainly did not run may go to another member; one that may have run only if it is idempotent; both within a tenth of the requests, so that retries do not multiply an overload. Unkeyed requests go to the better of two random members by requests in flight times mean latency; members out of service are skipped.

version::is_barred is now used by the request path too. Budget and choice are behind small types to be replaced by those of rattanarch_admission.

--- a/crates/rattanarchd/src/request/answer.rs
+++ b/crates/rattanarchd/src/request/answer.rs
@@ -33,6 +33,11 @@
     answer
 }
 
+/// The verdict that an answer carries.
+pub(crate) fn verdict<B>(answer: &Response<B>) -> Option<Verdict> {
+    headers::text(answer.headers(), &headers::VERDICT)?.parse().ok()
+}
+
 /// Sets the verdict field.
 pub(crate) fn set_verdict(fields: &mut HeaderMap, verdict: Verdict) {
     fields.insert(headers::VERDICT, headers::value(&verdict.to_string()));
--- /dev/null
+++ b/crates/rattanarchd/src/request/forward.rs
@@ -0,0 +1,103 @@
+//! Requests that run at another member's upstream.
+
+use hyper::Response;
+use rattanarch_ownership::Refusal;
+use rattanarch_types::BootId;
+use rattanarch_types::KeyHash;
+use rattanarch_types::Verdict;
+
+use crate::request::OutBody;
+use crate::request::RequestError;
+use crate::request::RequestPath;
+use crate::request::answer;
+use crate::request::exchange::Exchange;
+use crate::request::exchange::Hold;
+use crate::request::headers;
+use crate::request::job::Job;
+
+type Outcome = Result<Response<OutBody>, RequestError>;
+
+impl RequestPath {
+    /// Runs the request at the owner of its key, once more if the first attempt allows it.
+    pub(super) async fn run_keyed(&self, job: &mut Job, hash: KeyHash) -> Outcome {
+        let tried = self.views.current().serving.record.owner_of(hash);
+        let outcome = self.run_at_owner(job, hash).await;
+        let moved = self.views.current().serving.record.owner_of(hash) != tried;
+        if !self.may_retry(job, &outcome, moved) {
+            return outcome;
+        }
+        self.run_at_owner(job, hash).await
+    }
+
+    async fn run_at_owner(&self, job: &mut Job, hash: KeyHash) -> Outcome {
+        let owner = match self.run_here(job, Some(hash)).await {
+            Err(RequestError::Refused { refusal: Refusal::Elsewhere(owner), .. }) => owner,
+            outcome => return outcome,
+        };
+        if job.forwarded {
+            let refusal = Refusal::Elsewhere(owner);
+            return Err(RequestError::Refused { refusal, forwarded: true });
+        }
+        self.forward(job, owner).await
+    }
+
+    /// Whether a second attempt is safe, of use, and within the budget. `moved` says that it would
+    /// go to another place than the first.
+    pub(super) fn may_retry(&self, job: &Job, outcome: &Outcome, moved: bool) -> bool {
+        let verdict = match outcome {
+            Ok(head) => answer::verdict(head),
+            Err(error) => Some(error.verdict()),
+        };
+        let verdict = verdict.unwrap_or(Verdict::MayHaveRun);
+        if !verdict.may_retry(job.is_idempotent()) || !job.payload.is_whole() {
+            return false;
+        }
+        let of_use = match (verdict, outcome) {
+            // The fence has just been replaced.
+            (Verdict::NotRun, Err(RequestError::UpstreamRefused { status: 412, .. })) => true,
+            (Verdict::NotRun, _) => moved,
+            (_, Err(RequestError::Cut(_) | RequestError::Crossed)) => true,
+            _ => false,
+        };
+        of_use && !job.left().is_zero() && self.budget.spend()
+    }
+
+    /// Sends the request on to `member`.
+    pub(super) async fn forward(&self, job: &mut Job, member: BootId) -> Outcome {
+        let view = self.views.current();
+        let record = &view.serving.record;
+        let Some(state) = record.members.get(&member) else {
+            let refusal = Refusal::Unowned;
+            return Err(RequestError::Refused { refusal, forwarded: false });
+        };
+        let address = state.caller;
+        let peer = self.peers.get(address, record);
+        let id = self.next_id();
+        let Some(request) = job.for_peer(&peer.pool, &id, view.serving.me) else {
+            return Err(RequestError::BodyMalformed);
+        };
+        let flight = peer.begin();
+        let exchange = Exchange {
+            pool: std::sync::Arc::clone(&peer.pool),
+            id,
+            deadline: job.deadline,
+            idempotent: job.is_idempotent(),
+            body_timeout: self.settings.body_timeout,
+            linger: self.settings.linger,
+            control: None,
+            checks_fence: false,
+            hold: Hold::default(),
+        };
+        let outcome = exchange.run(request).await;
+        flight.note_latency();
+        let mut head = outcome?;
+        if answer::verdict(&head).is_none() {
+            return Err(RequestError::Crossed);
+        }
+        if !head.headers().contains_key(headers::OWNER) {
+            let owner = headers::value(&address.to_string());
+            head.headers_mut().insert(headers::OWNER, owner);
+        }
+        Ok(head)
+    }
+}
--- /dev/null
+++ b/crates/rattanarchd/src/request/local.rs
@@ -0,0 +1,86 @@
+//! Requests that run at the upstream beside this daemon.
+
+use std::sync::Arc;
+
+use hyper::Response;
+use rattanarch_types::Fence;
+use rattanarch_types::KeyHash;
+use rattanarch_types::Verdict;
+
+use crate::request::OutBody;
+use crate::request::RequestError;
+use crate::request::RequestPath;
+use crate::request::answer;
+use crate::request::exchange::Exchange;
+use crate::request::exchange::Hold;
+use crate::request::headers;
+use crate::request::job::Job;
+
+impl RequestPath {
+    /// Runs the request at the own upstream.
+    pub(super) async fn run_here(
+        &self,
+        job: &mut Job,
+        hash: Option<KeyHash>,
+    ) -> Result<Response<OutBody>, RequestError> {
+        self.check(hash)?;
+        let permit = self.admission.admit(job.priority, job.deadline).await?;
+        let id = self.next_id();
+        // Entered before the check: who gives up a key first publishes that and then looks here.
+        let run = self.running.enter(id.clone(), hash);
+        let fence = self.check(hash)?;
+        run.set_fence(fence);
+        let pool = Arc::clone(&self.upstream.pool);
+        let Some(request) = job.for_upstream(&pool, &id, fence) else {
+            return Err(RequestError::BodyMalformed);
+        };
+        let flight = self.upstream.begin();
+        let exchange = Exchange {
+            pool,
+            id,
+            deadline: job.deadline,
+            idempotent: job.is_idempotent(),
+            body_timeout: self.settings.body_timeout,
+            linger: self.settings.linger,
+            control: Some(Arc::clone(&self.control)),
+            checks_fence: self.settings.checks_fence,
+            hold: Hold { _permit: Some(permit), run: Some(run) },
+        };
+        let mut head = exchange.run(request).await?;
+        flight.note_latency();
+        self.judge(&mut head)?;
+        Ok(head)
+    }
+
+    /// Whether a request may start here now, and the fence it carries.
+    fn check(&self, hash: Option<KeyHash>) -> Result<Option<Fence>, RequestError> {
+        let view = self.views.current();
+        let now = self.clock.now();
+        let grant = view.grant.filter(|grant| now < grant.until);
+        let Some(hash) = hash else { return Ok(grant.map(|grant| grant.fence)) };
+        let checked = view.serving.check(now, hash);
+        checked.map_err(|refusal| RequestError::Refused { refusal, forwarded: false })?;
+        if !self.settings.checks_fence {
+            return Ok(None);
+        }
+        let grant = grant.ok_or(RequestError::NoGrant)?;
+        Ok(Some(grant.fence))
+    }
+
+    /// Reads the upstream's own verdict.
+    fn judge(&self, head: &mut Response<OutBody>) -> Result<(), RequestError> {
+        if answer::verdict(head) == Some(Verdict::NotRun) {
+            let retry = headers::millis(head.headers(), &headers::RETRY).and_then(Result::ok);
+            let status = head.status().as_u16();
+            return Err(RequestError::UpstreamRefused { status, retry });
+        }
+        let fields = head.headers_mut();
+        headers::strip_own(fields);
+        answer::set_verdict(fields, Verdict::Done);
+        let view = self.views.current();
+        if let Some(member) = view.serving.record.members.get(&view.serving.me) {
+            fields.insert(headers::OWNER, headers::value(&member.caller.to_string()));
+        }
+        Ok(())
+    }
+}
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -3,14 +3,19 @@
 mod admission;
 mod answer;
 mod body;
+mod budget;
 mod control;
 mod error;
 mod exchange;
+mod forward;
 mod headers;
 mod job;
+mod local;
 mod path;
+mod peers;
 mod running;
 mod settings;
+mod spread;
 mod target;
 
 pub(crate) use body::OutBody;
--- a/crates/rattanarchd/src/version/mod.rs
+++ b/crates/rattanarchd/src/version/mod.rs
@@ -7,6 +7,7 @@
 
 pub(crate) use freshness::Freshness;
 pub(crate) use intent::barred_members;
+pub(crate) use intent::is_barred;
 pub(crate) use intent::lost_members;
 pub use view::Grant;
 pub use view::View;
--- a/crates/rattanarchd/tests/caller_gone.rs
+++ b/crates/rattanarchd/tests/caller_gone.rs
@@ -1,5 +1,7 @@
 //! A caller that goes away cancels its work where that is safe.
 
+#![allow(clippy::unwrap_used, reason = "as in test functions")]
+
 mod support;
 
 use std::net::SocketAddr;
--- a/crates/rattanarchd/tests/support/rig.rs
+++ b/crates/rattanarchd/tests/support/rig.rs
@@ -52,6 +52,24 @@
         Self { views, path, server, address }
     }
 
+    /// One instance of an unkeyed service in front of each of `upstreams`, with boot ids from 1.
+    pub fn unkeyed(upstreams: &[SocketAddr], timeout: Duration) -> Vec<Self> {
+        let rigs: Vec<_> = upstreams.iter().map(|u| Self::start(*u, timeout)).collect();
+        let members: Vec<_> = (1..).zip(rigs.iter().map(|rig| rig.address)).collect();
+        for (me, rig) in (1..).zip(&rigs) {
+            let mut view = view_of(me, &members, 1, timeout);
+            let record = Record { owners: Vec::new(), ..Record::clone(&view.serving.record) };
+            view.serving.record = Arc::new(record);
+            let service = view.service.take().unwrap();
+            let service = Service { sharing: Sharing::Unkeyed, ..Service::clone(&service) };
+            view.service = Some(Arc::new(service.clone()));
+            let services = BTreeMap::from([(SERVICE.to_owned(), service)]);
+            view.configuration = Arc::new(Configuration { services, ..Configuration::default() });
+            rig.views.publish(view);
+        }
+        rigs
+    }
+
     /// Publishes a changed view.
     pub fn change(&self, change: impl FnOnce(&mut View)) {
         let mut view = View::clone(&self.views.current());
