Refuse other slices over a stored record; answer outages in one call

Cause: remove and create again with another slice count would put keys into slices that the stored record's owners do not mean. And with n services a hanging platform cost n+1 timeouts an answer. Shown to fail: other_slices without the check, one_call when each record is asked for.

--- a/crates/rattanarchd/src/operator/desk.rs
+++ b/crates/rattanarchd/src/operator/desk.rs
@@ -172,12 +172,17 @@
         if !takes_out {
             return Vec::new();
         }
-        let configuration = self.firms.look_configuration(firm).value;
-        self.records(&configuration)
+        self.records(&self.firms.look_configuration(firm))
     }
 
-    fn records(&self, configuration: &Configuration) -> Vec<Look<Record>> {
-        configuration.services.keys().map(|service| self.firms.look_record(service)).collect()
+    /// Records of the firm's services. If the configuration could not be read, the platform is not
+    /// asked for each of them: every call may take a whole timeout.
+    fn records(&self, look: &Look<Configuration>) -> Vec<Look<Record>> {
+        let record = |service: &String| match &look.fault {
+            None => self.firms.look_record(service),
+            Some(fault) => self.firms.recall_record(service, Some(fault.clone())),
+        };
+        look.value.services.keys().map(record).collect()
     }
 
     fn not_accepted(&self, firm: &str, error: WriteError) -> Answer {
@@ -201,7 +206,7 @@
             return refusal;
         }
         let look = self.firms.look_configuration(firm);
-        let records = self.records(&look.value);
+        let records = self.records(&look);
         match effects(&look.value, order, &borrowed(&records)) {
             Ok(mut effects) => {
                 effects.extend(look.fault.map(|fault| format!("tried on what is known: {fault}")));
@@ -268,7 +273,7 @@
     fn ground(&self, firm: &str, query: &Query) -> Ground {
         let now = Clock.now();
         let look = self.firms.look_configuration(firm);
-        let looks = if needs_records(query) { self.records(&look.value) } else { Vec::new() };
+        let looks = if needs_records(query) { self.records(&look) } else { Vec::new() };
         let mut notes: Vec<String> = look.fault.iter().cloned().collect();
         notes.extend(looks.iter().filter_map(|look| look.fault.clone()));
         let (entries, missing) = self.entries(&look.value, query);
--- a/crates/rattanarchd/src/operator/firms.rs
+++ b/crates/rattanarchd/src/operator/firms.rs
@@ -133,10 +133,14 @@
 
     /// The service's record for a query: read now, or as last known to this daemon.
     pub(crate) fn look_record(&self, service: &str) -> Look<Record> {
-        let fault = match self.read_record(service) {
-            Ok(look) => return look,
-            Err(error) => Some(error.to_string()),
-        };
+        match self.read_record(service) {
+            Ok(look) => look,
+            Err(error) => self.recall_record(service, Some(error.to_string())),
+        }
+    }
+
+    /// The service's record as last known to this daemon, because of `fault`.
+    pub(crate) fn recall_record(&self, service: &str, fault: Option<String>) -> Look<Record> {
         let view = self.views.current();
         let held = self.records.get(service);
         let record = &view.serving.record;
@@ -155,7 +159,8 @@
         Look { fault, ..held.unwrap_or_else(nothing) }
     }
 
-    fn read_record(&self, service: &str) -> Result<Look<Record>, ReadError> {
+    /// The service's record, from the platform. Version 0 when the service has none.
+    pub(crate) fn read_record(&self, service: &str) -> Result<Look<Record>, ReadError> {
         let path = format!("records/{service}");
         let object = self.platform.get(&path)?;
         let version = object.version;
--- a/crates/rattanarchd/src/operator/writer.rs
+++ b/crates/rattanarchd/src/operator/writer.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use rattanarch_config::Applied;
+use rattanarch_config::Command;
 use rattanarch_config::CommandError;
 use rattanarch_config::Order;
 use rattanarch_config::Place;
@@ -15,6 +16,9 @@
 use rattanarch_types::Entry;
 use rattanarch_types::FirmName;
 use rattanarch_types::Object;
+use rattanarch_types::ServiceName;
+use rattanarch_types::Sharing;
+use rattanarch_types::SliceId;
 use rattanarch_types::Version;
 use serde_json::json;
 
@@ -65,6 +69,17 @@
         /// Firm that it belongs to.
         firm: FirmName,
     },
+    /// A record of the service is stored whose keys are divided otherwise.
+    #[error(
+        "service {service:?} has a stored record of {slices} slices (0: unkeyed); \
+         create it so, or under another name"
+    )]
+    OtherSlices {
+        /// The service.
+        service: ServiceName,
+        /// Slices of the record.
+        slices: SliceId,
+    },
     /// The configuration would not fit into one object.
     #[error("configuration would have {size} bytes, more than {SIZE_LIMIT}")]
     TooLarge {
@@ -165,6 +180,7 @@
         if !self.order.confirmed {
             check_places(before, &next, self.places)?;
         }
+        self.check_record()?;
         let platform = self.firms.platform();
         let firm = claim(platform, &self.order.command, &next.firm, deadline)?;
         if firm != next.firm {
@@ -178,6 +194,24 @@
         Ok(next)
     }
 
+    /// Refuses to create a service over the record that an earlier one of its name left: a key
+    /// would fall into other slices than the record's owners have.
+    fn check_record(&self) -> Result<(), WriteError> {
+        let Command::CreateService { service, sharing, .. } = &self.order.command else {
+            return Ok(());
+        };
+        let wanted = match sharing {
+            Sharing::Keyed(slices) => *slices,
+            Sharing::Unkeyed => 0,
+        };
+        let look = self.firms.read_record(service)?;
+        let slices = look.value.slice_count();
+        if look.version == 0 || slices == wanted {
+            return Ok(());
+        }
+        Err(WriteError::OtherSlices { service: service.clone(), slices })
+    }
+
     fn store(
         &mut self,
         before: &Configuration,
--- a/crates/rattanarchd/tests/operator_outage.rs
+++ b/crates/rattanarchd/tests/operator_outage.rs
@@ -105,3 +105,17 @@
     accepted(&say(&desk, &anna(), TAKE_OUT));
     assert_eq!(fake.entries("coop").len(), 2);
 }
+
+/// Each call may take a whole timeout, so an answer costs one, however many services there are.
+#[test]
+fn one_call() {
+    let fake = Fake::start();
+    let desk = desk(&fake, "coop", "trade-desk", &Views::default());
+    accepted(&say(&desk, &anna(), "create service trade-desk keyed 3"));
+    accepted(&say(&desk, &anna(), "create service pound-files unkeyed"));
+    fake.store().down = true;
+    fake.store().calls = 0;
+    let answer = say(&desk, &anna(), "show services");
+    assert!(matches!(answer, Answer::Table { ref table, .. } if table.rows.len() == 2));
+    assert_eq!(fake.store().calls, 1);
+}
--- a/crates/rattanarchd/tests/operator_queries.rs
+++ b/crates/rattanarchd/tests/operator_queries.rs
@@ -196,3 +196,16 @@
     assert_eq!(rows(&scene, "show configuration"), wanted);
     assert_eq!(*scene.reports.spread.lock().expect("no panic"), [1, 2, 3, 4]);
 }
+
+/// Keys would fall into other slices than the owners in the stored record have.
+#[test]
+fn other_slices() {
+    let scene = scene();
+    accepted(&say(&scene.desk, &anna(), "remove service trade-desk twice"));
+    for sharing in ["keyed 4", "unkeyed"] {
+        let create = format!("create service trade-desk {sharing}");
+        let (reason, _) = refused(say(&scene.desk, &anna(), &create));
+        assert!(reason.contains("stored record of 3 slices"), "{reason}");
+    }
+    accepted(&say(&scene.desk, &anna(), "create service trade-desk keyed 3"));
+}
--- a/crates/rattanarchd/tests/operator_support/mod.rs
+++ b/crates/rattanarchd/tests/operator_support/mod.rs
@@ -55,6 +55,8 @@
     pub stale_reads: usize,
     /// Writes that are on their way.
     pub on_way: Vec<(String, usize, Value)>,
+    /// Calls since the start.
+    pub calls: usize,
     /// Writes that were taken since the start.
     pub writes: usize,
 }
@@ -177,6 +179,7 @@
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(Error::other)?.to_bytes();
     let mut store = store.lock().expect("no test thread panicked");
+    store.calls += 1;
     if store.down {
         return answer(503, &json!({}));
     }
