Add failure tests with real processes, and measure the HTTP libraries

They judge by the upstreams' journals and print unavailable time and moved slices. The example compares rouille and ureq with hyper.

--- /dev/null
+++ b/crates/rattanarch_standins/examples/http_libraries/probe.rs
@@ -0,0 +1,234 @@
+//! What a server is asked to bear, over plain sockets.
+
+use std::error::Error;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+
+use crate::server::LARGE_BYTES;
+use crate::server::WORK_TIME;
+use crate::subject::Subject;
+
+/// One measurement, as a line of text.
+pub type Probe = fn(&Subject) -> Result<String, Box<dyn Error>>;
+
+/// All measurements.
+pub const ALL: [(&str, Probe); 8] = [
+    ("keep-alive", keep_alive),
+    ("130 connections at once", |subject| many_connections(subject, 130)),
+    ("130 connections opened in a row", opened_in_row),
+    ("large answer, slow reader", large_answer),
+    ("caller gone during work", lost_callers),
+    ("head without end", endless_head),
+    ("slow senders", slow_senders),
+    ("idle connections", idle_connections),
+];
+
+/// Requests over one connection.
+const REPEATS: usize = 2_000;
+
+/// Longest wait for an answer that must come.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Bytes of the head that does not end.
+const HEAD_BYTES: usize = 64 << 20;
+
+/// Longest time of the head that does not end.
+const HEAD_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Number of senders that stop in the middle of their head, and of idle connections.
+const IDLE_COUNT: usize = 400;
+
+fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    Ok(stream)
+}
+
+fn send(stream: &mut TcpStream, path: &str) -> io::Result<()> {
+    write!(stream, "GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+/// Reads a short answer whole and returns its body.
+fn receive(stream: &mut TcpStream) -> io::Result<String> {
+    let mut text = String::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let count = stream.read(&mut buffer)?;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        text.push_str(&String::from_utf8_lossy(&buffer[..count]));
+        if let Some(body) = whole_body(&text) {
+            return Ok(body);
+        }
+    }
+}
+
+fn whole_body(text: &str) -> Option<String> {
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    let length = lines.find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length: usize = length?.1.trim().parse().ok()?;
+    (body.len() >= length).then(|| body.to_owned())
+}
+
+fn keep_alive(subject: &Subject) -> Result<String, Box<dyn Error>> {
+    let mut stream = connect(subject.address)?;
+    let mut latencies = Histogram::<u64>::new_with_bounds(1, 10_000_000, 3)?;
+    for _ in 0..REPEATS {
+        let start = Instant::now();
+        send(&mut stream, "/small")?;
+        receive(&mut stream)?;
+        latencies.record(start.elapsed().as_micros() as u64)?;
+    }
+    let (p50, p99) = (latencies.value_at_quantile(0.5), latencies.value_at_quantile(0.99));
+    Ok(format!("{REPEATS} answers over one connection, p50 {p50} us, p99 {p99} us"))
+}
+
+fn many_connections(subject: &Subject, count: usize) -> Result<String, Box<dyn Error>> {
+    let exchange = || {
+        let mut stream = connect(subject.address)?;
+        send(&mut stream, "/small")?;
+        receive(&mut stream)?;
+        // Kept open, as in a pool.
+        Ok::<_, io::Error>(stream)
+    };
+    let outcomes: Vec<_> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..count).map(|_| scope.spawn(exchange)).collect();
+        callers.into_iter().filter_map(|caller| caller.join().ok()).collect()
+    });
+    let answered = outcomes.iter().filter(|outcome| outcome.is_ok()).count();
+    let usage = subject.usage()?;
+    let (threads, resident) = (usage.threads, usage.resident);
+    Ok(format!("{answered} of {count} answered, {threads} threads, {resident} KiB resident"))
+}
+
+/// Opens connections one after the other without a pause, then asks on each.
+fn opened_in_row(subject: &Subject) -> Result<String, Box<dyn Error>> {
+    let streams: Result<Vec<_>, _> = (0..130).map(|_| connect(subject.address)).collect();
+    let mut answered = 0;
+    let mut streams = streams?;
+    for stream in &mut streams {
+        send(stream, "/small")?;
+    }
+    for stream in &mut streams {
+        answered += usize::from(receive(stream).is_ok());
+        // A connection that waits for another's thread to end waits for good.
+        stream.set_read_timeout(Some(Duration::from_millis(50)))?;
+    }
+    Ok(format!("{answered} of {} answered while all stay open", streams.len()))
+}
+
+fn large_answer(subject: &Subject) -> Result<String, Box<dyn Error>> {
+    let before = subject.usage()?.resident;
+    let mut stream = connect(subject.address)?;
+    send(&mut stream, "/large")?;
+    // Long enough for a server that reads ahead to read all.
+    thread::sleep(Duration::from_millis(500));
+    let mut buffer = vec![0; 256 << 10];
+    let mut total = 0;
+    while total < LARGE_BYTES {
+        let count = stream.read(&mut buffer)?;
+        if count == 0 {
+            break;
+        }
+        total += count as u64;
+    }
+    let grown = subject.usage()?.peak.saturating_sub(before);
+    Ok(format!("{} MiB read, memory grew by at most {grown} KiB", total >> 20))
+}
+
+fn lost_callers(subject: &Subject) -> Result<String, Box<dyn Error>> {
+    const CALLERS: usize = 20;
+    for _ in 0..CALLERS {
+        let mut stream = connect(subject.address)?;
+        send(&mut stream, "/work")?;
+        thread::sleep(Duration::from_millis(5));
+        drop(stream);
+    }
+    thread::sleep(WORK_TIME * 2);
+    let mut stream = connect(subject.address)?;
+    send(&mut stream, "/counts")?;
+    let counts = receive(&mut stream)?;
+    let (finished, cancelled) = counts.split_once(' ').unwrap_or_default();
+    Ok(format!("of {CALLERS} left early, {finished} ran to the end, {cancelled} were cancelled"))
+}
+
+fn endless_head(subject: &Subject) -> Result<String, Box<dyn Error>> {
+    let before = subject.usage()?.resident;
+    let mut stream = connect(subject.address)?;
+    stream.write_all(b"GET /small HTTP/1.1\r\nhost: a\r\nx: ")?;
+    let piece = vec![b'x'; 64 << 10];
+    let mut sent = 0;
+    let start = Instant::now();
+    let mut refused = false;
+    while sent < HEAD_BYTES && !refused && start.elapsed() < HEAD_PATIENCE {
+        refused = stream.write_all(&piece).is_err();
+        sent += piece.len();
+    }
+    let took = start.elapsed().as_millis();
+    thread::sleep(Duration::from_millis(200));
+    let grown = subject.usage()?.peak.saturating_sub(before);
+    let taken = if refused { "then refused" } else { "and goes on" };
+    Ok(format!("{} KiB in {took} ms {taken}, memory grew by at most {grown} KiB", sent >> 10))
+}
+
+fn slow_senders(subject: &Subject) -> Result<String, Box<dyn Error>> {
+    let before = subject.usage()?;
+    let mut streams = Vec::new();
+    for _ in 0..IDLE_COUNT {
+        let mut stream = connect(subject.address)?;
+        stream.write_all(b"GET /small HTTP/1.1\r\nhos")?;
+        streams.push(stream);
+    }
+    thread::sleep(Duration::from_millis(300));
+    let held = subject.usage()?;
+    thread::sleep(Duration::from_millis(1_500));
+    let closed = streams.iter_mut().map(is_closed).filter(|&closed| closed).count();
+    let threads = held.threads.saturating_sub(before.threads);
+    let resident = held.resident.saturating_sub(before.resident);
+    Ok(format!("{IDLE_COUNT} cost {threads} threads and {resident} KiB; {closed} closed after 2 s"))
+}
+
+fn idle_connections(subject: &Subject) -> Result<String, Box<dyn Error>> {
+    let before = subject.usage()?;
+    let mut streams = Vec::new();
+    for _ in 0..IDLE_COUNT {
+        let mut stream = connect(subject.address)?;
+        send(&mut stream, "/small")?;
+        receive(&mut stream)?;
+        streams.push(stream);
+    }
+    let held = subject.usage()?;
+    let threads = held.threads.saturating_sub(before.threads);
+    let resident = held.resident.saturating_sub(before.resident);
+    Ok(format!("{IDLE_COUNT} kept alive cost {threads} threads and {resident} KiB"))
+}
+
+/// Whether the server has closed the connection, an answer before that included.
+fn is_closed(stream: &mut TcpStream) -> bool {
+    let mut buffer = [0; 1_024];
+    if stream.set_read_timeout(Some(Duration::from_millis(1))).is_err() {
+        return true;
+    }
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => return true,
+            Ok(_) => {}
+            Err(error) => {
+                let open = [io::ErrorKind::WouldBlock, io::ErrorKind::TimedOut];
+                return !open.contains(&error.kind());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_standins/src/load/background.rs
@@ -0,0 +1,35 @@
+//! Load that goes on beside its test.
+
+use std::io;
+use std::thread;
+use std::thread::JoinHandle;
+
+use crate::load::LoadReport;
+use crate::load::LoadSettings;
+use crate::load::run_load;
+
+/// Load that goes on beside its test, on threads of its own.
+#[derive(Debug)]
+pub struct BackgroundLoad {
+    thread: JoinHandle<io::Result<LoadReport>>,
+}
+
+impl BackgroundLoad {
+    /// Starts the load.
+    pub fn start(settings: LoadSettings) -> Self {
+        Self { thread: thread::spawn(move || run_blocking(settings)) }
+    }
+
+    /// Waits for the last answer.
+    ///
+    /// # Errors
+    /// The load's threads could not be started, or one of them panicked.
+    pub fn finish(self) -> io::Result<LoadReport> {
+        self.thread.join().unwrap_or_else(|_| Err(io::Error::other("the load panicked")))
+    }
+}
+
+fn run_blocking(settings: LoadSettings) -> io::Result<LoadReport> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    Ok(runtime.block_on(run_load(settings)))
+}
--- a/crates/rattanarch_standins/src/load/ledger.rs
+++ b/crates/rattanarch_standins/src/load/ledger.rs
@@ -51,8 +51,12 @@
 }
 
 impl Ledger {
-    /// Takes in one attempt.
-    pub(crate) fn attempt(&mut self, planned: &Planned, reply: &Reply) {
+    /// Takes in one attempt that began at `start`, from the start of the run.
+    pub(crate) fn attempt(&mut self, planned: &Planned, reply: &Reply, start: Duration) {
+        // A target that is gone says nothing of the key.
+        if !matches!(reply, Reply::Right(_) | Reply::NotSent(_)) {
+            self.fail(planned, start);
+        }
         let verdict = reply.verdict();
         let answer = match reply {
             Reply::Right(_) => "200".to_owned(),
@@ -90,7 +94,7 @@
             }
             _ => {
                 state.report.failed += 1;
-                self.fail(planned);
+                self.fail(planned, planned.due);
             }
         }
     }
@@ -114,10 +118,10 @@
         }
     }
 
-    fn fail(&mut self, planned: &Planned) {
+    fn fail(&mut self, planned: &Planned, since: Duration) {
         let key = (planned.kind.service(), planned.key.clone());
         let state = self.keys.entry(key).or_default();
-        state.failing.get_or_insert(planned.due);
+        state.failing.get_or_insert(since);
     }
 
     /// The report of a run that ended at `now`.
--- a/crates/rattanarch_standins/src/load/mod.rs
+++ b/crates/rattanarch_standins/src/load/mod.rs
@@ -5,6 +5,7 @@
 
 mod arrivals;
 mod attempt;
+mod background;
 mod connections;
 mod kind;
 mod ledger;
@@ -15,6 +16,7 @@
 
 pub use arrivals::Arrivals;
 pub use arrivals::Planned;
+pub use background::BackgroundLoad;
 pub use kind::Firm;
 pub use kind::FirmError;
 pub use kind::Kind;
--- a/crates/rattanarch_standins/src/load/report.rs
+++ b/crates/rattanarch_standins/src/load/report.rs
@@ -66,8 +66,9 @@
     pub owner_changes: u64,
 }
 
-/// Times without service: from the due time of a key's first failed request to its next right
-/// answer.
+/// Times without service: from a key's first refused or broken attempt to its next right answer,
+/// whichever request gets it. An attempt whose target could not be reached counts only if its
+/// request failed for good.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Unavailable {
     /// Keys that were asked for.
--- a/crates/rattanarch_standins/src/load/run.rs
+++ b/crates/rattanarch_standins/src/load/run.rs
@@ -93,9 +93,10 @@
         let mut attempts = 0;
         loop {
             let Some(target) = choose(targets, planned.draw, attempts) else { return };
+            let start = self.start.elapsed();
             let reply = attempt(&self.connections, target, planned, self.settings.timeout).await;
             attempts += 1;
-            self.ledger().attempt(planned, &reply);
+            self.ledger().attempt(planned, &reply, start);
             let may_retry = reply.verdict().may_retry(!planned.kind.is_write());
             if !may_retry || attempts >= self.settings.attempts {
                 self.ledger().end(planned, &reply, attempts, self.start.elapsed());
--- a/crates/rattanarch_standins/src/upstream/journal.rs
+++ b/crates/rattanarch_standins/src/upstream/journal.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::upstream::UpstreamSettings;
+
 /// Most entries kept: some 100 MB at most.
 const ENTRY_LIMIT: usize = 400_000;
 
@@ -81,6 +83,8 @@
     pub service: ServiceName,
     /// Name of the upstream.
     pub instance: InstanceId,
+    /// Whether the upstream refuses work without the fence of the grant in force.
+    pub checks_fence: bool,
     /// Entries, the oldest first.
     pub entries: VecDeque<Entry>,
     /// Entries no longer kept; a check of a journal that lost some proves nothing.
@@ -89,8 +93,9 @@
 
 impl Journal {
     /// An empty journal.
-    pub(crate) fn new(service: ServiceName, instance: InstanceId) -> Self {
-        Self { service, instance, ..Self::default() }
+    pub(crate) fn new(settings: &UpstreamSettings) -> Self {
+        let UpstreamSettings { service, instance, checks_fence, .. } = settings.clone();
+        Self { service, instance, checks_fence, ..Self::default() }
     }
 
     /// Adds an entry; forgets the oldest when there are too many.
--- a/crates/rattanarch_standins/src/upstream/state.rs
+++ b/crates/rattanarch_standins/src/upstream/state.rs
@@ -67,7 +67,7 @@
             faults: InForce::default(),
             grant: Grant::default(),
             warmth: Warmth::new(settings.slots, settings.cold),
-            journal: Journal::new(settings.service.clone(), settings.instance.clone()),
+            journal: Journal::new(&settings),
             reports: Reports::default(),
             running: Slab::new(),
             runs: 0,
--- /dev/null
+++ b/crates/rattanarch_standins/tests/fleet_serving.rs
@@ -0,0 +1,31 @@
+//! A fleet of real processes serves both keyed and unkeyed services.
+
+use std::time::Duration;
+
+use rattanarch_standins::BackgroundLoad;
+use rattanarch_standins::Fleet;
+use rattanarch_standins::LoadSettings;
+use rattanarch_standins::ServicePlan;
+use rattanarch_standins::acknowledged_ran;
+use rattanarch_standins::at_most_once;
+use rattanarch_standins::exclusive;
+
+/// Longest start of a fleet on a busy machine.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+#[test]
+fn both_sharings() {
+    let plans = [ServicePlan::trade_desk(3), ServicePlan::pound_files(2)];
+    let fleet = Fleet::start(&plans).unwrap();
+    fleet.wait_serving(START_LIMIT).unwrap();
+    let settings = LoadSettings::default().with_targets(fleet.targets()).with_rate(100.0);
+    let settings = settings.with_duration(Duration::from_secs(3));
+    let report = BackgroundLoad::start(settings).finish().unwrap();
+    eprintln!("{report}");
+    assert_eq!(report.wrong, 0, "{report}");
+    assert_eq!(report.succeeded(), report.sent(), "{report}");
+    let journals = fleet.journals().unwrap();
+    exclusive(&journals).unwrap();
+    at_most_once(&journals).unwrap();
+    acknowledged_ran(&journals, &report.acknowledged).unwrap();
+}
--- a/crates/rattanarch_standins/tests/journal_checks.rs
+++ b/crates/rattanarch_standins/tests/journal_checks.rs
@@ -18,7 +18,8 @@
 impl History {
     fn new(instance: &str) -> Self {
         let instance = instance.to_owned();
-        let journal = Journal { service: "trade-desk".to_owned(), instance, ..Journal::default() };
+        let service = "trade-desk".to_owned();
+        let journal = Journal { service, instance, checks_fence: true, ..Journal::default() };
         Self { journal, runs: 0 }
     }
 
--- /dev/null
+++ b/crates/rattanarch_standins/tests/platform_outage.rs
@@ -0,0 +1,44 @@
+//! Owners go on through an outage of the platform; what is lost meanwhile is served after it.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use rattanarch_standins::PlatformFaults;
+
+const DOWN: PlatformFaults = PlatformFaults {
+    down: Some(true),
+    refuse: None,
+    delay_ms: None,
+    lose_answers: None,
+    stale_reads: None,
+};
+
+const UP: PlatformFaults = PlatformFaults { down: Some(false), ..DOWN };
+
+#[test]
+fn owners_go_on() {
+    let fleet = support::trade_desk(5);
+    let before = fleet.record("trade-desk").unwrap();
+    fleet.set_platform_faults(DOWN).unwrap();
+    let report = support::judge(&fleet, support::load(&fleet, 8));
+    assert_eq!(report.succeeded(), report.sent(), "{report}");
+    fleet.set_platform_faults(UP).unwrap();
+    assert_eq!(fleet.record("trade-desk").unwrap(), before);
+}
+
+#[test]
+fn killed_meanwhile() {
+    let mut fleet = support::trade_desk(5);
+    fleet.set_platform_faults(DOWN).unwrap();
+    let load = support::load(&fleet, 10);
+    thread::sleep(Duration::from_secs(1));
+    fleet.slots[0].daemon().unwrap().kill().unwrap();
+    thread::sleep(Duration::from_secs(4));
+    fleet.set_platform_faults(UP).unwrap();
+    fleet.wait_without("trade-desk", "trade-desk-1", support::LIMIT).unwrap();
+    support::judge(&fleet, load);
+    fleet.slots.remove(0);
+    fleet.wait_serving(support::LIMIT).unwrap();
+}
