Mend a deadlock in the platform stand-in

A watch's outcome held the watch channel's read lock while it took the state's lock; a write takes them in the other order.

--- a/crates/rattanarch_standins/src/platform/service.rs
+++ b/crates/rattanarch_standins/src/platform/service.rs
@@ -179,11 +179,13 @@
             state.counts.watches += 1;
             state.store.versions(path)
         };
+        // The outcome holds a lock that a write takes while it holds the state's: only whether the
+        // wait ended in time is kept.
         let newer = versions.wait_for(|&version| version > after);
-        match tokio::time::timeout(wait, newer).await {
-            Ok(_) => json(StatusCode::OK, &self.state().store.get(path)),
-            Err(_) => empty(StatusCode::NOT_MODIFIED),
+        if tokio::time::timeout(wait, newer).await.is_err() {
+            return empty(StatusCode::NOT_MODIFIED);
         }
+        json(StatusCode::OK, &self.state().store.get(path))
     }
 
     async fn put(&self, path: &str, request: Request<Incoming>) -> Answer {
--- a/crates/rattanarch_standins/tests/platform_standin.rs
+++ b/crates/rattanarch_standins/tests/platform_standin.rs
@@ -168,3 +168,27 @@
     let refused = matches!(outcome, Err(PlatformError::Refused { status: 413, .. }));
     assert!(refused, "{outcome:?}");
 }
+
+#[test]
+fn followed_writes() {
+    const WRITES: u64 = 400;
+    let standin = Standin::start();
+    let follow = || {
+        let client = standin.client();
+        let mut version = 0;
+        while version < WRITES {
+            let seen = client.watch("records/a", version, Duration::from_secs(5)).unwrap();
+            version = seen.unwrap().version;
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..16 {
+            scope.spawn(follow);
+        }
+        let client = standin.client();
+        for version in 0..WRITES {
+            let accepted = client.put("records/a", version, &json!(version)).unwrap();
+            assert_eq!(accepted, Put::Accepted(version + 1));
+        }
+    });
+}
