--- a/crates/rattanarch_ownership/src/action.rs
+++ b/crates/rattanarch_ownership/src/action.rs
@@ -31,13 +31,11 @@
         /// Hot keys to be quiet.
         hot: Vec<KeyHash>,
     },
-    /// Have the upstream take a fence above `above` and above every other that it has taken, and
+    /// Have the upstream take a fence above this one and above every other that it has taken, and
     /// answer with [`Event::Fenced`](crate::Event::Fenced). Asked only before the node has joined,
     /// of an upstream that checks fences; asked again while no answer comes.
     Fence {
-        /// Older life of this instance, copied into the answer.
-        old: BootId,
-        /// First fence of the older life.
+        /// The higher of the older life's first fence and this process's own.
         above: Fence,
     },
     /// This member was taken over: join again under a new boot id, with a new node.
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -18,8 +18,8 @@
     pub(crate) old: Option<BootId>,
     /// When to send the first update; spreads those of nodes that start together.
     start: Option<Moment>,
-    /// When to ask again for a fence against `old`.
-    again: Moment,
+    /// Fence asked for.
+    asked: Option<Asked>,
     /// Older life that the upstream has fenced off after the record showed it.
     ///
     /// A fence taken earlier is not enough: an upstream that restarts forgets it, and a newer
@@ -27,6 +27,15 @@
     fenced: Option<BootId>,
 }
 
+/// A fence asked for against an older life.
+#[derive(Debug)]
+struct Asked {
+    old: BootId,
+    above: Fence,
+    /// When to ask again.
+    again: Moment,
+}
+
 impl Joining {
     /// Reads the record, then writes this node into it.
     pub(crate) fn advance(&mut self, core: &mut Core, now: Moment) {
@@ -55,16 +64,20 @@
     fn wait(&mut self, core: &mut Core, now: Moment, record: &Record, old: BootId) {
         core.read(now);
         let above = record.members.get(&old).map(|member| member.fence).unwrap_or_default();
-        if core.member.fence > 0 && above > 0 && now >= self.again {
-            self.again = now + ANSWER_TIMEOUT;
-            core.out.push(Action::Fence { old, above });
+        let asked = self.asked.as_ref();
+        let recently = asked.is_some_and(|asked| asked.old == old && now < asked.again);
+        if core.member.fence > 0 && above > 0 && !recently {
+            let above = above.max(core.member.fence);
+            self.asked = Some(Asked { old, above, again: now + ANSWER_TIMEOUT });
+            core.out.push(Action::Fence { above });
         }
     }
 
-    /// Takes word that the upstream refuses the work of `old` for good.
-    pub(crate) fn fenced(&mut self, core: &mut Core, old: BootId, fence: Fence) {
-        core.member.fence = fence;
-        self.fenced = Some(old);
+    /// Takes word of the upstream's fence.
+    pub(crate) fn fence(&mut self, fence: Fence) {
+        if let Some(asked) = self.asked.as_ref().filter(|asked| fence > asked.above) {
+            self.fenced = Some(asked.old);
+        }
     }
 
     /// Whether this node may take the place of its old life: the upstream refuses that one's work,
--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -110,8 +110,8 @@
     guidance: Guidance,
     freshness: Freshness,
     grant: Option<Grant>,
-    /// Older life that the upstream is asked to refuse, and the fence to be exceeded for it.
-    fencing: Option<(BootId, Fence)>,
+    /// Fence that the upstream is asked to exceed, so that it refuses an older life.
+    fencing: Option<Fence>,
     health: UpstreamHealth,
     outbox: Outbox,
     /// Where members that the record does not name yet were heard from.
@@ -233,12 +233,11 @@
     }
 
     /// Has the upstream refuse an older life of this instance.
-    fn ask_fence(&mut self, old: BootId, above: Fence) {
-        if !self.parts.checks_fence || self.fencing.is_some_and(|(asked, _)| asked == old) {
+    fn ask_fence(&mut self, above: Fence) {
+        if !self.parts.checks_fence || self.fencing.is_some_and(|asked| asked >= above) {
             return;
         }
-        let above = above.max(self.parts.member.fence);
-        self.fencing = Some((old, above));
+        self.fencing = Some(above);
         self.parts.granter.fence_above(above);
     }
 
@@ -246,11 +245,9 @@
         self.health.hear(self.clock.now());
         self.grant = Some(grant);
         self.parts.member.fence = self.parts.member.fence.max(grant.fence);
-        if let Some((old, above)) = self.fencing
-            && grant.fence > above
-        {
+        if self.fencing.is_some_and(|above| grant.fence > above) {
             self.fencing = None;
-            self.step(Event::Fenced { old, fence: grant.fence });
+            self.step(Event::Fenced { fence: grant.fence });
         }
         self.publish();
     }
@@ -369,7 +366,7 @@
                 self.publish();
                 self.parts.quiescence.start(slices, hot);
             }
-            Action::Fence { old, above } => self.ask_fence(old, above),
+            Action::Fence { above } => self.ask_fence(above),
             Action::Rejoin => self.rejoin(),
             Action::Left => self.end = Some(ControlEnd::Left),
         }
