Move hot keys by load, and place slices and witnesses by measured figures

ownership: a member gives hot keys to less loaded ones of the six that it exchanges leases with, at most two in 5 s, and takes them back to their slice after 60 s of cold. A first try consumed the measurement while it waited for the platform's answer and never moved a key (hot_keys).

--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -49,6 +49,8 @@
     pub(crate) loads: BTreeMap<BootId, u32>,
     /// Requests a second of the hottest keys that this member owns.
     pub(crate) keys: BTreeMap<KeyHash, u32>,
+    /// Whether `keys` are new since they were last looked at.
+    pub(crate) measured: bool,
     /// Whether the process is to stop.
     pub(crate) stopping: bool,
     pub(crate) out: Vec<Action>,
@@ -72,6 +74,7 @@
             awake: Moment::ZERO,
             loads: BTreeMap::new(),
             keys: BTreeMap::new(),
+            measured: false,
             stopping: false,
             out: Vec::new(),
         }
@@ -133,6 +136,7 @@
         let total = slices.values().fold(0, |total: u32, load| total.saturating_add(*load));
         self.loads.insert(self.me, total);
         self.keys = keys;
+        self.measured = true;
     }
 
     /// Asks for the record if a peer has applied a newer one.
--- a/crates/rattanarch_ownership/src/lib.rs
+++ b/crates/rattanarch_ownership/src/lib.rs
@@ -14,6 +14,7 @@
 mod core;
 mod draws;
 mod event;
+mod heat;
 mod joining;
 mod lease;
 mod leaving;
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -15,6 +15,7 @@
 use crate::balance::Balance;
 use crate::balance::all_keys;
 use crate::core::Core;
+use crate::heat::Heat;
 use crate::lease::Lease;
 use crate::lease::acknowledge;
 use crate::lease::request;
@@ -31,6 +32,7 @@
     pub(crate) takeovers: Takeovers,
     pub(crate) release: Option<Release>,
     balance: Balance,
+    heat: Heat,
 }
 
 impl Membership {
@@ -89,11 +91,11 @@
         }
     }
 
-    fn surplus(&mut self, core: &Core, now: Moment) -> Surplus {
+    fn surplus(&mut self, core: &mut Core, now: Moment) -> Surplus {
         let slices = self.balance.due(core, now);
-        let barred = core.barred.contains(&core.me);
-        let record = core.record.as_deref().filter(|_| barred);
-        let keys = record.map(|record| all_keys(core, record)).unwrap_or_default();
+        let hot = self.heat.due(core, now);
+        let record = core.record.as_deref().filter(|_| core.barred.contains(&core.me));
+        let keys = record.map_or(hot, |record| all_keys(core, record));
         (slices, keys)
     }
 
--- a/crates/rattanarch_ownership/tests/harness/fault.rs
+++ b/crates/rattanarch_ownership/tests/harness/fault.rs
@@ -35,8 +35,8 @@
     Forget { slot: u8 },
     /// Operators declare dead processes lost.
     Declare,
-    /// One key of the slot's becomes hot.
-    Heat { slot: u8, key: u8 },
+    /// The slot measures so many requests a second, and those of one key besides.
+    Load { slot: u8, key: u8, base: u16, heat: u16 },
 }
 
 impl Arbitrary for Fault {
@@ -58,7 +58,7 @@
             13 => Self::Bar { slot, out: bool::arbitrary(g) },
             14 if to < 128 => Self::Declare,
             14 => Self::Forget { slot },
-            _ => Self::Heat { slot, key: to },
+            _ => Self::Load { slot, key: to, base: millis / 4, heat: millis / 2 },
         }
     }
 
--- a/crates/rattanarch_ownership/tests/harness/world.rs
+++ b/crates/rattanarch_ownership/tests/harness/world.rs
@@ -544,10 +544,11 @@
                 self.lost = dead.map(|process| process.node.me()).collect();
                 self.tell_intent();
             }
-            Fault::Heat { slot, key } => {
+            Fault::Load { slot, key, base, heat } => {
                 let index = self.current[self.slot(slot)];
-                let keys = [(Self::hot_key(key), 900)].into();
-                let slices = [(0, 1_000)].into();
+                let (base, heat) = (u32::from(base), u32::from(heat));
+                let keys = [(Self::hot_key(key), heat)].into();
+                let slices = [(0, base + heat)].into();
                 self.plan(0, Due::Deliver(index, Event::Load { slices, keys }));
             }
         }
--- a/crates/rattanarch_placement/src/lib.rs
+++ b/crates/rattanarch_placement/src/lib.rs
@@ -7,12 +7,50 @@
 //!   duty, keeping those that still serve.
 //! - [`fill`] hands slices without an owner to the members that have the most room.
 //! - [`plan`] lists the moves that bring every member to its share, in the order of turns.
+//! - [`HotKeys`] finds the hottest keys of a member, and [`relieve`] gives some of them away when
+//!   the member is overloaded.
+//!
+//! ```
+//! use std::collections::BTreeSet;
+//! use rattanarch_placement::{choose_witnesses, fill, plan};
+//! use rattanarch_types::{Member, Record};
+//!
+//! let member = |name: &str| Member {
+//!     instance: name.to_owned(),
+//!     data_centre: name.to_owned(),
+//!     peer: ([127, 0, 0, 1], 7000).into(),
+//!     caller: ([127, 0, 0, 1], 7001).into(),
+//!     slots: 20,
+//!     fence: 0,
+//!     term: 1,
+//!     witnesses: Vec::new(),
+//!     leaving: false,
+//! };
+//! let nobody = BTreeSet::new();
+//! let mut record = Record::new("trade-desk", 12);
+//! record.members.insert(1, member("hafenhalle"));
+//! fill(&mut record, &nobody);
+//! assert_eq!(record.slices_of(1).count(), 12);
+//!
+//! // A second member joins: the first one witnesses it and is to give it half of the slices.
+//! record.members.insert(2, member("nordkuehl"));
+//! assert_eq!(choose_witnesses(&record, 2, &nobody), [1]);
+//! let moves = plan(&record, &nobody);
+//! assert_eq!(moves.len(), 6);
+//! assert!(moves.iter().all(|change| change.from == 1 && change.to == 2));
+//! ```
 
+mod hot_keys;
 mod rank;
+mod relief;
 mod share;
 mod witness;
 
+pub use hot_keys::HotKeys;
 pub use rank::rank;
+pub use relief::MAX_HOT_KEYS;
+pub use relief::MAX_RELIEF;
+pub use relief::relieve;
 pub use share::Move;
 pub use share::fill;
 pub use share::plan;
--- /dev/null
+++ b/crates/rattanarch_placement/tests/support/mod.rs
@@ -0,0 +1,56 @@
+//! Records of made-up services.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeSet;
+
+use rattanarch_placement::fill;
+use rattanarch_placement::plan;
+use rattanarch_types::BootId;
+use rattanarch_types::Member;
+use rattanarch_types::Record;
+
+pub fn member(id: BootId, centres: u64) -> Member {
+    Member {
+        instance: format!("slot-{id}"),
+        data_centre: format!("centre-{}", id % centres),
+        peer: ([127, 0, 0, 1], 7000).into(),
+        caller: ([127, 0, 0, 1], 7001).into(),
+        slots: 20,
+        fence: 0,
+        term: 1,
+        witnesses: Vec::new(),
+        leaving: false,
+    }
+}
+
+/// A service of `members` members, with every slice at its owner by plan.
+pub fn service(members: u64, centres: u64, slices: u16) -> Record {
+    let mut record = Record::new("trade-desk", slices);
+    for id in 1..=members {
+        record.members.insert(id, member(id, centres));
+    }
+    fill(&mut record, &BTreeSet::new());
+    record
+}
+
+/// Carries out the whole plan; returns how many slices moved.
+pub fn settle(record: &mut Record, barred: &BTreeSet<BootId>) -> usize {
+    let moves = plan(record, barred);
+    for change in &moves {
+        assert_eq!(record.owners[usize::from(change.slice)], Some(change.from));
+        record.owners[usize::from(change.slice)] = Some(change.to);
+    }
+    moves.len()
+}
+
+/// Takes a member out, as a takeover does; returns how many slices moved.
+pub fn lose(record: &mut Record, id: BootId) -> usize {
+    record.members.remove(&id);
+    let mut moved = 0;
+    for owner in record.owners.iter_mut().filter(|owner| **owner == Some(id)) {
+        *owner = None;
+        moved += 1;
+    }
+    fill(record, &BTreeSet::new());
+    moved
+}
