--- a/crates/rattanarch_ownership/src/acks.rs
+++ b/crates/rattanarch_ownership/src/acks.rs
@@ -36,9 +36,14 @@
     /// Send time that a majority has acknowledged, or a later one; `None` without a majority, and
     /// without witnesses.
     pub(crate) fn majority(&self) -> Option<Moment> {
+        self.newest(majority_of(self.witnesses.len())?)
+    }
+
+    /// Send time that `count` witnesses have acknowledged, or a later one.
+    pub(crate) fn newest(&self, count: usize) -> Option<Moment> {
         let mut sent: Vec<_> = self.sent.values().copied().collect();
         sent.sort_unstable_by(|a, b| b.cmp(a));
-        sent.get(majority_of(self.witnesses.len())?.checked_sub(1)?).copied()
+        sent.get(count.checked_sub(1)?).copied()
     }
 
     /// Witnesses whose newest acknowledged request was sent before `moment`.
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -71,7 +71,8 @@
     /// it owns nothing, or an operator has declared it lost and its lease has lapsed since.
     fn may_succeed(&self, core: &Core, now: Moment, record: &Record, old: BootId) -> bool {
         let owns = record.owners.contains(&Some(old)) || record.hot.values().any(|id| *id == old);
-        !owns || self.fenced == Some(old) || core.is_lapsed(now, old)
+        let fenced = self.fenced == Some(old) || !core.rules.fence_first;
+        !owns || fenced || core.is_lapsed(now, old)
     }
 }
 
--- a/crates/rattanarch_ownership/src/lease.rs
+++ b/crates/rattanarch_ownership/src/lease.rs
@@ -54,7 +54,9 @@
     pub(crate) fn until(&self, core: &Core) -> Option<Moment> {
         let own = core.own()?;
         if !own.witnesses.is_empty() {
-            return Some(self.acks.majority()? + core.timing.lease);
+            let counted = core.rules.count_majority;
+            let sent = if counted { self.acks.majority() } else { self.acks.newest(1) };
+            return Some(sent? + core.timing.lease);
         }
         if !core.rules.confirm_unwitnessed {
             return Some(Duration::MAX);
--- a/crates/rattanarch_ownership/src/rules.rs
+++ b/crates/rattanarch_ownership/src/rules.rs
@@ -7,6 +7,10 @@
 pub struct Rules {
     /// A lease is counted from the send of its request, not from the acknowledgement's receipt.
     pub count_from_send: bool,
+    /// A lease needs the acknowledgements of a majority of the witnesses, not of any.
+    pub count_majority: bool,
+    /// A newer process succeeds an older one's member only once the upstream refuses that one.
+    pub fence_first: bool,
     /// A sealer waits until the last acknowledgements have lapsed.
     pub wait_out_seal: bool,
     /// A witness that has promised a seal acknowledges the term no more.
@@ -29,6 +33,8 @@
     fn default() -> Self {
         Self {
             count_from_send: true,
+            count_majority: true,
+            fence_first: true,
             wait_out_seal: true,
             keep_promises: true,
             new_boot_ids: true,
--- a/crates/rattanarch_ownership/tests/mutants.rs
+++ b/crates/rattanarch_ownership/tests/mutants.rs
@@ -45,6 +45,16 @@
     needs(Rules { count_from_send: false, ..Rules::default() }, any);
 }
 
+#[test]
+fn majority() {
+    needs(Rules { count_majority: false, ..Rules::default() }, any);
+}
+
+#[test]
+fn fence_first() {
+    needs(Rules { fence_first: false, ..Rules::default() }, any);
+}
+
 #[test]
 fn seal_wait() {
     needs(Rules { wait_out_seal: false, ..Rules::default() }, any);
--- a/crates/rattanarch_ownership/tests/random_faults.rs
+++ b/crates/rattanarch_ownership/tests/random_faults.rs
@@ -20,11 +20,12 @@
 
 #[allow(clippy::needless_pass_by_value, reason = "quickcheck passes by value")]
 fn live(faults: Vec<Fault>, seed: u64, slots: u8) -> TestResult {
-    let slots = 2 + usize::from(slots % 5);
-    let setting = Setting { seed, slots, ..Setting::default() };
+    let slots = 2 + usize::from(slots % 8);
+    let pace = 200 + seed % 1_300;
+    let setting = Setting { seed, slots, pace, ..Setting::default() };
     match World::new(setting).live_through(&faults) {
         Ok(()) => TestResult::passed(),
-        Err(error) => TestResult::error(format!("{slots} slots, {error}")),
+        Err(error) => TestResult::error(format!("{slots} slots, {error}, pace {pace}")),
     }
 }
 
