Answer bad input with a verdict, stop without a cut

Cause: the codec answers a malformed head without a verdict, and closes a slow sender's or a half-closed connection without a word. The caller's socket now sends a refusal with the verdict in both cases: in place of the codec's own answer to a connection's first request, and when the connection ends unanswered. Later malformed requests on a kept connection still get the codec's bare 400: what is written then cannot be told from the end of an earlier answer.

A caller that half-closes after a whole request counts as gone: its end of file is the only sign of a caller that went away, and cancelling its work was weighed higher.

--- a/crates/rattanarchd/src/connection/caller_io.rs
+++ b/crates/rattanarchd/src/connection/caller_io.rs
@@ -1,8 +1,9 @@
-//! Socket of a caller's connection, which may not keep an answer waiting for ever.
+//! Socket of a caller's connection.
 
 use std::io;
 use std::io::IoSlice;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -16,10 +17,17 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
-/// Socket that fails when its peer takes no bytes for `timeout` while some are to be sent.
+use crate::connection::own_answer;
+use crate::connection::progress::Progress;
+
+/// Socket that fails when its peer takes no bytes for `timeout` while some are to be sent, and that
+/// adds the verdict where the codec answers or closes by itself.
 #[derive(Debug)]
 pub(crate) struct CallerIo {
     stream: TcpStream,
+    progress: Arc<Progress>,
+    /// What is left to send of an answer in place of the codec's.
+    own: Option<Vec<u8>>,
     timeout: Duration,
     timer: Pin<Box<Sleep>>,
     /// Whether bytes wait to be sent, so that `timer` runs.
@@ -27,9 +35,32 @@
 }
 
 impl CallerIo {
-    pub(crate) fn new(stream: TcpStream, timeout: Duration) -> Self {
+    pub(crate) fn new(stream: TcpStream, progress: Arc<Progress>, timeout: Duration) -> Self {
         let timer = Box::pin(tokio::time::sleep(timeout));
-        Self { stream, timeout, timer, waiting: false }
+        Self { stream, progress, own: None, timeout, timer, waiting: false }
+    }
+
+    /// Sends an answer of our own in place of the codec's, which begins with `start` and has
+    /// `length` bytes: it has refused the first request without a verdict.
+    fn poll_own(
+        &mut self,
+        cx: &mut Context<'_>,
+        start: &[u8],
+        length: usize,
+    ) -> Poll<io::Result<usize>> {
+        let mut left = self.own.take().unwrap_or_else(|| own_answer::to_codec_error(start));
+        while !left.is_empty() {
+            match Pin::new(&mut self.stream).poll_write(cx, &left) {
+                Poll::Ready(Ok(sent)) => drop(left.drain(..sent)),
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending => {
+                    self.own = Some(left);
+                    return Poll::Pending;
+                }
+            }
+        }
+        self.own = Some(left);
+        Poll::Ready(Ok(length))
     }
 
     fn pace(
@@ -39,6 +70,7 @@
     ) -> Poll<io::Result<usize>> {
         if sent.is_ready() {
             self.waiting = false;
+            self.progress.note_written();
             return sent;
         }
         if !self.waiting {
@@ -56,7 +88,10 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        self.progress.note_read(buffer.filled().len() - before);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -66,7 +101,11 @@
         cx: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let sent = Pin::new(&mut self.stream).poll_write(cx, buffer);
+        let sent = if self.progress.has_calls() {
+            Pin::new(&mut self.stream).poll_write(cx, buffer)
+        } else {
+            self.poll_own(cx, buffer, buffer.len())
+        };
         self.pace(cx, sent)
     }
 
@@ -75,7 +114,12 @@
         cx: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let sent = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
+        let sent = if self.progress.has_calls() {
+            Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+        } else {
+            let start = buffers.first().map_or(&[][..], |buffer| buffer);
+            self.poll_own(cx, start, buffers.iter().map(|buffer| buffer.len()).sum())
+        };
         self.pace(cx, sent)
     }
 
@@ -91,3 +135,12 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+impl Drop for CallerIo {
+    fn drop(&mut self) {
+        // A caller that has only closed its sending side still reads.
+        if let Some(text) = own_answer::to_silence(&self.progress) {
+            let _ = self.stream.try_write(text.as_bytes());
+        }
+    }
+}
--- a/crates/rattanarchd/src/connection/caller_server.rs
+++ b/crates/rattanarchd/src/connection/caller_server.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
@@ -21,6 +22,8 @@
 use tokio::task::JoinHandle;
 
 use crate::connection::caller_io::CallerIo;
+use crate::connection::own_answer;
+use crate::connection::progress::Progress;
 use crate::request::RequestPath;
 
 /// Largest head of a request, in bytes; also bounds what is read ahead of a body.
@@ -32,12 +35,6 @@
 const STOP_LINGER: Duration = Duration::from_millis(500);
 /// Pause after the listener failed, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// What a connection above the bound is told.
-const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
-    connection: close\r\ncontent-length: 0\r\nretry-after: 1\r\nrattanarch-retry-ms: 1000\r\n\
-    rattanarch-verdict: not-run\r\n\
-    proxy-status: rattanarch; error=connection_limit_reached\r\n\r\n";
-
 /// Phase of the server's end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
@@ -116,13 +113,17 @@
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
-                _ = self.phase.wait_for(|phase| *phase == Phase::Closing) => return,
+                _ = self.phase.wait_for(|phase| *phase == Phase::Closing) => break,
             };
             match accepted {
                 Ok((stream, _)) => self.admit(stream),
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
+        // Those that have connected already are served too.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            self.admit(stream);
+        }
     }
 
     fn admit(&self, stream: TcpStream) {
@@ -142,7 +143,7 @@
 /// Tells a connection above the bound so, if that needs no waiting.
 fn turn_away(mut stream: TcpStream) {
     // A new socket's buffer takes the few bytes at once.
-    let _ = futures_util::FutureExt::now_or_never(stream.write_all(TOO_MANY));
+    let _ = stream.write_all(own_answer::to_crowd().as_bytes()).now_or_never();
 }
 
 async fn serve(stream: TcpStream, path: Arc<RequestPath>, mut phase: watch::Receiver<Phase>) {
@@ -157,9 +158,11 @@
         .max_header_size(MAX_HEAD)
         .max_headers(MAX_FIELDS)
         .max_buf_size(MAX_HEAD);
-    let io = TokioIo::new(CallerIo::new(stream, settings.body_timeout));
+    let progress = Arc::new(Progress::default());
+    let io = CallerIo::new(stream, Arc::clone(&progress), settings.body_timeout);
     let seen = phase.clone();
     let service = service_fn(|request| {
+        progress.note_call();
         let path = Arc::clone(&path);
         let seen = seen.clone();
         async move {
@@ -170,12 +173,16 @@
             Ok::<_, Infallible>(answer)
         }
     });
-    let mut connection = std::pin::pin!(codec.serve_connection(io, service));
+    let mut connection = std::pin::pin!(codec.serve_connection(TokioIo::new(io), service));
     tokio::select! {
         // A failed connection has no one left to tell.
         _ = &mut connection => return,
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
     }
+    if !progress.has_calls() {
+        // The first request may be on its way.
+        let _ = tokio::time::timeout(STOP_LINGER, &mut connection).await;
+    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/crates/rattanarchd/src/connection/mod.rs
+++ b/crates/rattanarchd/src/connection/mod.rs
@@ -5,8 +5,10 @@
 mod caller_io;
 mod caller_server;
 mod link;
+mod own_answer;
 mod peer_socket;
 mod pool;
+mod progress;
 mod wire;
 
 pub(crate) use bulk_client::pull;
