Keep callers from the upstream's control calls; one key, one spelling

Cause: found in review. A caller's /{service}/control/grant reached the upstream's own grant call; a key written with percent-encoding had another slice, and so another owner, than the same key written plainly; a Content-Length beside a chunked body went on to the upstream; an HTTP/1.0 caller could not have told a cut answer from a whole one; a body sent a byte at a time had no bound in time. Also counts requests by slice and frequent key for the control loop (RequestPath::load), and names the owner in a refusal.

Seen to fail, one mechanism taken out at a time: control calls let through wrong_requests ambiguous paths let through wrong_requests keys not decoded encoded_key HTTP/1.0 let through malformed_head No test covers Content-Length beside chunks or the body's bound in time.

--- a/crates/rattanarchd/src/request/error.rs
+++ b/crates/rattanarchd/src/request/error.rs
@@ -22,6 +22,9 @@
     /// The path does not begin with a service.
     #[error("the path does not begin with \"/\" and a service")]
     PathMalformed,
+    /// The caller could not tell an answer's end from a cut.
+    #[error("HTTP/1.1 is needed")]
+    VersionOld,
     /// A field of the request could not be read.
     #[error("header {0:?} is not a whole number of milliseconds")]
     DeadlineMalformed(&'static str),
@@ -134,6 +137,7 @@
             | Self::KeyMissing { .. }
             | Self::BodyMalformed => StatusCode::BAD_REQUEST,
             Self::ServiceUnknown(_) | Self::RouteMissing { .. } => StatusCode::NOT_FOUND,
+            Self::VersionOld => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
             Self::Refused { refusal: Refusal::Elsewhere(_), forwarded: true } => {
@@ -153,6 +157,7 @@
             Self::Refused { refusal: Refusal::Unowned, .. } => Some(TAKEOVER_RETRY),
             Self::Refused { .. } | Self::NoGrant => Some(MOVE_RETRY),
             Self::Overloaded { retry } => Some(*retry),
+            Self::VersionOld => None,
             Self::UpstreamRefused { retry, .. } => Some(retry.unwrap_or(FAULT_RETRY)),
             _ if self.status().is_server_error() => Some(FAULT_RETRY),
             _ => None,
@@ -163,6 +168,7 @@
     pub fn proxy_error(&self) -> &'static str {
         match self {
             Self::PathMalformed
+            | Self::VersionOld
             | Self::DeadlineMalformed(_)
             | Self::KeyMissing { .. }
             | Self::BodyTooLarge { .. }
--- a/crates/rattanarchd/src/request/exchange.rs
+++ b/crates/rattanarchd/src/request/exchange.rs
@@ -192,6 +192,10 @@
         }
         let (mut parts, incoming) = head.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
+        if incoming.size_hint().exact().is_none() {
+            // The codec has read it in chunks, whatever this field says.
+            parts.headers.remove(header::CONTENT_LENGTH);
+        }
         let inner = Paced::new(incoming, self.body_timeout);
         let body =
             AnswerBody { inner, ended: false, link: Some(link), pool: self.pool, _hold: self.hold };
--- a/crates/rattanarchd/src/request/headers.rs
+++ b/crates/rattanarchd/src/request/headers.rs
@@ -69,9 +69,9 @@
     headers.get(REQUEST).filter(|v| v.len() <= MAX_ID).cloned()
 }
 
-/// A field's text; `None` if it is absent or not visible ASCII.
+/// A field's text; `None` if it is absent or not UTF-8.
 pub(crate) fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
-    headers.get(name)?.to_str().ok().map(str::to_owned)
+    std::str::from_utf8(headers.get(name)?.as_bytes()).ok().map(str::to_owned)
 }
 
 /// A field that counts milliseconds; `None` if it is absent, `Some(Err)` if it is no number.
@@ -83,5 +83,5 @@
 
 /// `text` as a field value; anything that does not fit in a field is left out.
 pub(crate) fn value(text: &str) -> HeaderValue {
-    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("-"))
+    HeaderValue::from_bytes(text.as_bytes()).unwrap_or_else(|_| HeaderValue::from_static("-"))
 }
--- a/crates/rattanarchd/src/request/local.rs
+++ b/crates/rattanarchd/src/request/local.rs
@@ -6,6 +6,7 @@
 use rattanarch_types::Fence;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Verdict;
+use rattanarch_types::slice_of;
 
 use crate::request::OutBody;
 use crate::request::RequestError;
@@ -30,6 +31,7 @@
         let run = self.running.enter(id.clone(), hash);
         let fence = self.check(hash)?;
         run.set_fence(fence);
+        self.note_load(hash);
         let pool = Arc::clone(&self.upstream.pool);
         let Some(request) = job.for_upstream(&pool, &id, fence) else {
             return Err(RequestError::BodyMalformed);
@@ -52,6 +54,12 @@
         Ok(head)
     }
 
+    fn note_load(&self, hash: Option<KeyHash>) {
+        let Some(hash) = hash else { return };
+        let slices = self.views.current().serving.record.slice_count();
+        self.load.note(slice_of(hash, slices), hash);
+    }
+
     /// Whether a request may start here now, and the fence it carries.
     fn check(&self, hash: Option<KeyHash>) -> Result<Option<Fence>, RequestError> {
         let view = self.views.current();
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod headers;
 mod job;
+mod load_meter;
 mod local;
 mod path;
 mod peers;
@@ -20,6 +21,8 @@
 
 pub(crate) use body::OutBody;
 pub use error::RequestError;
+pub use load_meter::LoadCounts;
+pub use load_meter::LoadMeter;
 pub use path::RequestPath;
 pub use running::Running;
 pub use running::Unsettled;
--- a/crates/rattanarchd/src/request/path.rs
+++ b/crates/rattanarchd/src/request/path.rs
@@ -10,6 +10,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use rattanarch_ownership::Refusal;
 use rattanarch_types::Route;
 use rattanarch_types::Service;
 use rattanarch_types::Sharing;
@@ -17,6 +18,7 @@
 
 use crate::connection::Pool;
 use crate::process::Clock;
+use crate::request::LoadMeter;
 use crate::request::OutBody;
 use crate::request::RequestError;
 use crate::request::RequestSettings;
@@ -44,6 +46,7 @@
     pub(super) views: Views,
     pub(super) clock: Clock,
     pub(super) running: Running,
+    pub(super) load: LoadMeter,
     pub(super) admission: Admission,
     pub(super) budget: RetryBudget,
     pub(super) upstream: Arc<Peer>,
@@ -60,6 +63,7 @@
         let connections = settings.connections.saturating_sub(CONTROL_CONNECTIONS).max(1);
         let path = Self {
             running: Running::new(views.clone()),
+            load: LoadMeter::default(),
             admission: Admission::new(settings.slots),
             budget: RetryBudget::default(),
             upstream: Peer::new(settings.upstream, connections),
@@ -79,6 +83,11 @@
         &self.running
     }
 
+    /// Counts of the requests that started at the upstream.
+    pub fn load(&self) -> &LoadMeter {
+        &self.load
+    }
+
     pub(crate) fn settings(&self) -> &RequestSettings {
         &self.settings
     }
@@ -87,7 +96,7 @@
     pub(crate) async fn serve(&self, request: Request<Incoming>) -> Response<OutBody> {
         let id = headers::caller_id(request.headers());
         let outcome = self.run(request).await;
-        let mut answer = outcome.unwrap_or_else(|error| answer::refuse(&error));
+        let mut answer = outcome.unwrap_or_else(|error| self.refuse(&error));
         let fields = answer.headers_mut();
         fields.remove(headers::REQUEST);
         if let Some(id) = id {
@@ -96,6 +105,18 @@
         answer
     }
 
+    fn refuse(&self, error: &RequestError) -> Response<OutBody> {
+        let mut answer = answer::refuse(error);
+        if let RequestError::Refused { refusal: Refusal::Elsewhere(owner), .. } = error {
+            let view = self.views.current();
+            if let Some(member) = view.serving.record.members.get(owner) {
+                let address = headers::value(&member.caller.to_string());
+                answer.headers_mut().insert(headers::OWNER, address);
+            }
+        }
+        answer
+    }
+
     async fn run(&self, request: Request<Incoming>) -> Result<Response<OutBody>, RequestError> {
         let start = Instant::now();
         let view = self.views.current();
@@ -115,6 +136,9 @@
         start: Instant,
     ) -> Result<Job, RequestError> {
         let (parts, incoming) = request.into_parts();
+        if parts.version < hyper::Version::HTTP_11 {
+            return Err(RequestError::VersionOld);
+        }
         let target = Target::parse(parts.uri.path())?;
         let service = self.service(target, view)?;
         let route = target.route(&service)?;
@@ -125,14 +149,15 @@
         let full_path = format!("{}{query}", parts.uri.path());
         let rest_path = format!("{}{query}", target.rest);
         let priority = route.priority;
-        let payload = Payload::read(incoming, &self.settings).await?;
+        let reading = Payload::read(incoming, &self.settings);
+        let read = tokio::time::timeout_at(deadline.into(), reading).await;
+        let payload = read.unwrap_or(Err(RequestError::BodyStalled))?;
         let mut fields = parts.headers;
         headers::strip_hop_by_hop(&mut fields);
         headers::strip_own(&mut fields);
         fields.remove(hyper::header::EXPECT);
-        if payload.is_whole() {
-            fields.remove(hyper::header::CONTENT_LENGTH);
-        }
+        // The codec states the length that the body has.
+        fields.remove(hyper::header::CONTENT_LENGTH);
         let method = parts.method;
         Ok(Job {
             method,
--- a/crates/rattanarchd/tests/bad_input.rs
+++ b/crates/rattanarchd/tests/bad_input.rs
@@ -63,8 +63,13 @@
         (ask(rig.address, "GET", "/nobody/stock/a").await, 404),
         (ask(rig.address, "GET", "/trade-desk/stock").await, 400),
         (ask(rig.address, "GET", "/").await, 400),
+        (ask(rig.address, "PUT", "/trade-desk/control/grant").await, 404),
+        (ask(rig.address, "PUT", "/trade-desk/%63ontrol/grant").await, 404),
+        (ask(rig.address, "PUT", "/trade-desk//control/grant").await, 400),
+        (ask(rig.address, "PUT", "/trade-desk/stock/../control/grant").await, 400),
+        (ask(rig.address, "GET", "/trade-desk/stock/a%0Ab").await, 400),
         (ask_with(rig.address, "GET", "/trade-desk/stock/a", &long, b"").await, 400),
-        (ask_with(rig.address, "POST", "/trade-desk/stock/a", &[], &[0; 100_001]).await, 413),
+        (ask_with(rig.address, "POST", "/trade-desk/stock/a", &[], &vec![0; 100_001]).await, 413),
     ];
     for (got, status) in cases {
         assert_eq!((got.status, got.verdict()), (status, "not-run"));
@@ -76,6 +81,9 @@
 #[tokio::test]
 async fn malformed_head() {
     let (_upstream, rig) = rig().await;
+    let old = "GET /trade-desk/stock/a HTTP/1.0\r\n\r\n";
+    let old = send(rig.address, old, false).await;
+    assert!(old.contains(" 505 ") && old.contains("rattanarch-verdict: not-run\r\n"), "{old}");
     check(&send(rig.address, "NONSENSE\r\n\r\n", false).await, 400, "not-run");
     let huge = format!("GET /trade-desk/stock/a HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(20_000));
     check(&send(rig.address, &huge, false).await, 431, "not-run");
--- a/crates/rattanarchd/tests/serving.rs
+++ b/crates/rattanarchd/tests/serving.rs
@@ -59,9 +59,25 @@
     let got = ask(one.address, "POST", "/trade-desk/stock/tank-1").await;
     assert_eq!((got.status, got.verdict()), (421, "not-run"));
     assert!(got.field("rattanarch-retry-ms").is_some());
+    // The owner that the refusing daemon knows.
+    assert_eq!(got.field("rattanarch-owner"), Some(&*one.address.to_string()));
     assert_eq!(upstream.asks().len(), 0);
 }
 
+#[tokio::test]
+async fn encoded_key() {
+    let upstream = echo().await;
+    let rig = Rig::start(upstream.address, SECOND);
+    for path in ["/trade-desk/stock/tank-1", "/trade-desk/stock/t%61nk-1"] {
+        assert_eq!(ask(rig.address, "GET", path).await.status, 200);
+    }
+    let asks = upstream.asks();
+    assert!(asks.iter().all(|a| a.field("rattanarch-key") == Some("tank-1")));
+    let counts = rig.path.load().take();
+    assert_eq!(counts.keys[&rattanarch_types::hash_key("tank-1")], 2);
+    assert_eq!(counts.slices.values().sum::<u32>(), 2);
+}
+
 #[tokio::test]
 async fn lease_ended() {
     let upstream = echo().await;
