--- a/crates/rattanarch_standins/src/bin/loadgen.rs
+++ b/crates/rattanarch_standins/src/bin/loadgen.rs
@@ -19,7 +19,7 @@
         required
     )]
     targets: Vec<String>,
-    #[options(help = "coop or aguas-libres", default = "coop")]
+    #[options(help = "co-op or aguas-libres", default = "co-op")]
     firm: String,
     #[options(help = "requests a second on average", default = "200")]
     rate: f64,
--- a/crates/rattanarch_standins/src/load/attempt.rs
+++ b/crates/rattanarch_standins/src/load/attempt.rs
@@ -173,7 +173,9 @@
     planned: &Planned,
     length: u64,
 ) -> Result<Reply, hyper::Error> {
-    let instance = header(answer.headers(), "rattanarch-instance").unwrap_or_default();
+    let Some(instance) = header(answer.headers(), "upstream-instance") else {
+        return Ok(Reply::Wrong("the answer does not name its upstream".to_owned()));
+    };
     let content = Content::new(&planned.key);
     let mut body = answer.into_body();
     let mut offset = 0;
--- a/crates/rattanarch_standins/src/load/kind.rs
+++ b/crates/rattanarch_standins/src/load/kind.rs
@@ -16,7 +16,7 @@
 
 /// A text that names no firm.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("firm {0:?} is not one of \"coop\", \"aguas-libres\"")]
+#[error("firm {0:?} is not one of \"co-op\", \"aguas-libres\"")]
 pub struct FirmError(pub String);
 
 impl FromStr for Firm {
@@ -24,7 +24,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text {
-            "coop" => Ok(Self::Coop),
+            "co-op" => Ok(Self::Coop),
             "aguas-libres" => Ok(Self::AguasLibres),
             other => Err(FirmError(other.to_owned())),
         }
--- a/crates/rattanarch_standins/src/upstream/work.rs
+++ b/crates/rattanarch_standins/src/upstream/work.rs
@@ -36,7 +36,7 @@
 pub(crate) const REQUEST_HEADER: &str = "rattanarch-request";
 
 /// Header with the name of the upstream that answers.
-pub(crate) const INSTANCE_HEADER: &str = "rattanarch-instance";
+pub(crate) const INSTANCE_HEADER: &str = "upstream-instance";
 
 /// Text of [`Verdict::NotRun`].
 const NOT_RUN: &str = "not-run";
