--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rattanarch_types::BootId;
 use rattanarch_types::KeyHash;
@@ -95,7 +96,12 @@
 
     /// Asks the platform for the record, unless it was asked a moment ago.
     pub(crate) fn read(&mut self, now: Moment) {
-        if self.contact.ask(now, self.timing.heartbeat / 2) {
+        self.read_every(now, self.timing.heartbeat / 2);
+    }
+
+    /// Asks the platform for the record, unless it was asked within `pause`.
+    pub(crate) fn read_every(&mut self, now: Moment, pause: Duration) {
+        if self.contact.ask(now, pause) {
             self.out.push(Action::Read);
         }
     }
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -53,7 +53,7 @@
     /// Waits for the end of the older life: its witnesses take it over, or the upstream, which has
     /// lost its memory of fences, takes one above the older life's.
     fn wait(&mut self, core: &mut Core, now: Moment, record: &Record, old: BootId) {
-        core.read(now);
+        core.read_every(now, core.timing.heartbeat * 2);
         let above = record.members.get(&old).map(|member| member.fence).unwrap_or_default();
         if core.member.fence > 0 && above > 0 && now >= self.again {
             self.again = now + ANSWER_TIMEOUT;
--- a/crates/rattanarch_ownership/tests/harness/mod.rs
+++ b/crates/rattanarch_ownership/tests/harness/mod.rs
@@ -6,6 +6,8 @@
 
 mod check;
 mod fault;
+mod inflict;
+mod network;
 mod platform;
 mod process;
 mod world;
