--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -62,7 +62,7 @@
     /// Waits for the end of the older life: its witnesses take it over, or the upstream, which has
     /// lost its memory of fences, takes one above the older life's.
     fn wait(&mut self, core: &mut Core, now: Moment, record: &Record, old: BootId) {
-        core.read(now);
+        core.read_every(now, core.timing.heartbeat * 2);
         let above = record.members.get(&old).map(|member| member.fence).unwrap_or_default();
         let asked = self.asked.as_ref();
         let recently = asked.is_some_and(|asked| asked.old == old && now < asked.again);
