--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -9,7 +9,8 @@
  * newer one replaces them, so each may be lost, delayed, reordered with others, or taken twice.
  *
  * Parameters (-D): NW witnesses named or nameable (1, 2, 3 or 4), MAXV highest record version, LEASE in
- * ticks, MAXB lives of each witness, SWAP (new witness sets change places), RELEASE (planned
+ * ticks, MAXB lives of each witness, RESTARTABLE number of witnesses that may
+ * restart, SWAP (new witness sets change places), RELEASE (planned
  * release and return), SUCCESSION (rule 8), PROGRESS (bounded progress after faults end),
  * SLOW_ACK (acknowledgements are delayed on their way to the owner), SLOW_ANSWER (as are answers
  * to a seal). Without SLOW_ACK and SLOW_ANSWER they arrive at once or never, which allows the
@@ -28,6 +29,9 @@
 #ifndef MAXB
 #define MAXB 1
 #endif
+#ifndef RESTARTABLE
+#define RESTARTABLE NW
+#endif
 
 /* Witnesses named at the start: all of them, or all but the last if sets change places. */
 #ifdef SWAP
@@ -501,6 +505,27 @@
     s_expect = 0
 }
 
+#ifdef SUCCESSION
+/* Rule 8. */
+inline p_write() {
+    printf("@ %d P write_succession %d\n", ticks, version + 1);
+    p_expect = version;
+    p_flying = true
+}
+
+inline take_succession() {
+    p_flying = false;
+    if
+    :: STANDS(p_expect) ->
+        printf("@ %d platform accept P %d\n", ticks, p_expect + 1);
+        member_a = false;
+        if :: owner == OWNER_A -> owner = OWNER_P :: else fi;
+        version++
+    :: else -> printf("@ %d platform conflict P %d\n", ticks, version)
+    fi
+}
+#endif
+
 /* Rule 7. */
 inline restart(w) {
     boot[w]++;
@@ -541,10 +566,12 @@
     if
     :: a_member && a_owner == OWNER_A ->
         measure_lease();
+#ifndef NO_NEW_TERM
         if
         :: attempt == IDLE && lease_a == 0 && rounds > LEASE -> a_rename(0, FIRST)
         :: else
         fi;
+#endif
         lease_a = 0;
         level = 0;
         do
@@ -593,6 +620,16 @@
 }
 
 inline calm_round() {
+#ifdef SUCCESSION
+    if
+    :: p_started ->
+        a_lost = true;
+        if :: attempt_flying -> take_attempt() :: else fi;
+        if :: p_flying -> take_succession() :: else fi;
+        if :: member_a -> p_write() :: else fi
+    :: else
+    fi;
+#endif
     if
     :: !a_lost -> calm_owner()
     :: else ->
@@ -622,7 +659,7 @@
     :: d_step { FAULTY && a_member && a_set[w] != 0 -> renew(w); check() } \
     :: d_step { FAULTY && attempt == RENAME_OUT && new_set[w] != 0 -> renew_new(w); check() } \
     :: d_step { FAULTY && s_asked > 0 -> seal(w); check() } \
-    :: d_step { FAULTY && boot[w] < MAXB -> restart(w); check() } \
+    :: d_step { FAULTY && w < RESTARTABLE && boot[w] < MAXB -> restart(w); check() } \
     TAKE_ACK(w) TAKE_ANSWER(w)
 
 #ifdef SLOW_ACK
@@ -716,7 +753,7 @@
     :: d_step { FAULTY && s_version != version && member_a -> s_read(); check() }
     :: d_step { FAULTY && !s_flying && s_version > 0 && s_version < MAXV ->
         measure_proof();
-        if :: proved -> s_write() :: else fi;
+        if :: proved -> s_write() :: else -> printf("@ %d S blocked\n", ticks) fi;
         proved = false;
         check() }
 
@@ -730,20 +767,10 @@
 #endif
         check() }
     :: d_step { FAULTY && p_started && !p_flying && member_a && p_expect != version && version < MAXV ->
-        printf("@ %d P write_succession %d\n", ticks, version + 1);
-        p_expect = version;
-        p_flying = true;
+        p_write();
         check() }
     :: d_step { FAULTY && p_flying ->
-        p_flying = false;
-        if
-        :: STANDS(p_expect) ->
-            printf("@ %d platform accept P %d\n", ticks, p_expect + 1);
-            member_a = false;
-            if :: owner == OWNER_A -> owner = OWNER_P :: else fi;
-            version++
-        :: else -> printf("@ %d platform conflict P %d\n", ticks, version)
-        fi;
+        take_succession();
         check() }
 #endif
 
