--- /dev/null
+++ b/crates/rattanarch_admission/src/queue.rs
@@ -0,0 +1,179 @@
+//! Requests that wait for a slot.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rattanarch_types::Moment;
+use rattanarch_types::Priority;
+
+/// Least time that a shed caller is told to stay away.
+const MIN_RETRY: Duration = Duration::from_millis(20);
+/// Number of classes in [`Priority`].
+const CLASSES: usize = 3;
+
+/// How fast an upstream works.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Pace {
+    /// Requests that run at once; at least 1.
+    pub limit: u32,
+    /// Mean service time.
+    pub mean: Duration,
+}
+
+/// A request that will not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Shed<T> {
+    /// What was pushed.
+    pub item: T,
+    /// After what time it is worth coming back.
+    pub retry: Duration,
+}
+
+/// Result of [`Queue::pop`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Popped<T> {
+    /// The request to run, if any waits.
+    pub next: Option<T>,
+    /// Requests that can't make their deadlines any more.
+    pub shed: Vec<Shed<T>>,
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    item: T,
+    deadline: Moment,
+}
+
+/// Short queue by priority, first come, first served within a class.
+///
+/// A request that cannot be answered by its deadline at the upstream's [`Pace`] is shed at once,
+/// when it comes or when others that go first push it back: its caller has time left to go
+/// elsewhere. A full queue sheds the newest of the lowest class.
+///
+/// ```
+/// use std::time::Duration;
+/// use rattanarch_admission::{Pace, Queue};
+/// use rattanarch_types::Priority;
+///
+/// let ms = Duration::from_millis;
+/// let mut queue = Queue::new(40);
+/// queue.set_pace(Pace { limit: 1, mean: ms(50) });
+/// assert!(queue.push(ms(0), Priority::Deferrable, ms(120), "deposit").is_empty());
+/// // A stock check goes first, so that the deposit would be too late: it is told so now.
+/// let shed = queue.push(ms(1), Priority::Urgent, ms(500), "stock");
+/// assert_eq!(shed[0].item, "deposit");
+/// assert_eq!(queue.pop(ms(40)).next, Some("stock"));
+/// ```
+#[derive(Debug)]
+pub struct Queue<T> {
+    /// By class, the lowest first.
+    lanes: [VecDeque<Entry<T>>; CLASSES],
+    max: usize,
+    pace: Pace,
+}
+
+impl<T> Queue<T> {
+    /// An empty queue of at most `max` requests.
+    pub fn new(max: usize) -> Self {
+        let pace = Pace { limit: 1, mean: Duration::ZERO };
+        Self { lanes: Default::default(), max, pace }
+    }
+
+    /// Sets how fast the upstream works now.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = Pace { limit: pace.limit.max(1), ..pace };
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.lanes.iter().map(VecDeque::len).sum()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.lanes.iter().all(VecDeque::is_empty)
+    }
+
+    /// Requests that go before a new one of `priority`.
+    pub fn ahead(&self, priority: Priority) -> usize {
+        self.lanes[class(priority)..].iter().map(VecDeque::len).sum()
+    }
+
+    /// Time until a new request of `priority` would start, while all slots are taken.
+    pub fn wait(&self, priority: Priority) -> Duration {
+        self.time_for(self.ahead(priority) + 1)
+    }
+
+    /// Adds a request that must be answered by `deadline`. Returns those that will not run, of
+    /// which this may be one.
+    pub fn push(
+        &mut self,
+        now: Moment,
+        priority: Priority,
+        deadline: Moment,
+        item: T,
+    ) -> Vec<Shed<T>> {
+        self.lanes[class(priority)].push_back(Entry { item, deadline });
+        let mut shed = self.expire(now);
+        if self.len() > self.max {
+            shed.extend(self.shed_newest());
+        }
+        shed
+    }
+
+    /// Takes the next request to run, a slot being free for it.
+    pub fn pop(&mut self, now: Moment) -> Popped<T> {
+        let shed = self.sift(now, 0);
+        let lane = self.lanes.iter_mut().rev().find(|lane| !lane.is_empty());
+        let next = lane.and_then(VecDeque::pop_front).map(|entry| entry.item);
+        Popped { next, shed }
+    }
+
+    /// Sheds what can't make its deadline any more, while all slots are taken.
+    pub fn expire(&mut self, now: Moment) -> Vec<Shed<T>> {
+        self.sift(now, 1)
+    }
+
+    /// Sheds what can't make its deadline once `busy` more requests have ended.
+    fn sift(&mut self, now: Moment, busy: usize) -> Vec<Shed<T>> {
+        let mut shed = Vec::new();
+        let mut ahead = busy;
+        for class in (0..CLASSES).rev() {
+            for entry in std::mem::take(&mut self.lanes[class]) {
+                let answered = now + self.time_for(ahead) + self.pace.mean;
+                if answered < entry.deadline {
+                    self.lanes[class].push_back(entry);
+                    ahead += 1;
+                } else {
+                    shed.push(entry.item);
+                }
+            }
+        }
+        let retry = self.retry();
+        shed.into_iter().map(|item| Shed { item, retry }).collect()
+    }
+
+    /// Time in which `count` requests end.
+    fn time_for(&self, count: usize) -> Duration {
+        self.pace.mean.mul_f64(count as f64 / f64::from(self.pace.limit))
+    }
+
+    /// Time until what waits now will have run.
+    fn retry(&self) -> Duration {
+        self.time_for(self.len() + 1).max(MIN_RETRY)
+    }
+
+    fn shed_newest(&mut self) -> Option<Shed<T>> {
+        let retry = self.retry();
+        let lane = self.lanes.iter_mut().find(|lane| !lane.is_empty())?;
+        lane.pop_back().map(|entry| Shed { item: entry.item, retry })
+    }
+}
+
+fn class(priority: Priority) -> usize {
+    match priority {
+        Priority::Deferrable => 0,
+        Priority::Normal => 1,
+        Priority::Urgent => 2,
+    }
+}
