Count as in force only what every member of the firm says

Cause: the fleet now asks the members of all services, so one daemon's answer tells for the firm; but a service whose members were not found counted as nothing, and the table named one service for a count of all. A command's answer no longer asks: with members cut off each exchange takes its 2 s timeout, 32 at a time, past the program's 10 s. waits_for_all is replaced: it asked every daemon given because each saw only its own service; now in_force demands that no service is unseen (stricter), and waits_past_silent that a daemon which is down does not matter. Shown to fail: in_force without the unseen rule, commands_ask_nobody with a survey in the answer, waits_past_silent when a connection that is refused ends the call.

--- a/crates/rattanarch_cli/src/client.rs
+++ b/crates/rattanarch_cli/src/client.rs
@@ -53,11 +53,6 @@
         Self { agent, addresses, authorization: format!("Bearer {}", token.trim()) }
     }
 
-    /// Addresses of the daemons.
-    pub(crate) fn addresses(&self) -> &[String] {
-        &self.addresses
-    }
-
     /// Asks the daemons in turn until one answers.
     ///
     /// A command that one daemon did not answer may be repeated at the next: its write id lets it
@@ -78,8 +73,7 @@
         Err(fault)
     }
 
-    /// Asks one daemon.
-    pub(crate) fn ask_one(&self, address: &str, request: &Request) -> Result<Answer, CallError> {
+    fn ask_one(&self, address: &str, request: &Request) -> Result<Answer, CallError> {
         let url = format!("{}/operate", address.trim_end_matches('/'));
         let call = self.agent.post(&url).header("authorization", &self.authorization);
         // The daemon's server keeps a thread for each open connection.
--- a/crates/rattanarch_cli/src/render.rs
+++ b/crates/rattanarch_cli/src/render.rs
@@ -86,7 +86,7 @@
 
 fn coverage_text(coverage: &Coverage) -> String {
     let Coverage { reported, members, unseen } = coverage;
-    let mut text = format!("in force at {reported} of {members} members that this daemon sees");
+    let mut text = format!("known to be in force at {reported} of {members} members");
     if !unseen.is_empty() {
         let _ = write!(text, ", no reports of {}", unseen.join(", "));
     }
--- a/crates/rattanarch_cli/src/session.rs
+++ b/crates/rattanarch_cli/src/session.rs
@@ -50,7 +50,7 @@
         let request =
             Request { statement: statement.to_string(), seen, write_id, ..Request::default() };
         let outcome = match &statement.action {
-            Action::Wait { condition, within } => wait(&self.client, &request, condition, *within),
+            Action::Wait { within, .. } => wait(&self.client, &request, *within),
             _ => self.client.ask(&request),
         };
         let answer = outcome.map_err(|error| Unanswered { error, write_id })?;
--- a/crates/rattanarch_cli/src/wait.rs
+++ b/crates/rattanarch_cli/src/wait.rs
@@ -6,7 +6,6 @@
 
 use rattanarch_config::Answer;
 use rattanarch_config::Request;
-use rattanarch_language::Condition;
 
 use crate::client::CallError;
 use crate::client::Client;
@@ -21,12 +20,11 @@
 pub(crate) fn wait(
     client: &Client,
     request: &Request,
-    condition: &Condition,
     within: Duration,
 ) -> Result<Answer, CallError> {
     let deadline = Instant::now() + within;
     loop {
-        let outcome = check(client, request, condition);
+        let outcome = client.ask(request);
         let is_over = match &outcome {
             Ok(Answer::Condition { met, .. }) => *met,
             Ok(_) | Err(CallError::Refused { .. }) => true,
@@ -38,19 +36,3 @@
         sleep(POLL);
     }
 }
-
-/// Checks once. Each daemon sees only its own service, so what is in force is asked of all of
-/// them; what the platform holds, of the first that answers.
-fn check(client: &Client, request: &Request, condition: &Condition) -> Result<Answer, CallError> {
-    if !matches!(condition, Condition::InForce(_)) {
-        return client.ask(request);
-    }
-    let mut details = Vec::new();
-    for address in client.addresses() {
-        match client.ask_one(address, request)? {
-            Answer::Condition { met: true, detail } => details.push(detail),
-            unmet => return Ok(unmet),
-        }
-    }
-    Ok(Answer::Condition { met: true, detail: details.join("; ") })
-}
--- a/crates/rattanarch_config/src/answer.rs
+++ b/crates/rattanarch_config/src/answer.rs
@@ -36,21 +36,22 @@
     pub write_id: Option<WriteId>,
 }
 
-/// How many members of one service report a configuration version at or above a wanted one.
+/// How many members of a firm's services have a configuration version or a later one in force.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Coverage {
-    /// Members whose version this daemon knows to be at or above it.
+    /// Members that told the answering daemon so.
     pub reported: usize,
-    /// Members of the service that this daemon is in.
+    /// Members that it knows of.
     pub members: usize,
-    /// Services of the firm that this daemon has no reports of.
+    /// Services of the firm whose members it does not know or has not asked.
     pub unseen: Vec<String>,
 }
 
 impl Coverage {
-    /// Whether the version is known to be in force at all members that this daemon can see.
+    /// Whether the version is in force at all members of the firm. A firm without members has
+    /// nothing in force.
     pub fn is_full(&self) -> bool {
-        self.members > 0 && self.reported == self.members
+        self.members > 0 && self.reported == self.members && self.unseen.is_empty()
     }
 }
 
@@ -79,7 +80,7 @@
         version: Version,
         /// Write id of that version.
         write_id: WriteId,
-        /// Where it is in force, as of the answer.
+        /// Where it is known to be in force, as of the answer; members were not asked.
         coverage: Coverage,
         /// Warnings.
         notes: Vec<String>,
@@ -90,7 +91,7 @@
         firm: FirmName,
         /// Version at which it was so.
         version: Version,
-        /// Where that version is in force, as of the answer.
+        /// Where that version is known to be in force, as of the answer; members were not asked.
         coverage: Coverage,
     },
     /// What a command would do.
--- a/crates/rattanarch_config/src/query.rs
+++ b/crates/rattanarch_config/src/query.rs
@@ -56,7 +56,7 @@
                 &["key", "service", "slice", "owner", "instance", "data-centre", "version", "since"]
             }
             Self::Rules => &["service", "prefix", "key", "priority", "timeout-ms"],
-            Self::Configuration => &["firm", "version", "service", "members", "reported", "behind"],
+            Self::Configuration => &["firm", "version", "members", "reported", "behind", "unseen"],
             Self::Load => &["service", "instance", "boot-id", "running", "limit"],
             Self::Refusals => &["service", "reason", "count"],
             Self::Audit => &[
--- a/crates/rattanarchd/src/operator/desk.rs
+++ b/crates/rattanarchd/src/operator/desk.rs
@@ -33,7 +33,8 @@
 use crate::operator::Fleet;
 use crate::operator::Status;
 use crate::operator::audit::load_page;
-use crate::operator::coverage::coverage;
+use crate::operator::coverage::ask_coverage;
+use crate::operator::coverage::known_coverage;
 use crate::operator::dry_run::effects;
 use crate::operator::dry_run::places;
 use crate::operator::firms::Firms;
@@ -151,13 +152,13 @@
                 firm: firm.to_owned(),
                 version,
                 write_id,
-                coverage: self.coverage(firm, version),
+                coverage: self.known_coverage(firm, version),
                 notes: notes_on(&command, &places),
             },
             Written::AlreadySo(version) => Answer::AlreadySo {
                 firm: firm.to_owned(),
                 version,
-                coverage: self.coverage(firm, version),
+                coverage: self.known_coverage(firm, version),
             },
             Written::NotAccepted(error) => self.not_accepted(firm, error),
             Written::Unknown(reason) => Answer::Unknown { write_id, reason },
@@ -258,16 +259,19 @@
             return Answer::Condition { met: false, detail };
         }
         let version = version.unwrap_or(look.version);
-        let coverage = coverage(&self.views.current(), &*self.fleet, &look.value, version);
-        let Coverage { reported, members, .. } = &coverage;
-        let service = &self.process.service;
-        let detail = format!("version {version} at {reported} of {members} members of {service}");
+        let view = self.views.current();
+        let coverage = ask_coverage(&view, &*self.fleet, &look.value, version);
+        let Coverage { reported, members, unseen } = &coverage;
+        let mut detail = format!("version {version} at {reported} of {members} members");
+        if !unseen.is_empty() {
+            detail += &format!(", no reports of {}", unseen.join(", "));
+        }
         Answer::Condition { met: coverage.is_full(), detail }
     }
 
-    fn coverage(&self, firm: &str, version: Version) -> Coverage {
+    fn known_coverage(&self, firm: &str, version: Version) -> Coverage {
         let configuration = self.firms.known_configuration(firm).unwrap_or_default();
-        coverage(&self.views.current(), &*self.fleet, &configuration, version)
+        known_coverage(&self.views.current(), &*self.fleet, &configuration, version)
     }
 
     fn ground(&self, firm: &str, query: &Query) -> Ground {
--- a/crates/rattanarchd/src/operator/fleet.rs
+++ b/crates/rattanarchd/src/operator/fleet.rs
@@ -30,6 +30,26 @@
     pub unseen: Vec<ServiceName>,
 }
 
+impl Survey {
+    /// What the members of the daemon's own service reported without being asked.
+    pub fn of_reports(
+        view: &View,
+        mut versions: BTreeMap<BootId, Version>,
+        configuration: &Configuration,
+    ) -> Self {
+        let record = &view.serving.record;
+        let is_own = |service: &&ServiceName| **service == record.service;
+        let own = configuration.services.keys().any(|service| is_own(&service));
+        let unseen = configuration.services.keys().filter(|service| !is_own(service));
+        let unseen = unseen.cloned().collect();
+        if !own {
+            return Self { unseen, ..Self::default() };
+        }
+        versions.retain(|boot, _| record.members.contains_key(boot));
+        Self { members: record.members.len(), versions, unseen }
+    }
+}
+
 /// Source of what members report.
 pub trait Fleet: Send + Sync {
     /// Configuration version that each member last reported to have in force.
@@ -39,17 +59,7 @@
     ///
     /// By default only the members of the daemon's own service, by what they last reported.
     fn survey(&self, view: &View, configuration: &Configuration) -> Survey {
-        let record = &view.serving.record;
-        let is_own = |service: &&ServiceName| **service == record.service;
-        let own = configuration.services.keys().any(|service| is_own(&service));
-        let unseen = configuration.services.keys().filter(|service| !is_own(service));
-        let unseen = unseen.cloned().collect();
-        if !own {
-            return Survey { unseen, ..Survey::default() };
-        }
-        let mut versions = self.versions();
-        versions.retain(|boot, _| record.members.contains_key(boot));
-        Survey { members: record.members.len(), versions, unseen }
+        Survey::of_reports(view, self.versions(), configuration)
     }
 
     /// Counters of this daemon since its start, by name.
--- a/crates/rattanarchd/src/operator/tables.rs
+++ b/crates/rattanarchd/src/operator/tables.rs
@@ -24,7 +24,7 @@
 
 use crate::operator::Fleet;
 use crate::operator::MemberLoad;
-use crate::operator::coverage::coverage;
+use crate::operator::coverage::ask_coverage;
 use crate::version::View;
 
 /// What a table is made from.
@@ -143,22 +143,15 @@
 
     fn versions(&self) -> Vec<Vec<String>> {
         let version = self.configuration.version;
-        let coverage = coverage(self.view, self.fleet, self.configuration, version);
-        let own = &self.view.serving.record.service;
-        let row = |service: &String, members: String, reported: String, behind: String| {
-            let firm = self.configuration.firm.clone();
-            vec![firm, version.to_string(), service.clone(), members, reported, behind]
-        };
-        let mut rows = Vec::new();
-        if coverage.members > 0 {
-            let behind = coverage.members - coverage.reported;
-            let reported = coverage.reported.to_string();
-            rows.push(row(own, coverage.members.to_string(), reported, behind.to_string()));
-        }
-        let unknown = || "unknown".to_owned();
-        let unseen = coverage.unseen.iter();
-        rows.extend(unseen.map(|service| row(service, unknown(), unknown(), unknown())));
-        rows
+        let coverage = ask_coverage(self.view, self.fleet, self.configuration, version);
+        vec![vec![
+            self.configuration.firm.clone(),
+            version.to_string(),
+            coverage.members.to_string(),
+            coverage.reported.to_string(),
+            coverage.members.saturating_sub(coverage.reported).to_string(),
+            coverage.unseen.join(" "),
+        ]]
     }
 
     fn load(&self) -> Vec<Vec<String>> {
