Tell the node which slices and keys are asked for

Cause: hot keys were never found in the daemon: nothing fed the sketch of rattanarch_placement. Each local request is counted at its entry; the control loop reads rates once a second.

--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -49,7 +49,7 @@
 
 /// Ticks of the node in one heartbeat.
 const TICKS: u32 = 10;
-/// Time between two flushes of the metrics.
+/// Time between two flushes of the metrics, and between two readings of the load.
 const FLUSH: Duration = Duration::from_secs(1);
 /// Age of the knowledge at which a member watches the platform itself: above what a watcher's wait
 /// of 5 s and three hops of gossip explain.
@@ -179,12 +179,21 @@
             self.tell_intent();
         }
         self.follow();
-        if now.saturating_sub(self.flushed) >= FLUSH {
+        let span = now.saturating_sub(self.flushed);
+        if span >= FLUSH {
             self.flushed = now;
             self.flush_metrics(now);
+            self.tell_load(span);
         }
     }
 
+    /// Tells the node which slices and keys requests asked for in the last `span`.
+    fn tell_load(&mut self, span: Duration) {
+        let slices = self.node.serving().record.slice_count();
+        let rates = self.parts.quiescence.running().demand().take(span, slices);
+        self.step(Event::Load { slices: rates.slices, keys: rates.keys });
+    }
+
     fn take_packet(&mut self, source: SocketAddr, packet: Packet) {
         let from = packet.from;
         if !self.node.serving().record.members.contains_key(&from)
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod body;
 mod budget;
 mod control;
+mod demand;
 mod error;
 mod exchange;
 mod forward;
