Tell members that gain slices at once

Cause: a new owner learned of its slices by gossip over heartbeats, up to three of 400 ms, while the old owner already refused; seen as keys unavailable while a data centre left and returned. Ruled out: quiescence (few ms) and the platform (answers in ms).

--- a/crates/rattanarchd/src/connection/peer_socket.rs
+++ b/crates/rattanarchd/src/connection/peer_socket.rs
@@ -51,14 +51,34 @@
         messages: &[Message],
     ) {
         for chunk in messages.chunks(MAX_MESSAGES) {
-            self.sequence += 1;
             let messages = chunk.iter().map(WireMessage::from).collect();
-            let packet = Packet { from, sequence: self.sequence, knowledge, messages };
-            let Ok(frame) = self.codec.seal_for(to, &packet) else { continue };
-            if self.socket.try_send_to(&frame, address).is_ok() {
-                Counters::add(&self.counters.packets_sent);
-                Counters::add_many(&self.counters.bytes_sent, frame.len() as u64 + HEADER_BYTES);
-            }
+            self.send_packet(from, (to, address), knowledge, messages);
+        }
+    }
+
+    /// Sends what `from` knows without a message, so that the member `to` asks for what is newer.
+    pub(crate) fn send_knowledge(
+        &mut self,
+        from: BootId,
+        to: (BootId, SocketAddr),
+        knowledge: Knowledge,
+    ) {
+        self.send_packet(from, to, knowledge, Vec::new());
+    }
+
+    fn send_packet(
+        &mut self,
+        from: BootId,
+        (to, address): (BootId, SocketAddr),
+        knowledge: Knowledge,
+        messages: Vec<WireMessage>,
+    ) {
+        self.sequence += 1;
+        let packet = Packet { from, sequence: self.sequence, knowledge, messages };
+        let Ok(frame) = self.codec.seal_for(to, &packet) else { return };
+        if self.socket.try_send_to(&frame, address).is_ok() {
+            Counters::add(&self.counters.packets_sent);
+            Counters::add_many(&self.counters.bytes_sent, frame.len() as u64 + HEADER_BYTES);
         }
     }
 
--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -12,6 +12,7 @@
 use rattanarch_ownership::Message;
 use rattanarch_ownership::Node;
 use rattanarch_ownership::Timing;
+use rattanarch_ownership::WriteOutcome;
 use rattanarch_types::BootId;
 use rattanarch_types::Configuration;
 use rattanarch_types::Fence;
@@ -19,6 +20,7 @@
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
 use rattanarch_types::Sharing;
+use rattanarch_types::WriteId;
 use rattanarch_wire::Codec;
 use rattanarch_wire::Knowledge;
 use rattanarch_wire::Packet;
@@ -44,6 +46,7 @@
 use crate::version::Freshness;
 use crate::version::Grant;
 use crate::version::barred_members;
+use crate::version::gaining_members;
 use crate::version::is_watcher;
 use crate::version::lost_members;
 
@@ -213,7 +216,7 @@
     fn take_input(&mut self, input: Input) {
         match input {
             Input::RecordRead { record, sent } => self.take_record(record, sent),
-            Input::Written { write_id, outcome } => self.step(Event::Written { write_id, outcome }),
+            Input::Written { write_id, outcome } => self.take_written(write_id, outcome),
             Input::Configuration { configuration, read } => {
                 if let Some(at) = read {
                     self.freshness.confirm_configuration(at);
@@ -285,6 +288,23 @@
         }
     }
 
+    /// Takes the end of an own write, and tells those who gained by it: they serve as soon as they
+    /// know, and gossip by heartbeats would take three of them.
+    fn take_written(&mut self, write_id: WriteId, outcome: WriteOutcome) {
+        let before = Arc::clone(&self.node.serving().record);
+        self.step(Event::Written { write_id, outcome });
+        let after = Arc::clone(&self.node.serving().record);
+        if after.write_id != write_id || after.version <= before.version {
+            return;
+        }
+        let knowledge = self.knowledge(self.clock.now());
+        let from = self.node.me();
+        for to in gaining_members(&before, &after) {
+            let Some(member) = after.members.get(&to).filter(|_| to != from) else { continue };
+            self.parts.socket.send_knowledge(from, (to, member.peer), knowledge);
+        }
+    }
+
     /// Logs a change of the record that this member has applied.
     fn log_record(&self) {
         let serving = self.node.serving();
