Write a new term only when its acknowledgements outlast every grant

Cause: the model's finding (docs/MODEL.md): a sealer of a new term waits out the new witnesses' acknowledgements alone, while the upstream may still hold a grant cut from the old term's lease. The update now waits until the new witnesses have acknowledged a request at least as new as the one that the present lease counts from; both sets are asked at the same heartbeats, so this costs nothing unless an update is late. The harness now also holds that nobody is taken out while a grant of theirs may be in force, dead or alive.

The harness let the refused process run on; a daemon ends when its upstream refuses its fence, and so does it now.

--- a/crates/rattanarch_ownership/src/lease.rs
+++ b/crates/rattanarch_ownership/src/lease.rs
@@ -52,16 +52,19 @@
 
     /// End of the lease under the term in force.
     pub(crate) fn until(&self, core: &Core) -> Option<Moment> {
-        let own = core.own()?;
-        if !own.witnesses.is_empty() {
-            let counted = core.rules.count_majority;
-            let sent = if counted { self.acks.majority() } else { self.acks.newest(1) };
-            return Some(sent? + core.timing.lease);
-        }
-        if !core.rules.confirm_unwitnessed {
+        let unwitnessed = core.own()?.witnesses.is_empty();
+        if unwitnessed && !core.rules.confirm_unwitnessed {
             return Some(Duration::MAX);
         }
-        Some(core.contact.unwitnessed? + core.timing.lease)
+        Some(self.since(core)? + core.timing.lease)
+    }
+
+    /// Send time that the lease under the term in force counts from.
+    pub(crate) fn since(&self, core: &Core) -> Option<Moment> {
+        if core.own()?.witnesses.is_empty() {
+            return core.contact.unwitnessed;
+        }
+        if core.rules.count_majority { self.acks.majority() } else { self.acks.newest(1) }
     }
 }
 
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -57,7 +57,7 @@
         if due {
             self.renew(core, now);
         }
-        self.replacer.write(core, now);
+        self.replacer.write(core, &self.lease, now);
     }
 
     fn begin_replacement(&mut self, core: &mut Core, now: Moment) {
--- a/crates/rattanarch_ownership/src/replacement.rs
+++ b/crates/rattanarch_ownership/src/replacement.rs
@@ -98,10 +98,15 @@
         self.change = Some(Replacement { acks, began: now, asked: false, write: None });
     }
 
-    /// Sends the update once the new witnesses have answered.
-    pub(crate) fn write(&mut self, core: &mut Core, now: Moment) {
+    /// Sends the update once the new witnesses have answered for as long as the lease lasts.
+    ///
+    /// The upstream may hold a grant that ends with the lease under the old term. A sealer of the
+    /// new term waits out the acknowledgements of the new witnesses alone.
+    pub(crate) fn write(&mut self, core: &mut Core, lease: &Lease, now: Moment) {
         let Some(change) = &mut self.change else { return };
-        let answered = change.acks.witnesses.is_empty() || change.acks.majority().is_some();
+        let newest = change.acks.majority();
+        let covered = newest >= lease.since(core) || !core.rules.cover_grants;
+        let answered = change.acks.witnesses.is_empty() || newest.is_some() && covered;
         if change.write.is_some() || !answered || !core.can_write(now) {
             return;
         }
--- a/crates/rattanarch_ownership/src/rules.rs
+++ b/crates/rattanarch_ownership/src/rules.rs
@@ -19,6 +19,9 @@
     pub new_boot_ids: bool,
     /// While a change of witnesses is not settled, both sets must acknowledge.
     pub joint_sets: bool,
+    /// A new term is written only once its acknowledgements last as long as those of the old term,
+    /// under which the upstream may hold a grant.
+    pub cover_grants: bool,
     /// A node applies a record only if its version is higher.
     pub rising_versions: bool,
     /// Released slices stay held until the update is settled.
@@ -39,6 +42,7 @@
             keep_promises: true,
             new_boot_ids: true,
             joint_sets: true,
+            cover_grants: true,
             rising_versions: true,
             hold_until_settled: true,
             settle_lost_answers: true,
--- /dev/null
+++ b/crates/rattanarch_ownership/tests/grant_cover.rs
@@ -0,0 +1,112 @@
+//! A new term is written only when its acknowledgements outlast every grant of the old term.
+//!
+//! Found by the model (docs/MODEL.md). Random schedules do not meet it in 5,000 tries, since it
+//! needs updates that fail for a second while requests to the new witnesses alone are lost; so one
+//! node is led there by hand.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rattanarch_ownership::Action;
+use rattanarch_ownership::Event;
+use rattanarch_ownership::Message;
+use rattanarch_ownership::Node;
+use rattanarch_ownership::Rules;
+use rattanarch_ownership::Timing;
+use rattanarch_ownership::WriteOutcome;
+use rattanarch_types::Member;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+
+const OWNER: u64 = 1;
+const OLD: u64 = 2;
+const NEW: u64 = 3;
+const TERM: u64 = 3;
+const TICK: Duration = Duration::from_millis(10);
+
+fn member(name: &str, witness: u64) -> Member {
+    Member {
+        instance: name.to_owned(),
+        data_centre: name.to_owned(),
+        peer: ([127, 0, 0, 1], 7000).into(),
+        caller: ([127, 0, 0, 1], 7001).into(),
+        slots: 20,
+        fence: 0,
+        term: TERM,
+        witnesses: vec![witness],
+        leaving: false,
+    }
+}
+
+fn record() -> Record {
+    let mut record = Record::new("trade-desk", 1);
+    record.version = TERM;
+    record.owners = vec![Some(OWNER)];
+    let members = [(OWNER, OLD), (OLD, NEW), (NEW, OLD)];
+    record.members = members.map(|(id, by)| (id, member(&id.to_string(), by))).into();
+    record
+}
+
+/// The newest request that each witness acknowledged.
+type Acked = BTreeMap<u64, Moment>;
+
+/// Bars the old witness and fails every update for a while; from then on the new witness hears
+/// nothing any more. Returns the end of the latest grant and the new witness's newest
+/// acknowledgement at the next update, if there is one.
+fn late_update(rules: Rules) -> Option<(Moment, Moment)> {
+    let mut node = Node::new(OWNER, member("1", 0), Timing::default(), 1).with_rules(rules);
+    let start = Duration::from_secs(1);
+    let mut inbox = vec![
+        Event::Intent { barred: vec![OLD], lost: Vec::new() },
+        Event::Record { record: record(), read_sent: Some(start) },
+    ];
+    let mut acked = Acked::new();
+    let mut granted = None;
+    let mut failures = 0;
+    for tick in 0..300 {
+        let now = start + TICK * tick;
+        inbox.push(Event::Tick);
+        while let Some(event) = inbox.pop() {
+            granted = granted.max(node.serving().until);
+            for action in node.step(now, event) {
+                match action {
+                    Action::Read => {
+                        inbox.push(Event::Record { record: record(), read_sent: Some(now) });
+                    }
+                    Action::Write(record) if failures < 6 => {
+                        failures += 1;
+                        acked.remove(&NEW);
+                        let outcome = WriteOutcome::Failed;
+                        inbox.push(Event::Written { write_id: record.write_id, outcome });
+                    }
+                    Action::Write(_) => return Some((granted?, acked[&NEW])),
+                    Action::Send { to, message: Message::Renew { term, sent, record, load } } => {
+                        let heard = to == OLD || failures < 6 || !acked.contains_key(&NEW);
+                        if heard {
+                            acked.insert(to, sent);
+                            let message = Message::Ack { term, sent, record, load };
+                            inbox.push(Event::Message { from: to, message });
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    None
+}
+
+#[test]
+fn waits_for_cover() {
+    assert_eq!(late_update(Rules::default()), None);
+}
+
+#[test]
+fn harm_without() {
+    let (until, newest) =
+        late_update(Rules { cover_grants: false, ..Rules::default() }).expect("the update is sent");
+    assert!(
+        until > newest + Timing::default().lease,
+        "a grant may outlast what a sealer waits for"
+    );
+}
--- a/crates/rattanarch_ownership/tests/harness/check.rs
+++ b/crates/rattanarch_ownership/tests/harness/check.rs
@@ -4,6 +4,7 @@
 use rattanarch_types::KeyHash;
 use rattanarch_types::Record;
 
+use super::Process;
 use super::World;
 
 impl World {
@@ -48,6 +49,7 @@
         let same = serving.record.version == process.checked.record.version
             && serving.held == process.checked.held
             && serving.held_hot == process.checked.held_hot;
+        process.granted = process.granted.max(serving.until.unwrap_or_default());
         process.checked = serving;
         if same && !lapsed {
             return Ok(());
@@ -77,19 +79,24 @@
                 return Err(format!("{writer} takes key {key:#x} from {owner}, a member"));
             }
         }
-        for gone in old.members.keys().filter(|id| !new.members.contains_key(id)) {
+        let gone = |id: &&BootId| **id != writer && !new.members.contains_key(id);
+        for gone in old.members.keys().filter(gone) {
             self.check_gone(*gone)?;
         }
         Ok(())
     }
 
+    /// No upstream holds a grant of the member `gone` any more: a request that passed its check
+    /// may still be on its way, also if the process has ended.
     fn check_gone(&self, gone: BootId) -> Result<(), String> {
-        let serving = self.keys().into_iter().find(|hash| {
-            self.servers(*hash).iter().any(|index| self.processes[*index].node.me() == gone)
-        });
-        match serving {
-            Some(hash) => Err(format!("{} µs: {gone} is taken out and serves {hash:#x}", self.now)),
-            None => Ok(()),
+        let granted = |(index, process): &(usize, &Process)| {
+            let fenced = process.fence > 0 && self.holders[process.slot] != *index;
+            process.node.me() == gone && !fenced && process.clock(self.now) < process.granted
+        };
+        let owns = self.platform.stored.owners.contains(&Some(gone));
+        match self.processes.iter().enumerate().find(granted) {
+            Some(_) if owns => Err(format!("{} µs: {gone} is taken out with a grant", self.now)),
+            _ => Ok(()),
         }
     }
 
--- a/crates/rattanarch_ownership/tests/harness/process.rs
+++ b/crates/rattanarch_ownership/tests/harness/process.rs
@@ -26,6 +26,8 @@
     pub inbox: Vec<Event>,
     pub undone: Vec<Action>,
     pub has_left: bool,
+    /// Latest end of a grant that its upstream may hold.
+    pub granted: Moment,
     /// What it served when it was last checked.
     pub checked: Serving,
 }
--- a/crates/rattanarch_ownership/tests/harness/world.rs
+++ b/crates/rattanarch_ownership/tests/harness/world.rs
@@ -190,6 +190,7 @@
             inbox: Vec::new(),
             undone: Vec::new(),
             has_left: false,
+            granted: Duration::ZERO,
             checked: Serving::default(),
         }
     }
@@ -226,6 +227,7 @@
             Due::Tick(index) => {
                 if self.processes[index].is_alive {
                     self.plan(TICK, Due::Tick(index));
+                    self.end_superseded(index);
                     self.give(index, Event::Tick)?;
                 }
             }
@@ -234,7 +236,7 @@
             Due::Read { process, sent } => self.answer_read(process, sent),
             Due::Write { process, record } => self.answer_write(process, record)?,
             Due::Start(slot) => {
-                if !self.processes[self.current[slot]].is_alive {
+                if !self.is_manned(slot) {
                     self.start(slot);
                 }
             }
@@ -316,12 +318,24 @@
         }
     }
 
+    fn is_manned(&self, slot: usize) -> bool {
+        self.processes.iter().any(|process| process.slot == slot && process.is_alive)
+    }
+
+    /// A daemon ends once the upstream refuses its grants for a higher fence.
+    fn end_superseded(&mut self, index: usize) {
+        let process = &self.processes[index];
+        let refused = process.fence > 0 && self.holders[process.slot] != index;
+        if refused && self.now >= process.paused {
+            self.rejoin(index);
+        }
+    }
+
+    /// The process ends; another starts in its place, unless one runs there.
     fn rejoin(&mut self, index: usize) {
         self.processes[index].is_alive = false;
         let slot = self.processes[index].slot;
-        if self.current[slot] == index {
-            self.plan(50 * MILLI, Due::Start(slot));
-        }
+        self.plan(50 * MILLI, Due::Start(slot));
     }
 
     fn leave(&mut self, index: usize) {
--- a/crates/rattanarch_ownership/tests/mutants.rs
+++ b/crates/rattanarch_ownership/tests/mutants.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::ops::RangeInclusive;
+
 use harness::Fault;
 use harness::Setting;
 use harness::World;
@@ -17,12 +19,17 @@
 
 /// Number of the first schedule that breaks safety in a world like `setting`, of schedules whose
 /// faults are of a `kind`.
-fn first_harm(setting: Setting, kind: fn(&Fault) -> bool) -> Option<u64> {
+fn first_harm(
+    setting: Setting,
+    slots: RangeInclusive<usize>,
+    kind: fn(&Fault) -> bool,
+) -> Option<u64> {
     (1..=LIMIT).find(|seed| {
         let mut g = Gen::from_size_and_seed(SCHEDULE, *seed);
         let mut faults = Vec::<Fault>::arbitrary(&mut g);
         faults.retain(kind);
-        let slots = 2 + usize::from(u8::arbitrary(&mut g) % 5);
+        let span = slots.end() - slots.start() + 1;
+        let slots = slots.start() + usize::from(u8::arbitrary(&mut g)) % span;
         let setting = Setting { seed: *seed, slots, ..setting };
         let harm = World::new(setting).live_through(&faults).err();
         harm.is_some_and(|harm| !harm.contains("unserved") && !harm.contains("no member"))
@@ -35,7 +42,7 @@
 
 fn needs(rules: Rules, kind: fn(&Fault) -> bool) {
     let setting = Setting { rules, ..Setting::default() };
-    let harm = first_harm(setting, kind);
+    let harm = first_harm(setting, 2..=6, kind);
     assert!(harm.is_some(), "{LIMIT} schedules found no harm without the rule");
     eprintln!("harm in schedule {harm:?}");
 }
@@ -120,7 +127,7 @@
     let timing = Timing { drift_ppm: 0, ..Timing::default() };
     let setting = Setting { timing, drift_ppm: 20_000, ..Setting::default() };
     assert!(
-        first_harm(setting, any).is_some(),
+        first_harm(setting, 2..=6, any).is_some(),
         "{LIMIT} schedules found no harm without the bound"
     );
 }
--- a/crates/rattanarch_ownership/tests/named_schedules.rs
+++ b/crates/rattanarch_ownership/tests/named_schedules.rs
@@ -52,6 +52,23 @@
     live(9_934_635_230_055_111_297, 4, &faults);
 }
 
+#[test]
+fn two_zombies() {
+    let faults = [
+        Fault::Calm,
+        Fault::Calm,
+        Fault::Outage { millis: 2_290 },
+        Fault::Zombie { slot: 35, millis: 3_553 },
+        Fault::Zombie { slot: 41, millis: 1_535 },
+        Fault::Calm,
+        Fault::Mute { slot: 89, millis: 2_529 },
+        Fault::Bar { slot: 172, out: false },
+    ];
+    let seed = 2_712_169_752_553_452_145;
+    let setting = Setting { seed, slots: 6, pace: 245, ..Setting::default() };
+    assert_eq!(World::new(setting).live_through(&faults), Ok(()));
+}
+
 #[test]
 fn stop_after_kill() {
     let faults = [Fault::Kill { slot: 64, millis: 1_120 }, Fault::Stop { slot: 101 }];
