--- a/crates/rattanarch_ownership/src/backoff.rs
+++ b/crates/rattanarch_ownership/src/backoff.rs
@@ -7,7 +7,7 @@
 use crate::draws::Draws;
 
 /// First pause of a member, which has keys waiting: a few round trips to the platform.
-const MEMBER_PAUSE: Duration = Duration::from_millis(20);
+const MEMBER_PAUSE: Duration = Duration::from_millis(40);
 /// First pause of a node that joins, one of a rack or a data centre perhaps.
 const JOIN_PAUSE: Duration = Duration::from_millis(160);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_280);
--- a/crates/rattanarch_ownership/src/lib.rs
+++ b/crates/rattanarch_ownership/src/lib.rs
@@ -4,6 +4,62 @@
 //! no I/O and reads no clock: the daemon feeds it [`Event`]s with the current time and carries out
 //! the [`Action`]s it returns. Unit tests, property tests, replayed model traces and the daemon
 //! run the same code. `docs/OWNERSHIP.md` states the argument for its safety.
+//!
+//! A node joins by writing itself into the record of its service. It then renews its lease with its
+//! witnesses, answers the requests of those that it witnesses itself, takes over owners that have
+//! gone silent, and gives slices away for balance or when it stops. [`Serving`] tells the request
+//! path at any time which keys it may serve.
+//!
+//! The first member of a service, with a platform that is a variable:
+//!
+//! ```
+//! use std::time::Duration;
+//! use rattanarch_ownership::{Action, Event, Node, Refusal, Timing, WriteOutcome};
+//! use rattanarch_types::{Member, Record, hash_key};
+//!
+//! let member = Member {
+//!     instance: "hafenhalle-1".to_owned(),
+//!     data_centre: "hafenhalle".to_owned(),
+//!     peer: ([127, 0, 0, 1], 7000).into(),
+//!     caller: ([127, 0, 0, 1], 7001).into(),
+//!     slots: 20,
+//!     fence: 0,
+//!     term: 0,
+//!     witnesses: Vec::new(),
+//!     leaving: false,
+//! };
+//! let mut node = Node::new(0xB007, member, Timing::default(), 1);
+//! let mut stored = Record::new("trade-desk", 144);
+//! let key = hash_key("tank-17");
+//!
+//! let mut now = Duration::from_secs(100);
+//! while node.serving().check(now, key).is_err() {
+//!     now += Duration::from_millis(40);
+//!     let mut events = vec![Event::Tick];
+//!     while let Some(event) = events.pop() {
+//!         for action in node.step(now, event) {
+//!             match action {
+//!                 Action::Read => {
+//!                     let record = stored.clone();
+//!                     events.push(Event::Record { record, read_sent: Some(now) });
+//!                 }
+//!                 Action::Write(record) => {
+//!                     stored = record;
+//!                     let write_id = stored.write_id;
+//!                     let outcome = WriteOutcome::Accepted;
+//!                     events.push(Event::Written { write_id, outcome });
+//!                 }
+//!                 other => unreachable!("a member alone asks for no {other:?}"),
+//!             }
+//!         }
+//!     }
+//! }
+//! assert_eq!(stored.owner_of(key), Some(0xB007));
+//!
+//! // Without further answers of the platform its lease ends.
+//! let later = now + Timing::default().lease;
+//! assert_eq!(node.serving().check(later, key), Err(Refusal::LeaseEnded));
+//! ```
 
 mod acks;
 mod action;
--- a/crates/rattanarch_ownership/tests/recovery.rs
+++ b/crates/rattanarch_ownership/tests/recovery.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::env;
+
 use harness::Fault;
 use harness::Setting;
 use harness::World;
@@ -12,6 +14,7 @@
 const TARGET_MILLIS: u64 = 2_000;
 /// Resolution of the figures.
 const STEP_MILLIS: u64 = 10;
+/// Kills of each size; `RATTANARCH_KILLS=n` sets another number.
 const KILLS: u64 = 30;
 
 /// A settled service whose upstreams check fences.
@@ -39,7 +42,8 @@
 
 #[allow(clippy::unwrap_used, reason = "a helper of tests")]
 fn downtimes(slots: usize) -> Vec<u64> {
-    let mut times: Vec<_> = (0..KILLS)
+    let kills = env::var("RATTANARCH_KILLS").ok().and_then(|kills| kills.parse().ok());
+    let mut times: Vec<_> = (0..kills.unwrap_or(KILLS))
         .map(|seed| {
             let mut world = steady(seed, slots);
             let phase = world.below(400);
