--- a/crates/rattanarch_ownership/tests/recovery.rs
+++ b/crates/rattanarch_ownership/tests/recovery.rs
@@ -148,6 +148,35 @@
     eprintln!("{} updates for a stop and a start", world.platform.writes - writes);
 }
 
+/// Slices that each slot's member owns.
+fn owned(world: &World) -> Vec<usize> {
+    let record = &world.platform.stored;
+    let count = |index: &usize| record.slices_of(world.processes[*index].node.me()).count();
+    world.current.iter().map(count).collect()
+}
+
+#[test]
+fn centre_out() {
+    let mut world = steady(8, 9);
+    let before = world.platform.stored.owners.clone();
+    for slot in [0, 3, 6] {
+        world.inflict(Fault::Bar { slot, out: true });
+    }
+    world.run(2_000).unwrap();
+    let counts = owned(&world);
+    assert_eq!([counts[0], counts[3], counts[6]], [0, 0, 0], "{counts:?}");
+    world.check_whole().unwrap();
+    let moved = world.platform.stored.owners.iter().zip(&before).filter(|(a, b)| a != b).count();
+    assert_eq!(moved, 12, "only the slices of the three members move");
+
+    for slot in [0, 3, 6] {
+        world.inflict(Fault::Bar { slot, out: false });
+    }
+    world.run(10_000).unwrap();
+    assert_eq!(owned(&world), [4; 9]);
+    world.check_whole().unwrap();
+}
+
 #[test]
 fn stop_in_outage() {
     let mut world = steady(7, 9);
