--- a/crates/rattanarch_ownership/tests/recovery.rs
+++ b/crates/rattanarch_ownership/tests/recovery.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::env;
+
 use harness::Fault;
 use harness::Setting;
 use harness::World;
@@ -12,6 +14,7 @@
 const TARGET_MILLIS: u64 = 2_000;
 /// Resolution of the figures.
 const STEP_MILLIS: u64 = 10;
+/// Kills of each size; `RATTANARCH_KILLS=n` sets another number.
 const KILLS: u64 = 30;
 
 /// A settled service whose upstreams check fences.
@@ -39,7 +42,8 @@
 
 #[allow(clippy::unwrap_used, reason = "a helper of tests")]
 fn downtimes(slots: usize) -> Vec<u64> {
-    let mut times: Vec<_> = (0..KILLS)
+    let kills = env::var("RATTANARCH_KILLS").ok().and_then(|kills| kills.parse().ok());
+    let mut times: Vec<_> = (0..kills.unwrap_or(KILLS))
         .map(|seed| {
             let mut world = steady(seed, slots);
             let phase = world.below(400);
@@ -144,6 +148,35 @@
     eprintln!("{} updates for a stop and a start", world.platform.writes - writes);
 }
 
+/// Slices that each slot's member owns.
+fn owned(world: &World) -> Vec<usize> {
+    let record = &world.platform.stored;
+    let count = |index: &usize| record.slices_of(world.processes[*index].node.me()).count();
+    world.current.iter().map(count).collect()
+}
+
+#[test]
+fn centre_out() {
+    let mut world = steady(8, 9);
+    let before = world.platform.stored.owners.clone();
+    for slot in [0, 3, 6] {
+        world.inflict(Fault::Bar { slot, out: true });
+    }
+    world.run(2_000).unwrap();
+    let counts = owned(&world);
+    assert_eq!([counts[0], counts[3], counts[6]], [0, 0, 0], "{counts:?}");
+    world.check_whole().unwrap();
+    let moved = world.platform.stored.owners.iter().zip(&before).filter(|(a, b)| a != b).count();
+    assert_eq!(moved, 12, "only the slices of the three members move");
+
+    for slot in [0, 3, 6] {
+        world.inflict(Fault::Bar { slot, out: false });
+    }
+    world.run(10_000).unwrap();
+    assert_eq!(owned(&world), [4; 9]);
+    world.check_whole().unwrap();
+}
+
 #[test]
 fn stop_in_outage() {
     let mut world = steady(7, 9);
