--- a/crates/rattanarch_admission/src/cold_start.rs
+++ b/crates/rattanarch_admission/src/cold_start.rs
@@ -6,8 +6,12 @@
 
 /// Requests at once that an upstream of which nothing is known gets.
 const START: f64 = 2.0;
-/// Growth for each answer: a quarter more in each round of answers.
-const GROWTH: f64 = 0.25;
+/// Growth for each answer before the first fall.
+const MAX_GROWTH: f64 = 1.0 / 16.0;
+/// Least growth for each answer.
+const MIN_GROWTH: f64 = 1.0 / 512.0;
+/// Part of the growth that is left after a fall while it grew.
+const FALL_PART: f64 = 0.5;
 /// Failures or very late answers in a row that mean a collapse.
 const COLLAPSE_RUN: u32 = 3;
 /// An answer is very late beyond this multiple of the mean.
@@ -15,8 +19,11 @@
 /// Weight of a new service time in the mean.
 const MEAN_WEIGHT: f64 = 0.1;
 
-/// Limit for an upstream that may be cold: small at first, it grows with each answer, and falls
-/// back at once when the upstream refuses as cold, or collapses without a word.
+/// Limit for an upstream that may be cold: small at first, it grows with each answer while it is
+/// in use, and falls back at once when the upstream refuses as cold, or collapses without a word.
+///
+/// A fall before the upstream was warm halves the growth, so that a few falls find the pace at
+/// which this upstream warms up.
 ///
 /// ```
 /// use std::time::Duration;
@@ -24,11 +31,12 @@
 ///
 /// let mut cold = ColdStart::new(20);
 /// assert_eq!(cold.limit(), 2);
-/// for _ in 0..72 {
-///     cold.note(Ending::Answered(Duration::from_millis(5)));
+/// for _ in 0..288 {
+///     let running = cold.limit();
+///     cold.note(Ending::Answered(Duration::from_millis(5)), running);
 /// }
 /// assert!(cold.is_warm());
-/// cold.note(Ending::Cold);
+/// cold.note(Ending::Cold, 20);
 /// assert_eq!(cold.limit(), 2);
 /// ```
 #[derive(Clone, Debug)]
@@ -36,6 +44,8 @@
     /// At least 1, at most `slots`.
     limit: f64,
     slots: f64,
+    /// Growth for each answer.
+    growth: f64,
     /// Mean service time in seconds; 0 before the first answer.
     mean: f64,
     /// Failures and very late answers since the last good one.
@@ -46,7 +56,7 @@
     /// For an upstream of `slots` (at least 1) that may be cold.
     pub fn new(slots: u16) -> Self {
         let slots = f64::from(slots.max(1));
-        Self { limit: START.min(slots), slots, mean: 0.0, bad: 0 }
+        Self { limit: START.min(slots), slots, growth: MAX_GROWTH, mean: 0.0, bad: 0 }
     }
 
     /// Requests that may run at once; 1 to the upstream's slots.
@@ -59,10 +69,11 @@
         self.limit >= self.slots
     }
 
-    /// Learns from a request's end. A refusal for want of room says nothing about warmth.
-    pub fn note(&mut self, ending: Ending) {
+    /// Learns from a request's end; `running` counts the requests under way just before it, itself
+    /// included. A refusal for want of room says nothing about warmth.
+    pub fn note(&mut self, ending: Ending, running: u32) {
         match ending {
-            Ending::Answered(time) if !self.is_late(time) => self.grow(time),
+            Ending::Answered(time) if !self.is_late(time) => self.grow(time, running),
             Ending::Answered(_) | Ending::Failed => self.fail(),
             Ending::Cold => self.fall(),
             Ending::Refused => {}
@@ -73,12 +84,15 @@
         self.mean > 0.0 && time.as_secs_f64() > self.mean * LATE_FACTOR
     }
 
-    fn grow(&mut self, time: Duration) {
+    fn grow(&mut self, time: Duration, running: u32) {
         let seconds = time.as_secs_f64();
         let weight = if self.mean == 0.0 { 1.0 } else { MEAN_WEIGHT };
         self.mean += (seconds - self.mean) * weight;
         self.bad = 0;
-        self.limit = (self.limit + GROWTH).min(self.slots);
+        // An upstream that is hardly used proves nothing about a higher limit.
+        if f64::from(running) * 2.0 >= self.limit {
+            self.limit = (self.limit + self.growth).min(self.slots);
+        }
     }
 
     fn fail(&mut self) {
@@ -90,6 +104,9 @@
 
     /// Starts anew, the mean included: a cold upstream is slower.
     fn fall(&mut self) {
+        if !self.is_warm() && self.limit > START {
+            self.growth = (self.growth * FALL_PART).max(MIN_GROWTH);
+        }
         self.limit = START.min(self.slots);
         self.mean = 0.0;
         self.bad = 0;
--- a/crates/rattanarch_admission/src/limiter.rs
+++ b/crates/rattanarch_admission/src/limiter.rs
@@ -118,7 +118,7 @@
     /// it, itself included.
     pub fn note(&mut self, now: Moment, ending: Ending, running: u32) {
         self.now = self.now.max(now);
-        self.cold.note(ending);
+        self.cold.note(ending, running);
         let deaf = self.deaf > 0;
         self.deaf = self.deaf.saturating_sub(1);
         match ending {
