--- a/crates/rattanarch_admission/src/limiter.rs
+++ b/crates/rattanarch_admission/src/limiter.rs
@@ -20,6 +20,8 @@
 const ROUND: f64 = 1.0;
 /// Least part of the limit that is left after a round of slow answers.
 const SLOW_PART: f64 = 0.8;
+/// Least part of the slots that slow answers alone leave.
+const LATENCY_FLOOR: f64 = 0.5;
 /// Part of the limit that is left after a refusal.
 const REFUSED_PART: f64 = 0.5;
 /// Part of the limit that is left after a request without an answer.
@@ -31,10 +33,12 @@
 
 /// Limit on the requests at one upstream at once, learnt from what the daemon itself measures.
 ///
-/// It rises by one a round while answers come at their usual time and the limit is in use, falls
-/// in proportion as they slow down, and falls at once on refusals. It never exceeds the upstream's
-/// slots, nor what [`ColdStart`] allows. A [`Report`] only corrects it: one that tells of running
-/// work that this daemon no longer counts takes away up to a quarter for a second, and none adds.
+/// It rises by one a round while answers come at their usual time and the limit is in use. It falls
+/// in proportion as they slow down, but by that alone not below half of the slots: slowness may
+/// come from elsewhere, and what is not sent is shed. It falls at once on refusals. It never
+/// exceeds the upstream's slots, nor what [`ColdStart`] allows. A [`Report`] only corrects it: one
+/// that tells of running work that this daemon no longer counts takes away up to a quarter for a
+/// second, and none adds.
 ///
 /// ```
 /// use std::time::Duration;
@@ -158,7 +162,9 @@
     fn adapt(&mut self, running: u32) {
         let gradient = TOLERANCE * self.base / self.mean.max(f64::MIN_POSITIVE);
         if gradient < 1.0 {
+            let least = (self.slots * LATENCY_FLOOR).min(self.limit);
             self.shrink(gradient.max(SLOW_PART));
+            self.limit = self.limit.max(least);
         } else if f64::from(running) * 2.0 >= self.limit {
             self.limit = (self.limit + 1.0).min(self.slots);
         }
