--- a/crates/rattanarch_admission/tests/selector.rs
+++ b/crates/rattanarch_admission/tests/selector.rs
@@ -69,6 +69,31 @@
     assert!(hits > 300, "{hits} of 4000 after its recovery");
 }
 
+#[test]
+fn ejected_skipped() {
+    let mut selector = Selector::default();
+    let keys: Vec<_> = (0..3).map(|_| selector.insert()).collect();
+    for _ in 0..5 {
+        for key in &keys {
+            selector.start(*key);
+            let millis = if *key == keys[0] { 100 } else { 5 };
+            selector.end(ms(1), *key, Ending::Answered(ms(millis)));
+        }
+    }
+    assert_eq!(selector.ejected(), 1);
+    // The others are so busy that the ejected one would be expected to be faster.
+    for key in &keys[1..] {
+        for _ in 0..50 {
+            selector.start(*key);
+        }
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for _ in 0..100 {
+        let draws = [rng.next_u64(), rng.next_u64()];
+        assert_ne!(selector.choose(ms(2), draws, None), Some(keys[0]));
+    }
+}
+
 #[test]
 fn bounded_ejection() {
     let mut selector = Selector::default();
