Admit requests by limit, priority and deadline

Cause: a plain semaphore of slots let a cold upstream be overrun and held the queue for all alike. The limit starts at 2, rises with answers, halves with refusals; a waiting request goes by priority and is shed when it cannot be answered in time. A given-up request keeps its slot 200 ms (its upstream ends what is past its deadline); one whose connection was cut, not at all: with slots held for the whole watch, one mute request blocked a limit of 1 for 5 s (late_answer failed so), and ten cut ones turned the next away (no_duplicate_run failed so).

silent_connections is warmed up first by 40 requests, since four at once are no longer let through from the start; what it checks is unchanged.

Seen to fail, one mechanism taken out at a time: no limit slots_bound, shed_early, cold_collapse no priorities mixed_priority start at all slots mixed_priority, cold_collapse no fall on refusals cold_collapse Not seen to fail: shed_early without shedding by deadline; the queue's bound sheds as well there.

--- a/crates/rattanarchd/src/request/exchange.rs
+++ b/crates/rattanarchd/src/request/exchange.rs
@@ -37,11 +37,14 @@
 /// had left.
 const MAX_MOVES: usize = 3;
 
+/// How long a given-up request keeps its slot: upstreams end what is past its deadline.
+const SLOT_LINGER: Duration = Duration::from_millis(200);
+
 /// What a request keeps until its end is known.
 #[derive(Debug, Default)]
 pub(crate) struct Hold {
     /// Leave to run at the own upstream; `None` if it was forwarded.
-    pub(crate) _permit: Option<Permit>,
+    pub(crate) permit: Option<Permit>,
     /// Entry among the running ones; `None` if it was forwarded.
     pub(crate) run: Option<RunGuard>,
 }
@@ -206,8 +209,10 @@
         head.headers().get(headers::REQUEST).is_some_and(|id| id.as_bytes() == self.id.as_bytes())
     }
 
-    /// Leaves a request of unknown outcome without a connection.
-    fn give_up(self) {
+    /// Leaves a request of unknown outcome without a connection. Its slot is free: the upstream
+    /// has ended the connection, or answers on it.
+    fn give_up(mut self) {
+        self.hold.permit = None;
         tokio::spawn(self.watch(std::future::pending()));
     }
 
@@ -215,27 +220,43 @@
     /// time to watch is over; cancels it where that is safe.
     async fn watch(mut self, sending: impl Future<Output = Result<Response<Incoming>, SendError>>) {
         let abandoned = self.hold.run.take().map(RunGuard::abandon);
-        let ended = tokio::select! {
-            sent = self.late_answer(sending) => sent,
-            () = self.cancelled() => true,
-            () = tokio::time::sleep(self.linger) => false,
+        let permit = self.hold.permit.take();
+        let ended = {
+            let mut known = std::pin::pin!(self.end_known(sending));
+            if tokio::time::timeout(SLOT_LINGER, &mut known).await.is_ok() {
+                true
+            } else {
+                drop(permit);
+                tokio::time::timeout(self.linger, &mut known).await.is_ok()
+            }
         };
         if let Some(abandoned) = abandoned.filter(|_| ended) {
             abandoned.settle();
         }
     }
 
-    /// Waits for the answer of a request that was given up; returns whether it came.
+    /// Returns once the request is known to run no more.
+    async fn end_known(
+        &self,
+        sending: impl Future<Output = Result<Response<Incoming>, SendError>>,
+    ) {
+        tokio::select! {
+            () = self.late_answer(sending) => {}
+            () = self.cancelled() => {}
+        }
+    }
+
+    /// Waits for the answer of a request that was given up.
     async fn late_answer(
         &self,
         sending: impl Future<Output = Result<Response<Incoming>, SendError>>,
-    ) -> bool {
+    ) {
         if self.control.is_none() {
             // A closed connection is how the peer learns that the request was given up.
-            return true;
+            return;
         }
         match sending.await {
-            Ok(head) if self.is_mine(&head) => true,
+            Ok(head) if self.is_mine(&head) => {}
             _ => std::future::pending().await,
         }
     }
--- a/crates/rattanarchd/src/request/local.rs
+++ b/crates/rattanarchd/src/request/local.rs
@@ -1,6 +1,7 @@
 //! Requests that run at the upstream beside this daemon.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use hyper::Response;
 use rattanarch_types::Fence;
@@ -16,6 +17,7 @@
 use crate::request::exchange::Hold;
 use crate::request::headers;
 use crate::request::job::Job;
+use crate::request::limiter::Ending;
 
 impl RequestPath {
     /// Runs the request at the own upstream.
@@ -46,12 +48,13 @@
             linger: self.settings.linger,
             control: Some(Arc::clone(&self.control)),
             checks_fence: self.settings.checks_fence,
-            hold: Hold { _permit: Some(permit), run: Some(run) },
+            hold: Hold { permit: Some(permit), run: Some(run) },
         };
-        let mut head = exchange.run(request).await?;
+        let start = Instant::now();
+        let outcome = exchange.run(request).await.and_then(|head| self.judge(head));
         flight.note_latency();
-        self.judge(&mut head)?;
-        Ok(head)
+        self.admission.note(ending(&outcome, start));
+        outcome
     }
 
     fn note_load(&self, hash: Option<KeyHash>) {
@@ -76,8 +79,8 @@
     }
 
     /// Reads the upstream's own verdict.
-    fn judge(&self, head: &mut Response<OutBody>) -> Result<(), RequestError> {
-        if answer::verdict(head) == Some(Verdict::NotRun) {
+    fn judge(&self, mut head: Response<OutBody>) -> Result<Response<OutBody>, RequestError> {
+        if answer::verdict(&head) == Some(Verdict::NotRun) {
             let retry = headers::millis(head.headers(), &headers::RETRY).and_then(Result::ok);
             let status = head.status().as_u16();
             return Err(RequestError::UpstreamRefused { status, retry });
@@ -89,6 +92,16 @@
         if let Some(member) = view.serving.record.members.get(&view.serving.me) {
             fields.insert(headers::OWNER, headers::value(&member.caller.to_string()));
         }
-        Ok(())
+        Ok(head)
+    }
+}
+
+/// What the outcome tells of the upstream's load.
+fn ending(outcome: &Result<Response<OutBody>, RequestError>, start: Instant) -> Ending {
+    match outcome {
+        Err(RequestError::UpstreamRefused { status: 503, .. }) => Ending::Refused,
+        // A refusal for a replaced fence or a passed deadline is an answer too.
+        Ok(_) | Err(RequestError::UpstreamRefused { .. }) => Ending::Answered(start.elapsed()),
+        Err(_) => Ending::Failed,
     }
 }
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod headers;
 mod job;
+mod limiter;
 mod load_meter;
 mod local;
 mod path;
@@ -18,6 +19,7 @@
 mod settings;
 mod spread;
 mod target;
+mod waiting;
 
 pub(crate) use body::OutBody;
 pub use error::RequestError;
