Take limits, queue, choice and budgets from rattanarch_admission

Cause: the policies are checked there by themselves; the request path keeps only the state around them. A refusal by an upstream that is not yet warm is taken for cold: this daemon is its only caller and keeps within its slots, so it bears less than thought. RequestPath::report_load feeds the upstream's own report, for the control loop to call.

cold_collapse failed at first (22 refused, at most 20 allowed): a refused answer gave its slot to the next request before the refusal had lowered the limit, so each probe cost two refusals.

--- a/crates/rattanarchd/src/request/admission.rs
+++ b/crates/rattanarchd/src/request/admission.rs
@@ -7,33 +7,41 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rattanarch_admission::Ending;
+use rattanarch_admission::Limiter;
+use rattanarch_admission::Pace;
+use rattanarch_admission::Queue;
+use rattanarch_admission::Report;
+use rattanarch_admission::Shed;
+use rattanarch_types::Moment;
 use rattanarch_types::Priority;
 use tokio::sync::oneshot;
 
 use crate::request::RequestError;
-use crate::request::limiter::Ending;
-use crate::request::limiter::Limiter;
-use crate::request::waiting::Waiting;
 
 /// Most waiting requests for each slot.
 const QUEUE_PER_SLOT: usize = 2;
-/// Least time that a refused caller is told to stay away.
-const MIN_RETRY: Duration = Duration::from_millis(20);
 
 /// Lets requests through to the upstream: no more at once than it bears, the urgent first, and
 /// none that would come too late.
 #[derive(Clone, Debug)]
 pub(crate) struct Admission {
+    /// Origin of the moments given to the policy.
+    origin: Instant,
     state: Arc<Mutex<AdmissionState>>,
 }
 
 #[derive(Debug)]
 struct AdmissionState {
     limiter: Limiter,
+    /// Permits that are held.
     running: u32,
-    waiting: Waiting<oneshot::Sender<Permit>>,
+    queue: Queue<Waiter>,
 }
 
+/// Where a waiting request learns of its permit, or after what time to come back.
+type Waiter = oneshot::Sender<Result<Permit, Duration>>;
+
 /// Leave to run one request at the upstream, until dropped.
 #[derive(Debug)]
 pub(crate) struct Permit {
@@ -42,9 +50,9 @@
 
 impl Admission {
     pub(crate) fn new(slots: u16) -> Self {
-        let waiting = Waiting::new(usize::from(slots) * QUEUE_PER_SLOT);
-        let state = AdmissionState { limiter: Limiter::new(slots), running: 0, waiting };
-        Self { state: Arc::new(Mutex::new(state)) }
+        let queue = Queue::new(usize::from(slots) * QUEUE_PER_SLOT);
+        let state = AdmissionState { limiter: Limiter::new(slots), running: 0, queue };
+        Self { origin: Instant::now(), state: Arc::new(Mutex::new(state)) }
     }
 
     /// Waits for a slot.
@@ -56,52 +64,81 @@
         priority: Priority,
         deadline: Instant,
     ) -> Result<Permit, RequestError> {
-        let (waiter, latest, wait) = {
+        let waiter = {
             let mut state = self.lock();
-            if state.running < state.limiter.limit() && state.waiting.ahead(priority) == 0 {
+            if state.running < state.limiter.limit() && state.queue.ahead(priority) == 0 {
                 state.running += 1;
-                return Ok(Permit { admission: self.clone() });
-            }
-            let wait = state.expected_wait(priority);
-            let latest = deadline.checked_sub(state.limiter.mean()).unwrap_or(deadline);
-            if Instant::now() + wait >= latest {
-                return Err(overloaded(wait));
+                return Ok(self.permit());
             }
             let (tx, rx) = oneshot::channel();
-            state.waiting.push(priority, latest, tx);
-            (rx, latest, wait)
+            let end = deadline.saturating_duration_since(self.origin);
+            let shed = state.push(self.now(), priority, end, tx);
+            drop(state);
+            turn_away(shed);
+            rx
         };
-        match tokio::time::timeout_at(latest.into(), waiter).await {
-            Ok(Ok(permit)) => Ok(permit),
-            _ => Err(overloaded(wait)),
+        // What is not shed by the policy is given up here: nothing may end while it waits.
+        match tokio::time::timeout_at(deadline.into(), waiter).await {
+            Ok(Ok(Ok(permit))) => Ok(permit),
+            Ok(Ok(Err(retry))) => Err(RequestError::Overloaded { retry }),
+            Ok(Err(_)) | Err(_) => Err(RequestError::Overloaded { retry: self.retry(priority) }),
         }
     }
 
-    /// Learns from a request's end.
+    /// Learns from a request's end; its permit still counts.
     pub(crate) fn note(&self, ending: Ending) {
         let mut state = self.lock();
-        let running = state.running;
-        state.limiter.note(ending, running);
+        let ending = match ending {
+            // This daemon is its only caller and keeps within its slots: it bears less than warm.
+            Ending::Refused if !state.limiter.is_warm() => Ending::Cold,
+            other => other,
+        };
+        let running = state.running.max(1);
+        state.limiter.note(self.now(), ending, running);
         drop(state);
         self.start_waiting();
     }
 
+    /// Takes the upstream's own report of its load.
+    pub(crate) fn report(&self, report: Report) {
+        let mut state = self.lock();
+        let running = state.running;
+        state.limiter.report(self.now(), report, running);
+    }
+
     fn start_waiting(&self) {
         while let Some(waiter) = self.next_waiter() {
             // A waiter that has gone away drops its permit, which starts the next.
-            let _ = waiter.send(Permit { admission: self.clone() });
+            let _ = waiter.send(Ok(self.permit()));
         }
     }
 
     /// The next waiter, a slot being taken for it.
-    fn next_waiter(&self) -> Option<oneshot::Sender<Permit>> {
+    fn next_waiter(&self) -> Option<Waiter> {
         let mut state = self.lock();
         if state.running >= state.limiter.limit() {
             return None;
         }
-        let waiter = state.waiting.pop(Instant::now())?;
-        state.running += 1;
-        Some(waiter)
+        state.set_pace();
+        let popped = state.queue.pop(self.now());
+        if popped.next.is_some() {
+            state.running += 1;
+        }
+        drop(state);
+        turn_away(popped.shed);
+        popped.next
+    }
+
+    fn retry(&self, priority: Priority) -> Duration {
+        self.lock().queue.wait(priority).max(Duration::from_millis(1))
+    }
+
+    fn permit(&self) -> Permit {
+        Permit { admission: self.clone() }
+    }
+
+    fn now(&self) -> Moment {
+        self.origin.elapsed()
     }
 
     fn lock(&self) -> MutexGuard<'_, AdmissionState> {
@@ -110,10 +147,20 @@
 }
 
 impl AdmissionState {
-    /// How long a new request would wait, at the mean service time.
-    fn expected_wait(&self, priority: Priority) -> Duration {
-        let rounds = self.waiting.ahead(priority) as f64 / f64::from(self.limiter.limit());
-        self.limiter.mean().mul_f64(rounds)
+    fn push(
+        &mut self,
+        now: Moment,
+        priority: Priority,
+        deadline: Moment,
+        waiter: Waiter,
+    ) -> Vec<Shed<Waiter>> {
+        self.set_pace();
+        self.queue.push(now, priority, deadline, waiter)
+    }
+
+    fn set_pace(&mut self) {
+        let pace = Pace { limit: self.limiter.limit(), mean: self.limiter.mean() };
+        self.queue.set_pace(pace);
     }
 }
 
@@ -124,6 +171,9 @@
     }
 }
 
-fn overloaded(wait: Duration) -> RequestError {
-    RequestError::Overloaded { retry: wait.max(MIN_RETRY) }
+fn turn_away(shed: Vec<Shed<Waiter>>) {
+    for Shed { item, retry } in shed {
+        // A waiter that has gone away needs no answer.
+        let _ = item.send(Err(retry));
+    }
 }
--- a/crates/rattanarchd/src/request/forward.rs
+++ b/crates/rattanarchd/src/request/forward.rs
@@ -1,12 +1,14 @@
 //! Requests that run at another member's upstream.
 
-use hyper::Response;
+use std::sync::Arc;
+use std::sync::PoisonError;
+
+use rattanarch_admission::RetryBudget;
 use rattanarch_ownership::Refusal;
 use rattanarch_types::BootId;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Verdict;
 
-use crate::request::OutBody;
 use crate::request::RequestError;
 use crate::request::RequestPath;
 use crate::request::answer;
@@ -14,16 +16,19 @@
 use crate::request::exchange::Hold;
 use crate::request::headers;
 use crate::request::job::Job;
-
-type Outcome = Result<Response<OutBody>, RequestError>;
+use crate::request::outcome;
+use crate::request::outcome::Outcome;
 
 impl RequestPath {
     /// Runs the request at the owner of its key, once more if the first attempt allows it.
     pub(super) async fn run_keyed(&self, job: &mut Job, hash: KeyHash) -> Outcome {
         let tried = self.views.current().serving.record.owner_of(hash);
         let outcome = self.run_at_owner(job, hash).await;
-        let moved = self.views.current().serving.record.owner_of(hash) != tried;
-        if !self.may_retry(job, &outcome, moved) {
+        let Some(owner) = self.views.current().serving.record.owner_of(hash) else {
+            return outcome;
+        };
+        let moved = Some(owner) != tried;
+        if !Self::allows_retry(job, &outcome, moved) || !self.spend_retry(owner) {
             return outcome;
         }
         self.run_at_owner(job, hash).await
@@ -41,14 +46,10 @@
         self.forward(job, owner).await
     }
 
-    /// Whether a second attempt is safe, of use, and within the budget. `moved` says that it would
-    /// go to another place than the first.
-    pub(super) fn may_retry(&self, job: &Job, outcome: &Outcome, moved: bool) -> bool {
-        let verdict = match outcome {
-            Ok(head) => answer::verdict(head),
-            Err(error) => Some(error.verdict()),
-        };
-        let verdict = verdict.unwrap_or(Verdict::MayHaveRun);
+    /// Whether a second attempt is safe and of use. `moved` says that it would go to another place
+    /// than the first.
+    pub(super) fn allows_retry(job: &Job, outcome: &Outcome, moved: bool) -> bool {
+        let verdict = outcome::verdict(outcome);
         if !verdict.may_retry(job.is_idempotent()) || !job.payload.is_whole() {
             return false;
         }
@@ -59,7 +60,20 @@
             (_, Err(RequestError::Cut(_) | RequestError::Crossed)) => true,
             _ => false,
         };
-        of_use && !job.left().is_zero() && self.budget.spend()
+        of_use && !job.left().is_zero()
+    }
+
+    /// Takes leave for a retry at `member` from the budgets of the service and of the member.
+    pub(super) fn spend_retry(&self, member: BootId) -> bool {
+        let view = self.views.current();
+        let record = &view.serving.record;
+        let peer = match record.members.get(&member) {
+            Some(state) if member != view.serving.me => self.peers.get(state.caller, record),
+            _ => Arc::clone(&self.upstream),
+        };
+        let mut service = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut upstream = peer.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        RetryBudget::spend(&mut service, &mut upstream)
     }
 
     /// Sends the request on to `member`.
@@ -76,9 +90,9 @@
         let Some(request) = job.for_peer(&peer.pool, &id, view.serving.me) else {
             return Err(RequestError::BodyMalformed);
         };
-        let flight = peer.begin();
+        peer.earn();
         let exchange = Exchange {
-            pool: std::sync::Arc::clone(&peer.pool),
+            pool: Arc::clone(&peer.pool),
             id,
             deadline: job.deadline,
             idempotent: job.is_idempotent(),
@@ -88,9 +102,7 @@
             checks_fence: false,
             hold: Hold::default(),
         };
-        let outcome = exchange.run(request).await;
-        flight.note_latency();
-        let mut head = outcome?;
+        let mut head = exchange.run(request).await?;
         if answer::verdict(&head).is_none() {
             return Err(RequestError::Crossed);
         }
--- a/crates/rattanarchd/src/request/local.rs
+++ b/crates/rattanarchd/src/request/local.rs
@@ -4,6 +4,8 @@
 use std::time::Instant;
 
 use hyper::Response;
+use hyper::StatusCode;
+use rattanarch_admission::Ending;
 use rattanarch_types::Fence;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Verdict;
@@ -17,7 +19,7 @@
 use crate::request::exchange::Hold;
 use crate::request::headers;
 use crate::request::job::Job;
-use crate::request::limiter::Ending;
+use crate::request::outcome::Outcome;
 
 impl RequestPath {
     /// Runs the request at the own upstream.
@@ -38,7 +40,7 @@
         let Some(request) = job.for_upstream(&pool, &id, fence) else {
             return Err(RequestError::BodyMalformed);
         };
-        let flight = self.upstream.begin();
+        self.upstream.earn();
         let exchange = Exchange {
             pool,
             id,
@@ -51,10 +53,10 @@
             hold: Hold { permit: Some(permit), run: Some(run) },
         };
         let start = Instant::now();
-        let outcome = exchange.run(request).await.and_then(|head| self.judge(head));
-        flight.note_latency();
+        let outcome = exchange.run(request).await;
+        // Noted before a refused head is dropped, whose slot would go by the old limit.
         self.admission.note(ending(&outcome, start));
-        outcome
+        outcome.and_then(|head| self.judge(head))
     }
 
     fn note_load(&self, hash: Option<KeyHash>) {
@@ -96,12 +98,13 @@
     }
 }
 
-/// What the outcome tells of the upstream's load.
-fn ending(outcome: &Result<Response<OutBody>, RequestError>, start: Instant) -> Ending {
-    match outcome {
-        Err(RequestError::UpstreamRefused { status: 503, .. }) => Ending::Refused,
-        // A refusal for a replaced fence or a passed deadline is an answer too.
-        Ok(_) | Err(RequestError::UpstreamRefused { .. }) => Ending::Answered(start.elapsed()),
-        Err(_) => Ending::Failed,
+/// What an attempt at the upstream that began at `start` tells of its load.
+fn ending(outcome: &Outcome, start: Instant) -> Ending {
+    let Ok(head) = outcome else { return Ending::Failed };
+    let refused = answer::verdict(head) == Some(Verdict::NotRun);
+    if refused && head.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Ending::Refused;
     }
+    // A refusal for a replaced fence or a passed deadline tells of no load.
+    Ending::Answered(start.elapsed())
 }
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -3,23 +3,22 @@
 mod admission;
 mod answer;
 mod body;
-mod budget;
+mod chooser;
 mod control;
 mod error;
 mod exchange;
 mod forward;
 mod headers;
 mod job;
-mod limiter;
 mod load_meter;
 mod local;
+mod outcome;
 mod path;
 mod peers;
 mod running;
 mod settings;
 mod spread;
 mod target;
-mod waiting;
 
 pub(crate) use body::OutBody;
 pub use error::RequestError;
--- /dev/null
+++ b/crates/rattanarchd/src/request/outcome.rs
@@ -0,0 +1,38 @@
+//! What an attempt came to.
+
+use std::time::Instant;
+
+use hyper::Response;
+use rattanarch_admission::Ending;
+use rattanarch_types::Verdict;
+
+use crate::request::OutBody;
+use crate::request::RequestError;
+use crate::request::answer;
+
+/// What an attempt came to: the head of an answer, or why there is none.
+pub(crate) type Outcome = Result<Response<OutBody>, RequestError>;
+
+/// Whether the attempt may have run; one whose answer does not say so may.
+pub(crate) fn verdict(outcome: &Outcome) -> Verdict {
+    match outcome {
+        Ok(head) => answer::verdict(head).unwrap_or(Verdict::MayHaveRun),
+        Err(error) => error.verdict(),
+    }
+}
+
+/// What an attempt that began at `start` tells of the load where it went.
+pub(crate) fn ending(outcome: &Outcome, start: Instant) -> Ending {
+    match (verdict(outcome), outcome) {
+        (Verdict::Done, _) => Ending::Answered(start.elapsed()),
+        (Verdict::NotRun, Err(RequestError::UpstreamRefused { status, .. })) if *status != 503 => {
+            // A replaced fence or a passed deadline tells nothing of load.
+            Ending::Answered(start.elapsed())
+        }
+        (Verdict::NotRun, Err(RequestError::Unreachable { .. } | RequestError::Late)) => {
+            Ending::Failed
+        }
+        (Verdict::NotRun, _) => Ending::Refused,
+        (Verdict::MayHaveRun, _) => Ending::Failed,
+    }
+}
--- a/crates/rattanarchd/src/request/path.rs
+++ b/crates/rattanarchd/src/request/path.rs
@@ -3,6 +3,8 @@
 use std::collections::hash_map::RandomState;
 use std::hash::BuildHasher;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -10,6 +12,8 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use rattanarch_admission::Report;
+use rattanarch_admission::RetryBudget;
 use rattanarch_ownership::Refusal;
 use rattanarch_types::Route;
 use rattanarch_types::Service;
@@ -26,7 +30,7 @@
 use crate::request::admission::Admission;
 use crate::request::answer;
 use crate::request::body::Payload;
-use crate::request::budget::RetryBudget;
+use crate::request::chooser::Chooser;
 use crate::request::headers;
 use crate::request::job::Job;
 use crate::request::job::Key;
@@ -48,7 +52,9 @@
     pub(super) running: Running,
     pub(super) load: LoadMeter,
     pub(super) admission: Admission,
-    pub(super) budget: RetryBudget,
+    /// Bound on the retries of the service.
+    pub(super) budget: Mutex<RetryBudget>,
+    pub(super) chooser: Chooser,
     pub(super) upstream: Arc<Peer>,
     pub(super) control: Arc<Pool>,
     pub(super) peers: Peers,
@@ -65,7 +71,8 @@
             running: Running::new(views.clone()),
             load: LoadMeter::default(),
             admission: Admission::new(settings.slots),
-            budget: RetryBudget::default(),
+            budget: Mutex::default(),
+            chooser: Chooser::new(),
             upstream: Peer::new(settings.upstream, connections),
             control: Pool::new(settings.upstream, CONTROL_CONNECTIONS),
             peers: Peers::new(settings.peer_connections),
@@ -88,6 +95,11 @@
         &self.load
     }
 
+    /// Takes the upstream's own report of its load, which corrects what was measured here.
+    pub fn report_load(&self, running: u32, slots: u32) {
+        self.admission.report(Report { running, slots });
+    }
+
     pub(crate) fn settings(&self) -> &RequestSettings {
         &self.settings
     }
@@ -121,7 +133,7 @@
         let start = Instant::now();
         let view = self.views.current();
         let mut job = self.read(request, &view, start).await?;
-        self.budget.earn();
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner).earn();
         match job.key.as_ref().map(|key| key.hash) {
             Some(hash) => self.run_keyed(&mut job, hash).await,
             None => self.run_unkeyed(&mut job).await,
--- a/crates/rattanarchd/src/request/peers.rs
+++ b/crates/rattanarchd/src/request/peers.rs
@@ -1,77 +1,32 @@
-//! Upstreams and peers as this daemon has experienced them.
+//! The own upstream and the peers, as requests are sent to them.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
-use std::time::Instant;
 
+use rattanarch_admission::RetryBudget;
 use rattanarch_types::Record;
 
 use crate::connection::Pool;
 
-/// Share of a new latency in the mean, as a divisor.
-const MEAN_SHARE: u64 = 8;
-/// Latency of a peer that has not answered yet.
-const FIRST_LATENCY: Duration = Duration::from_millis(1);
-
 /// One address that requests are sent to.
 #[derive(Debug)]
 pub(crate) struct Peer {
     pub(crate) pool: Arc<Pool>,
-    /// Requests sent and not yet ended.
-    in_flight: AtomicU32,
-    /// Mean time to the head of an answer, in microseconds.
-    latency: AtomicU64,
-}
-
-/// A request on its way to a peer, until dropped.
-#[derive(Debug)]
-pub(crate) struct Flight {
-    peer: Arc<Peer>,
-    start: Instant,
+    /// Bound on the retries that it gets.
+    pub(crate) budget: Mutex<RetryBudget>,
 }
 
 impl Peer {
     pub(crate) fn new(address: SocketAddr, connections: u16) -> Arc<Self> {
-        let latency = AtomicU64::new(FIRST_LATENCY.as_micros() as u64);
-        let pool = Pool::new(address, connections);
-        Arc::new(Self { pool, in_flight: AtomicU32::new(0), latency })
-    }
-
-    /// Expected wait: requests in flight, the new one included, times the mean latency.
-    pub(crate) fn cost(&self) -> u64 {
-        let in_flight = u64::from(self.in_flight.load(Ordering::Relaxed));
-        (in_flight + 1) * self.latency.load(Ordering::Relaxed)
+        Arc::new(Self { pool: Pool::new(address, connections), budget: Mutex::default() })
     }
 
-    /// Counts a request until the result is dropped.
-    pub(crate) fn begin(self: &Arc<Self>) -> Flight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        Flight { peer: Arc::clone(self), start: Instant::now() }
-    }
-}
-
-impl Flight {
-    /// Notes that the attempt has ended, with an answer or a timeout.
-    pub(crate) fn note_latency(&self) {
-        let sample = self.start.elapsed().as_micros() as u64;
-        let latency = &self.peer.latency;
-        let mean = latency.load(Ordering::Relaxed);
-        // A lost update between two threads costs one sample.
-        let mean = mean - mean / MEAN_SHARE + sample / MEAN_SHARE;
-        latency.store(mean.max(1), Ordering::Relaxed);
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.peer.in_flight.fetch_sub(1, Ordering::Relaxed);
+    /// Notes a request.
+    pub(crate) fn earn(&self) {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner).earn();
     }
 }
 
