--- a/crates/rattanarchd/src/request/admission.rs
+++ b/crates/rattanarchd/src/request/admission.rs
@@ -1,51 +1,179 @@
-//! How many requests run at the upstream at once.
+//! Which requests run at the upstream, and when.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
+use rattanarch_admission::Ending;
+use rattanarch_admission::Limiter;
+use rattanarch_admission::Pace;
+use rattanarch_admission::Queue;
+use rattanarch_admission::Report;
+use rattanarch_admission::Shed;
+use rattanarch_types::Moment;
 use rattanarch_types::Priority;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
+use tokio::sync::oneshot;
 
 use crate::request::RequestError;
 
-/// Longest wait for a slot.
-const MAX_WAIT: Duration = Duration::from_millis(100);
+/// Most waiting requests for each slot.
+const QUEUE_PER_SLOT: usize = 2;
 
-/// Lets requests through to the upstream, within its slots.
-#[derive(Debug)]
+/// Lets requests through to the upstream: no more at once than it bears, the urgent first, and
+/// none that would come too late.
+#[derive(Clone, Debug)]
 pub(crate) struct Admission {
-    slots: Arc<Semaphore>,
+    /// Origin of the moments given to the policy.
+    origin: Instant,
+    state: Arc<Mutex<AdmissionState>>,
 }
 
+#[derive(Debug)]
+struct AdmissionState {
+    limiter: Limiter,
+    /// Permits that are held.
+    running: u32,
+    queue: Queue<Waiter>,
+}
+
+/// Where a waiting request learns of its permit, or after what time to come back.
+type Waiter = oneshot::Sender<Result<Permit, Duration>>;
+
 /// Leave to run one request at the upstream, until dropped.
 #[derive(Debug)]
 pub(crate) struct Permit {
-    _slot: OwnedSemaphorePermit,
+    admission: Admission,
 }
 
 impl Admission {
     pub(crate) fn new(slots: u16) -> Self {
-        Self { slots: Arc::new(Semaphore::new(usize::from(slots))) }
+        let queue = Queue::new(usize::from(slots) * QUEUE_PER_SLOT);
+        let state = AdmissionState { limiter: Limiter::new(slots), running: 0, queue };
+        Self { origin: Instant::now(), state: Arc::new(Mutex::new(state)) }
     }
 
     /// Waits for a slot.
     ///
     /// # Errors
-    /// [`RequestError::Overloaded`] at once if none will be free in time.
+    /// [`RequestError::Overloaded`] as soon as it is clear that none is free in time.
     pub(crate) async fn admit(
         &self,
         priority: Priority,
         deadline: Instant,
     ) -> Result<Permit, RequestError> {
-        let _ = priority;
-        let slots = Arc::clone(&self.slots);
-        let left = deadline.saturating_duration_since(Instant::now());
-        let acquired = tokio::time::timeout(left.min(MAX_WAIT), slots.acquire_owned()).await;
-        match acquired {
-            Ok(Ok(slot)) => Ok(Permit { _slot: slot }),
-            _ => Err(RequestError::Overloaded { retry: MAX_WAIT }),
+        let waiter = {
+            let mut state = self.lock();
+            if state.running < state.limiter.limit() && state.queue.ahead(priority) == 0 {
+                state.running += 1;
+                return Ok(self.permit());
+            }
+            let (tx, rx) = oneshot::channel();
+            let end = deadline.saturating_duration_since(self.origin);
+            let shed = state.push(self.now(), priority, end, tx);
+            drop(state);
+            turn_away(shed);
+            rx
+        };
+        // What is not shed by the policy is given up here: nothing may end while it waits.
+        match tokio::time::timeout_at(deadline.into(), waiter).await {
+            Ok(Ok(Ok(permit))) => Ok(permit),
+            Ok(Ok(Err(retry))) => Err(RequestError::Overloaded { retry }),
+            Ok(Err(_)) | Err(_) => Err(RequestError::Overloaded { retry: self.retry(priority) }),
+        }
+    }
+
+    /// Learns from a request's end; its permit still counts.
+    pub(crate) fn note(&self, ending: Ending) {
+        let mut state = self.lock();
+        let ending = match ending {
+            // This daemon is its only caller and keeps within its slots: it bears less than warm.
+            Ending::Refused if !state.limiter.is_warm() => Ending::Cold,
+            other => other,
+        };
+        let running = state.running.max(1);
+        state.limiter.note(self.now(), ending, running);
+        drop(state);
+        self.start_waiting();
+    }
+
+    /// Takes the upstream's own report of its load.
+    pub(crate) fn report(&self, report: Report) {
+        let mut state = self.lock();
+        let running = state.running;
+        state.limiter.report(self.now(), report, running);
+    }
+
+    fn start_waiting(&self) {
+        while let Some(waiter) = self.next_waiter() {
+            // A waiter that has gone away drops its permit, which starts the next.
+            let _ = waiter.send(Ok(self.permit()));
         }
     }
+
+    /// The next waiter, a slot being taken for it.
+    fn next_waiter(&self) -> Option<Waiter> {
+        let mut state = self.lock();
+        if state.running >= state.limiter.limit() {
+            return None;
+        }
+        state.set_pace();
+        let popped = state.queue.pop(self.now());
+        if popped.next.is_some() {
+            state.running += 1;
+        }
+        drop(state);
+        turn_away(popped.shed);
+        popped.next
+    }
+
+    fn retry(&self, priority: Priority) -> Duration {
+        self.lock().queue.wait(priority).max(Duration::from_millis(1))
+    }
+
+    fn permit(&self) -> Permit {
+        Permit { admission: self.clone() }
+    }
+
+    fn now(&self) -> Moment {
+        self.origin.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AdmissionState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl AdmissionState {
+    fn push(
+        &mut self,
+        now: Moment,
+        priority: Priority,
+        deadline: Moment,
+        waiter: Waiter,
+    ) -> Vec<Shed<Waiter>> {
+        self.set_pace();
+        self.queue.push(now, priority, deadline, waiter)
+    }
+
+    fn set_pace(&mut self) {
+        let pace = Pace { limit: self.limiter.limit(), mean: self.limiter.mean() };
+        self.queue.set_pace(pace);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.admission.lock().running -= 1;
+        self.admission.start_waiting();
+    }
+}
+
+fn turn_away(shed: Vec<Shed<Waiter>>) {
+    for Shed { item, retry } in shed {
+        // A waiter that has gone away needs no answer.
+        let _ = item.send(Err(retry));
+    }
 }
--- a/crates/rattanarchd/src/request/local.rs
+++ b/crates/rattanarchd/src/request/local.rs
@@ -1,8 +1,11 @@
 //! Requests that run at the upstream beside this daemon.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use hyper::Response;
+use hyper::StatusCode;
+use rattanarch_admission::Ending;
 use rattanarch_types::Fence;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Verdict;
@@ -16,6 +19,7 @@
 use crate::request::exchange::Hold;
 use crate::request::headers;
 use crate::request::job::Job;
+use crate::request::outcome::Outcome;
 
 impl RequestPath {
     /// Runs the request at the own upstream.
@@ -36,7 +40,7 @@
         let Some(request) = job.for_upstream(&pool, &id, fence) else {
             return Err(RequestError::BodyMalformed);
         };
-        let flight = self.upstream.begin();
+        self.upstream.earn();
         let exchange = Exchange {
             pool,
             id,
@@ -46,12 +50,13 @@
             linger: self.settings.linger,
             control: Some(Arc::clone(&self.control)),
             checks_fence: self.settings.checks_fence,
-            hold: Hold { _permit: Some(permit), run: Some(run) },
+            hold: Hold { permit: Some(permit), run: Some(run) },
         };
-        let mut head = exchange.run(request).await?;
-        flight.note_latency();
-        self.judge(&mut head)?;
-        Ok(head)
+        let start = Instant::now();
+        let outcome = exchange.run(request).await;
+        // Noted before a refused head is dropped, whose slot would go by the old limit.
+        self.admission.note(ending(&outcome, start));
+        outcome.and_then(|head| self.judge(head))
     }
 
     fn note_load(&self, hash: Option<KeyHash>) {
@@ -76,8 +81,8 @@
     }
 
     /// Reads the upstream's own verdict.
-    fn judge(&self, head: &mut Response<OutBody>) -> Result<(), RequestError> {
-        if answer::verdict(head) == Some(Verdict::NotRun) {
+    fn judge(&self, mut head: Response<OutBody>) -> Result<Response<OutBody>, RequestError> {
+        if answer::verdict(&head) == Some(Verdict::NotRun) {
             let retry = headers::millis(head.headers(), &headers::RETRY).and_then(Result::ok);
             let status = head.status().as_u16();
             return Err(RequestError::UpstreamRefused { status, retry });
@@ -89,6 +94,17 @@
         if let Some(member) = view.serving.record.members.get(&view.serving.me) {
             fields.insert(headers::OWNER, headers::value(&member.caller.to_string()));
         }
-        Ok(())
+        Ok(head)
+    }
+}
+
+/// What an attempt at the upstream that began at `start` tells of its load.
+fn ending(outcome: &Outcome, start: Instant) -> Ending {
+    let Ok(head) = outcome else { return Ending::Failed };
+    let refused = answer::verdict(head) == Some(Verdict::NotRun);
+    if refused && head.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Ending::Refused;
     }
+    // A refusal for a replaced fence or a passed deadline tells of no load.
+    Ending::Answered(start.elapsed())
 }
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -3,7 +3,7 @@
 mod admission;
 mod answer;
 mod body;
-mod budget;
+mod chooser;
 mod control;
 mod demand;
 mod error;
@@ -13,6 +13,7 @@
 mod job;
 mod load_meter;
 mod local;
+mod outcome;
 mod path;
 mod peers;
 mod running;
