Part the desk's questions from its commands, and test the bounds

New tests of bounds, each seen to fail: too_large without the size check, pages_down and pages_back when entries are dropped though their page was not stored, pages_down without the trail's limit, counts without its check.

--- a/crates/rattanarch_config/src/edit.rs
+++ b/crates/rattanarch_config/src/edit.rs
@@ -1,7 +1,5 @@
 //! How each command changes a configuration, its version and trail left alone.
 
-use std::time::Duration;
-
 use rattanarch_types::BootId;
 use rattanarch_types::Configuration;
 use rattanarch_types::DataCentre;
@@ -14,26 +12,16 @@
 use crate::Command;
 use crate::CommandError;
 use crate::RouteChange;
-
-/// Most services of a firm. With the limits below, a configuration stays far below the platform's
-/// 1 MiB in any use that fits its fleet; the daemon checks the size itself.
-const SERVICE_LIMIT: usize = 256;
-/// Most data centres of a firm.
-const DATA_CENTRE_LIMIT: usize = 256;
-/// Most routing rules of a service.
-const ROUTE_LIMIT: usize = 64;
-/// Most instances of a service that are out.
-const OUT_LIMIT: usize = 1_024;
-/// Most lives of a service that are declared lost.
-const LOST_LIMIT: usize = 1_024;
-/// Longest name, in bytes; as in the daemon's settings.
-const NAME_LIMIT: usize = 63;
-/// Longest path prefix, in bytes.
-const PREFIX_LIMIT: usize = 256;
-/// Longest timeout of a rule.
-const TIMEOUT_LIMIT: Duration = Duration::from_secs(3_600);
-/// Most slices of a service.
-const SLICE_LIMIT: u16 = 4_096;
+use crate::limits::DATA_CENTRE_LIMIT;
+use crate::limits::LOST_LIMIT;
+use crate::limits::OUT_LIMIT;
+use crate::limits::ROUTE_LIMIT;
+use crate::limits::SERVICE_LIMIT;
+use crate::limits::check_name;
+use crate::limits::check_prefix;
+use crate::limits::check_room;
+use crate::limits::check_slices;
+use crate::limits::check_timeout;
 
 type Edited = Result<(), CommandError>;
 
@@ -221,9 +209,7 @@
         route.priority = priority;
     }
     if let Some(timeout) = change.timeout {
-        if timeout < Duration::from_millis(1) || timeout > TIMEOUT_LIMIT {
-            return Err(CommandError::Timeout);
-        }
+        check_timeout(timeout)?;
         route.timeout = timeout;
     }
     Ok(route)
@@ -255,37 +241,3 @@
 fn exists(next: &Configuration, object: Object) -> CommandError {
     CommandError::Exists { object, firm: next.firm.clone() }
 }
-
-fn check_room(what: &'static str, next: &Configuration, count: usize, limit: usize) -> Edited {
-    if count < limit {
-        return Ok(());
-    }
-    Err(CommandError::Full { what, firm: next.firm.clone(), limit })
-}
-
-fn check_name(name: &str) -> Edited {
-    let is_good = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
-    let starts = name.starts_with(|c: char| c.is_ascii_lowercase());
-    if starts && name.len() <= NAME_LIMIT && name.chars().all(is_good) {
-        return Ok(());
-    }
-    Err(CommandError::Name(name.to_owned()))
-}
-
-fn check_prefix(prefix: &str) -> Edited {
-    let is_good = |c: char| c.is_ascii_graphic();
-    let fits = prefix.starts_with('/') && prefix.len() <= PREFIX_LIMIT;
-    if fits && prefix.chars().all(is_good) {
-        return Ok(());
-    }
-    Err(CommandError::Prefix(prefix.to_owned()))
-}
-
-fn check_slices(service: &str, sharing: Sharing) -> Edited {
-    match sharing {
-        Sharing::Keyed(slices) if !(1..=SLICE_LIMIT).contains(&slices) => {
-            Err(CommandError::Slices { service: service.to_owned(), slices })
-        }
-        _ => Ok(()),
-    }
-}
--- a/crates/rattanarch_config/src/lib.rs
+++ b/crates/rattanarch_config/src/lib.rs
@@ -26,6 +26,7 @@
 mod error;
 mod guidance;
 mod held;
+mod limits;
 mod operator;
 mod order;
 mod page;
--- a/crates/rattanarchd/src/operator/firms.rs
+++ b/crates/rattanarchd/src/operator/firms.rs
@@ -131,6 +131,16 @@
         Look { fault, ..held.unwrap_or_else(nothing) }
     }
 
+    /// Records of the firm's services. If the configuration could not be read, the platform is not
+    /// asked for each of them: every call may take a whole timeout.
+    pub(crate) fn look_records(&self, look: &Look<Configuration>) -> Vec<Look<Record>> {
+        let record = |service: &String| match &look.fault {
+            None => self.look_record(service),
+            Some(fault) => self.recall_record(service, Some(fault.clone())),
+        };
+        look.value.services.keys().map(record).collect()
+    }
+
     /// The service's record for a query: read now, or as last known to this daemon.
     pub(crate) fn look_record(&self, service: &str) -> Look<Record> {
         match self.read_record(service) {
--- a/crates/rattanarchd/src/operator/mod.rs
+++ b/crates/rattanarchd/src/operator/mod.rs
@@ -15,6 +15,7 @@
 mod ids;
 mod known;
 mod names;
+mod queries;
 mod server;
 mod status;
 mod tables;
--- a/crates/rattanarchd/tests/operator_support/mod.rs
+++ b/crates/rattanarchd/tests/operator_support/mod.rs
@@ -45,6 +45,8 @@
     pub objects: BTreeMap<String, Vec<Value>>,
     /// Whether it is out of service.
     pub down: bool,
+    /// Whether audit pages are out of service.
+    pub pages_down: bool,
     /// The next this many writes take effect and are not answered.
     pub lose_answers: usize,
     /// The next this many writes are not answered, and take effect after the next call.
@@ -180,10 +182,10 @@
     let body = body.collect().await.map_err(Error::other)?.to_bytes();
     let mut store = store.lock().expect("no test thread panicked");
     store.calls += 1;
-    if store.down {
+    let path = head.uri.path().strip_prefix("/objects/").unwrap_or_default();
+    if store.down || store.pages_down && path.starts_with("audit/") {
         return answer(503, &json!({}));
     }
-    let path = head.uri.path().strip_prefix("/objects/").unwrap_or_default();
     if head.method == Method::GET {
         let answer = store.read(path);
         store.land();
