--- /dev/null
+++ b/crates/rattanarch_standins/src/bin/bench/latency.rs
@@ -0,0 +1,136 @@
+//! What the daemon adds to a request.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use gumdrop::Options;
+use hdrhistogram::Histogram;
+use rattanarch_standins::Fleet;
+use rattanarch_standins::Program;
+use rattanarch_standins::ServicePlan;
+
+use crate::BenchError;
+
+/// Longest time for 99 in 100 requests: the users' letter.
+const MAX_P99: Duration = Duration::from_millis(19);
+/// Keys searched for ones that the first daemon owns.
+const CANDIDATES: usize = 200;
+
+/// Options of `bench latency`.
+#[derive(Debug, Options)]
+pub(crate) struct LatencyOptions {
+    /// Prints the options.
+    #[options(help = "print this help")]
+    help: bool,
+    /// Concurrent callers.
+    #[options(help = "concurrent callers", meta = "N", default = "8")]
+    callers: usize,
+    /// Requests of each caller.
+    #[options(help = "requests of each caller, each way", meta = "N", default = "2000")]
+    requests: usize,
+}
+
+/// One way to the upstream, measured.
+struct Way {
+    name: &'static str,
+    latency: Histogram<u64>,
+    seconds: f64,
+}
+
+/// Prints a row for each way and the ratios to the direct one; an error if a bound is missed.
+pub(crate) fn measure(options: &LatencyOptions) -> Result<(), BenchError> {
+    let fleet = Fleet::start(&[ServicePlan::trade_desk(3)])?;
+    fleet.wait_shared("trade-desk", Duration::from_secs(60))?;
+    fleet.wait_serving(Duration::from_secs(60))?;
+    let direct = Program::find("upstream-standin")?.with_argument("--ignore-fences");
+    let (_upstream, upstream) = direct.listen("upstream")?;
+    let (owner, other) = (fleet.slots[0].caller_address(), fleet.slots[1].caller_address());
+    let keys = owned_keys(owner, fleet.slots[0].instance())?;
+    let ways = [
+        run("direct", options, &paths(upstream, "", &keys))?,
+        run("owner", options, &paths(owner, "/trade-desk", &keys))?,
+        run("forwarded", options, &paths(other, "/trade-desk", &keys))?,
+    ];
+    report(&ways)
+}
+
+fn paths(address: SocketAddr, prefix: &str, keys: &[String]) -> Vec<String> {
+    keys.iter().map(|key| format!("http://{address}{prefix}/stock/{key}")).collect()
+}
+
+/// Keys that the daemon at `address` serves at its own upstream.
+fn owned_keys(address: SocketAddr, instance: &str) -> Result<Vec<String>, BenchError> {
+    let mut keys = Vec::new();
+    for number in 0..CANDIDATES {
+        let key = format!("latency-{number}");
+        let url = format!("http://{address}/trade-desk/stock/{key}");
+        let body: serde_json::Value = ureq::get(url).call()?.body_mut().read_json()?;
+        if body["instance"] == instance {
+            keys.push(key);
+        }
+    }
+    if keys.is_empty() {
+        return Err(format!("daemon of {instance:?} owns none of {CANDIDATES} keys").into());
+    }
+    Ok(keys)
+}
+
+fn run(name: &'static str, options: &LatencyOptions, urls: &[String]) -> Result<Way, BenchError> {
+    let start = Instant::now();
+    let mut latency = histogram()?;
+    thread::scope(|scope| {
+        let call = |caller: usize| scope.spawn(move || call(urls, caller, options.requests));
+        let callers: Vec<_> = (0..options.callers).map(call).collect();
+        for caller in callers {
+            let part = caller.join().map_err(|_| "a caller panicked")?;
+            latency.add(part.map_err(|error| format!("{name}: {error}"))?)?;
+        }
+        Ok::<_, BenchError>(())
+    })?;
+    Ok(Way { name, latency, seconds: start.elapsed().as_secs_f64() })
+}
+
+/// One caller: sends its requests one after the other over one connection.
+fn call(urls: &[String], caller: usize, requests: usize) -> Result<Histogram<u64>, String> {
+    let agent = ureq::Agent::new_with_defaults();
+    let mut latency = histogram().map_err(|error| error.to_string())?;
+    for request in 0..requests {
+        let url = &urls[(caller + request) % urls.len()];
+        let start = Instant::now();
+        let mut answer = agent.get(url).call().map_err(|error| error.to_string())?;
+        answer.body_mut().read_to_string().map_err(|error| error.to_string())?;
+        latency.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    Ok(latency)
+}
+
+/// Microseconds up to a minute, with three digits.
+fn histogram() -> Result<Histogram<u64>, BenchError> {
+    Ok(Histogram::new_with_bounds(1, 60_000_000, 3)?)
+}
+
+fn report(ways: &[Way]) -> Result<(), BenchError> {
+    println!("way        p50 ms  p99 ms  requests/s  p50 ratio  p99 ratio  rate ratio");
+    let figures = |way: &Way| {
+        let quantile = |q: f64| way.latency.value_at_quantile(q) as f64 / 1e3;
+        (quantile(0.5), quantile(0.99), way.latency.len() as f64 / way.seconds)
+    };
+    let Some(direct) = ways.first().map(figures) else { return Ok(()) };
+    let mut missed = Vec::new();
+    for way in ways {
+        let (p50, p99, rate) = figures(way);
+        println!(
+            "{:9}  {p50:6.2}  {p99:6.2}  {rate:10.0}  {:9.2}  {:9.2}  {:10.2}",
+            way.name,
+            p50 / direct.0,
+            p99 / direct.1,
+            rate / direct.2,
+        );
+        if p99 > MAX_P99.as_secs_f64() * 1e3 {
+            missed.push(format!("p99 of {} is {p99:.1} ms; allowed: {MAX_P99:?}", way.name));
+        }
+    }
+    if missed.is_empty() { Ok(()) } else { Err(missed.join("; ").into()) }
+}
--- /dev/null
+++ b/crates/rattanarch_standins/src/bin/bench/recovery.rs
@@ -0,0 +1,118 @@
+//! How long keys are unserved after an owner is killed.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gumdrop::Options;
+use rattanarch_standins::Fleet;
+use rattanarch_standins::ServicePlan;
+use rattanarch_standins::exclusive;
+
+use crate::BenchError;
+
+/// Longest time until a key is served again after a loss: the users' letter.
+const MAX_UNSERVED: Duration = Duration::from_secs(2);
+/// Keys that are asked for.
+const KEYS: usize = 200;
+/// Pause between two rounds of questions.
+const PAUSE: Duration = Duration::from_millis(2);
+/// After this a key counts as not recovered.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Options of `bench recovery`.
+#[derive(Debug, Options)]
+pub(crate) struct RecoveryOptions {
+    /// Prints the options.
+    #[options(help = "print this help")]
+    help: bool,
+    /// Number of kills.
+    #[options(help = "how often an owner is killed", meta = "N", default = "20")]
+    kills: usize,
+    /// Fleet size.
+    #[options(help = "daemons", meta = "N", default = "9")]
+    daemons: usize,
+}
+
+/// Prints the distribution; an error if a key was unserved for longer than the letter allows.
+pub(crate) fn measure(options: &RecoveryOptions) -> Result<(), BenchError> {
+    let mut fleet = Fleet::start(&[ServicePlan::trade_desk(options.daemons)])?;
+    let mut gaps = Vec::new();
+    for kill in 0..options.kills {
+        fleet.wait_shared("trade-desk", Duration::from_secs(60))?;
+        fleet.wait_serving(Duration::from_secs(60))?;
+        let victim = kill % options.daemons;
+        gaps.extend(kill_owner(&mut fleet, victim)?);
+        fleet.restart_daemon(victim)?;
+    }
+    exclusive(&fleet.journals()?)?;
+    gaps.sort_unstable();
+    report(options.kills, &gaps)
+}
+
+/// Kills the daemon of a slot; how long each of its keys was unserved.
+fn kill_owner(fleet: &mut Fleet, victim: usize) -> Result<Vec<Duration>, BenchError> {
+    let instance = fleet.slots[victim].instance().to_owned();
+    let asked = (victim + 1) % fleet.slots.len();
+    let address = fleet.slots[asked].caller_address();
+    let agent = agent();
+    let url = |key: usize| format!("http://{address}/trade-desk/stock/recovery-{key}");
+    let owned = |key: &usize| owner(&agent, &url(*key)).as_deref() == Some(&*instance);
+    let mut waiting: Vec<usize> = (0..KEYS).filter(owned).collect();
+    fleet.slots[victim].daemon().ok_or("a daemon is missing")?.kill()?;
+    let start = Instant::now();
+    let mut gaps = Vec::new();
+    while !waiting.is_empty() {
+        if start.elapsed() > LIMIT {
+            return Err(format!("{} keys of {instance} did not recover", waiting.len()).into());
+        }
+        waiting.retain(|key| {
+            let served = owner(&agent, &url(*key)).is_some();
+            if served {
+                gaps.push(start.elapsed());
+            }
+            !served
+        });
+        std::thread::sleep(PAUSE);
+    }
+    Ok(gaps)
+}
+
+fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_millis(250)))
+        .http_status_as_error(false)
+        .build();
+    config.into()
+}
+
+/// Instance that answers for a key, if one does.
+fn owner(agent: &ureq::Agent, url: &str) -> Option<String> {
+    let mut answer = agent.get(url).call().ok().filter(|answer| answer.status() == 200)?;
+    let body: serde_json::Value = answer.body_mut().read_json().ok()?;
+    body["instance"].as_str().map(str::to_owned)
+}
+
+fn report(kills: usize, gaps: &[Duration]) -> Result<(), BenchError> {
+    let at = |share: f64| {
+        let index = ((gaps.len() - 1) as f64 * share).round() as usize;
+        gaps[index].as_millis()
+    };
+    if gaps.is_empty() {
+        return Err("no key was owned by a daemon that was killed".into());
+    }
+    println!(
+        "{kills} kills, {} keys: unserved for {} ms at least, {} ms at the median, {} ms at 99 in \
+         100, {} ms at most",
+        gaps.len(),
+        at(0.0),
+        at(0.5),
+        at(0.99),
+        at(1.0),
+    );
+    match gaps.last() {
+        Some(longest) if *longest > MAX_UNSERVED => {
+            Err(format!("a key was unserved for {longest:?}; allowed: {MAX_UNSERVED:?}").into())
+        }
+        _ => Ok(()),
+    }
+}
--- a/crates/rattanarchd/src/connection/bulk_client.rs
+++ b/crates/rattanarchd/src/connection/bulk_client.rs
@@ -13,6 +13,9 @@
 use tokio_tungstenite::tungstenite::Message as Frame;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use crate::connection::EXCHANGE_BYTES;
+use crate::process::Counters;
+
 /// Longest answer, in bytes: a record and a configuration, each at most the platform's 1 MiB.
 const MAX_ANSWER_BYTES: usize = 2 << 20;
 /// Longest time of one exchange.
@@ -42,6 +45,7 @@
 /// Asks the peer at `address` for what it holds above the versions in `pull`.
 pub(crate) async fn pull(
     codec: &Codec,
+    counters: &Counters,
     address: SocketAddr,
     pull: &Pull,
 ) -> Result<Pushed, PullError> {
@@ -50,6 +54,8 @@
         .await
         .map_err(|_| no_answer("timed out".to_owned()))?
         .map_err(no_answer)?;
+    Counters::add(&counters.pulls);
+    Counters::add_many(&counters.bulk_bytes, EXCHANGE_BYTES + frame.len() as u64);
     let bad = |reason: String| PullError::BadAnswer { address, reason };
     let pushed: Pushed =
         codec.open(&frame, MAX_ANSWER_BYTES).map_err(|error| bad(error.to_string()))?;
--- a/crates/rattanarchd/src/connection/bulk_server.rs
+++ b/crates/rattanarchd/src/connection/bulk_server.rs
@@ -20,10 +20,15 @@
 use tokio_tungstenite::tungstenite::Message as Frame;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use crate::process::Counters;
+
 /// Connections served at one time: a partition has 64 members, and each asks one peer at a time.
 const MAX_CONNECTIONS: usize = 64;
 /// Longest request frame, in bytes; a [`Pull`] takes under 100.
 const MAX_REQUEST_BYTES: usize = 1_024;
+/// Bytes that one exchange takes beside its two frames: the upgrade request and answer of some 180
+/// and 130 bytes, close frames, and 14 TCP segments with 52 bytes of IPv4 and TCP header each.
+pub(crate) const EXCHANGE_BYTES: u64 = 1_050;
 /// Longest time from accept to the request, and from the request to the end.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -44,13 +49,18 @@
 #[derive(Debug)]
 pub(crate) struct BulkServer {
     codec: Codec,
+    counters: Arc<Counters>,
     holdings: watch::Receiver<Holdings>,
 }
 
 impl BulkServer {
     /// A server that answers from `holdings`.
-    pub(crate) fn new(codec: Codec, holdings: watch::Receiver<Holdings>) -> Self {
-        Self { codec, holdings }
+    pub(crate) fn new(
+        codec: Codec,
+        holdings: watch::Receiver<Holdings>,
+        counters: Arc<Counters>,
+    ) -> Self {
+        Self { codec, counters, holdings }
     }
 
     /// Serves `listener` until the task is dropped.
@@ -79,6 +89,8 @@
             return;
         };
         if let Some(answer) = self.answer(&frame) {
+            let bytes = EXCHANGE_BYTES + (frame.len() + answer.len()) as u64;
+            Counters::add_many(&self.counters.bulk_bytes, bytes);
             let _ = socket.send(Frame::Binary(answer.into())).await;
         }
         let _ = socket.close(None).await;
--- a/crates/rattanarchd/src/connection/mod.rs
+++ b/crates/rattanarchd/src/connection/mod.rs
@@ -13,6 +13,7 @@
 
 pub(crate) use bulk_client::pull;
 pub(crate) use bulk_server::BulkServer;
+pub(crate) use bulk_server::EXCHANGE_BYTES;
 pub(crate) use bulk_server::Holdings;
 pub use caller_server::CallerServer;
 pub(crate) use link::BusyLink;
--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -454,7 +454,6 @@
         let members = &self.node.serving().record.members;
         let Some(address) = members.get(&to).map(|member| member.peer) else { return };
         self.pulling = true;
-        Counters::add(&self.parts.counters.pulls);
         let request = Pull {
             from: self.node.me(),
             to,
@@ -463,8 +462,9 @@
             configuration: mine.configuration,
         };
         let (codec, sender) = (self.parts.codec.clone(), self.parts.sender.clone());
+        let counters = Arc::clone(&self.parts.counters);
         tokio::spawn(async move {
-            let input = match pull(&codec, address, &request).await {
+            let input = match pull(&codec, &counters, address, &request).await {
                 Ok(pushed) => Input::Pulled {
                     record: pushed.record.and_then(|record| record.try_into().ok()),
                     configuration: pushed.configuration,
--- a/crates/rattanarchd/src/process/metrics.rs
+++ b/crates/rattanarchd/src/process/metrics.rs
@@ -12,6 +12,9 @@
 use cadence::MetricSink;
 use cadence::StatsdClient;
 
+/// Number of counters.
+const COUNTERS: usize = 11;
+
 /// Counters of the whole process, sent once a second: a packet for each request would cost more
 /// than the request.
 #[derive(Debug, Default)]
@@ -28,6 +31,8 @@
     pub frames_refused: AtomicU64,
     /// Bulk exchanges with peers.
     pub pulls: AtomicU64,
+    /// Bytes of bulk exchanges, asked for or answered, in both directions with all headers.
+    pub bulk_bytes: AtomicU64,
     /// Calls to the platform, watches included.
     pub platform_calls: AtomicU64,
     /// Calls to the platform that failed.
@@ -50,7 +55,7 @@
     }
 
     /// Names and values now, in the order of the fields.
-    pub fn read(&self) -> [(&'static str, u64); 10] {
+    pub fn read(&self) -> [(&'static str, u64); COUNTERS] {
         let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         [
             ("peer.packets_sent", read(&self.packets_sent)),
@@ -59,6 +64,7 @@
             ("peer.bytes_received", read(&self.bytes_received)),
             ("peer.frames_refused", read(&self.frames_refused)),
             ("peer.pulls", read(&self.pulls)),
+            ("peer.bulk_bytes", read(&self.bulk_bytes)),
             ("platform.calls", read(&self.platform_calls)),
             ("platform.failures", read(&self.platform_failures)),
             ("upstream.grants", read(&self.grants)),
@@ -72,7 +78,7 @@
 pub struct Metrics {
     client: Option<StatsdClient>,
     counters: Arc<Counters>,
-    sent: [u64; 10],
+    sent: [u64; COUNTERS],
 }
 
 impl Metrics {
@@ -82,7 +88,7 @@
     /// When no socket can be opened.
     pub fn new(statsd: Option<SocketAddr>, counters: Arc<Counters>) -> std::io::Result<Self> {
         let client = statsd.map(open).transpose()?;
-        Ok(Self { client, counters, sent: [0; 10] })
+        Ok(Self { client, counters, sent: [0; COUNTERS] })
     }
 
     /// Sends what the counters gained since the last call, and the given gauges.
--- a/crates/rattanarchd/src/process/peer_fleet.rs
+++ b/crates/rattanarchd/src/process/peer_fleet.rs
@@ -134,7 +134,7 @@
         // Versions above any ask for nothing but what the member knows.
         let (record, configuration) = (Version::MAX, Version::MAX);
         let request = Pull { from, to, nonce: random(), record, configuration };
-        let answer = pull(&self.codec, address, &request).await.ok()?;
+        let answer = pull(&self.codec, &self.counters, address, &request).await.ok()?;
         Some((to, answer.knowledge.configuration))
     }
 }
--- a/crates/rattanarchd/src/process/run.rs
+++ b/crates/rattanarchd/src/process/run.rs
@@ -248,7 +248,8 @@
         let socket = tokio::net::UdpSocket::from_std(peer_udp)?;
         let listener = tokio::net::TcpListener::from_std(peer_tcp)?;
         let (holdings, held) = watch::channel(Holdings::default());
-        let bulk = BulkServer::new(self.fleet.codec.clone(), held);
+        let bulk =
+            BulkServer::new(self.fleet.codec.clone(), held, Arc::clone(&self.fleet.counters));
         let parts = self.parts(socket, holdings, inputs)?;
         drop(entered);
         let run = move || {
