Give repeats of an idempotency key the first answer

Cause: a caller whose answer was lost sends its reservation again. Where the promise ends stands at request::repeats; entries are not yet handed to the key's next owner.

Seen to fail, one mechanism taken out at a time: no memory first_answer, other_request, unknown_outcome, still_running unknown outcome forgotten unknown_outcome refusal not forgotten refused_first request's body not compared other_request

--- a/crates/rattanarchd/src/request/error.rs
+++ b/crates/rattanarchd/src/request/error.rs
@@ -88,6 +88,18 @@
         /// What went wrong.
         reason: String,
     },
+    /// The first request with this idempotency key still runs.
+    #[error("the first request with this idempotency key still runs")]
+    RepeatRunning {
+        /// When its answer may be known.
+        retry: Duration,
+    },
+    /// The first request with this idempotency key may have run.
+    #[error("the first request with this idempotency key may have run; its answer is not known")]
+    RepeatUnknown,
+    /// The idempotency key was used for another request.
+    #[error("the idempotency key was used for another request")]
+    RepeatMismatch,
     /// The upstream itself refused to run the request.
     #[error("the upstream refused the request with status {status}")]
     UpstreamRefused {
@@ -124,7 +136,12 @@
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::TimedOut | Self::Cut(_) | Self::Crossed | Self::Endless => Verdict::MayHaveRun,
+            Self::TimedOut
+            | Self::Cut(_)
+            | Self::Crossed
+            | Self::Endless
+            | Self::RepeatRunning { .. }
+            | Self::RepeatUnknown => Verdict::MayHaveRun,
             _ => Verdict::NotRun,
         }
     }
@@ -137,6 +154,8 @@
             | Self::KeyMissing { .. }
             | Self::BodyMalformed => StatusCode::BAD_REQUEST,
             Self::ServiceUnknown(_) | Self::RouteMissing { .. } => StatusCode::NOT_FOUND,
+            Self::RepeatRunning { .. } | Self::RepeatUnknown => StatusCode::CONFLICT,
+            Self::RepeatMismatch => StatusCode::UNPROCESSABLE_ENTITY,
             Self::VersionOld => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
@@ -156,7 +175,7 @@
         match self {
             Self::Refused { refusal: Refusal::Unowned, .. } => Some(TAKEOVER_RETRY),
             Self::Refused { .. } | Self::NoGrant => Some(MOVE_RETRY),
-            Self::Overloaded { retry } => Some(*retry),
+            Self::Overloaded { retry } | Self::RepeatRunning { retry } => Some(*retry),
             Self::VersionOld => None,
             Self::UpstreamRefused { retry, .. } => Some(retry.unwrap_or(FAULT_RETRY)),
             _ if self.status().is_server_error() => Some(FAULT_RETRY),
@@ -169,6 +188,9 @@
         match self {
             Self::PathMalformed
             | Self::VersionOld
+            | Self::RepeatRunning { .. }
+            | Self::RepeatUnknown
+            | Self::RepeatMismatch
             | Self::DeadlineMalformed(_)
             | Self::KeyMissing { .. }
             | Self::BodyTooLarge { .. }
--- a/crates/rattanarchd/src/request/headers.rs
+++ b/crates/rattanarchd/src/request/headers.rs
@@ -25,6 +25,9 @@
 pub(crate) const RETRY: HeaderName = HeaderName::from_static("rattanarch-retry-ms");
 /// Who refused the request, and why: RFC 9209.
 pub(crate) const PROXY_STATUS: HeaderName = HeaderName::from_static("proxy-status");
+/// Names an operation that must not repeat.
+pub(crate) const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
+
 /// Longest id that a caller may give its request, in bytes.
 const MAX_ID: usize = 128;
 
--- a/crates/rattanarchd/src/request/job.rs
+++ b/crates/rattanarchd/src/request/job.rs
@@ -16,6 +16,7 @@
 use crate::request::OutBody;
 use crate::request::body::Payload;
 use crate::request::headers;
+use crate::request::repeats::Operation;
 
 /// How much earlier than the caller's the deadline of a forwarded request is, so that the peer's
 /// own verdict arrives in time.
@@ -52,6 +53,19 @@
         self.method.is_idempotent()
     }
 
+    /// The operation that the request names by an idempotency key; `None` if its method is
+    /// idempotent, or its body too large to be told from another.
+    pub(crate) fn operation(&self) -> Option<Operation> {
+        let idempotency = headers::text(&self.fields, &headers::IDEMPOTENCY)?;
+        let Payload::Whole(body) = &self.payload else { return None };
+        if self.is_idempotent() {
+            return None;
+        }
+        let key = self.key.as_ref().map_or("", |key| &key.text);
+        let asked = (self.method.as_str(), self.rest_path.as_str(), &body[..]);
+        Some(Operation::new(key, &idempotency, asked))
+    }
+
     /// Time left for the answer's head.
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/rattanarchd/src/request/local.rs
+++ b/crates/rattanarchd/src/request/local.rs
@@ -20,15 +20,31 @@
 use crate::request::headers;
 use crate::request::job::Job;
 use crate::request::outcome::Outcome;
+use crate::request::repeats::Begun;
+use crate::request::repeats::Claim;
 
 impl RequestPath {
-    /// Runs the request at the own upstream.
-    pub(super) async fn run_here(
+    /// Runs the request at the own upstream, unless it repeats one that ran.
+    pub(super) async fn run_here(&self, job: &mut Job, hash: Option<KeyHash>) -> Outcome {
+        self.check(hash)?;
+        let Some(operation) = job.operation() else {
+            return self.run_once(job, hash, None).await;
+        };
+        match self.repeats.begin(operation)? {
+            Begun::Answered(answer) => Ok(answer),
+            Begun::First(claim) => {
+                let outcome = self.run_once(job, hash, Some(&claim)).await;
+                claim.finish(outcome).await
+            }
+        }
+    }
+
+    async fn run_once(
         &self,
         job: &mut Job,
         hash: Option<KeyHash>,
-    ) -> Result<Response<OutBody>, RequestError> {
-        self.check(hash)?;
+        claim: Option<&Claim<'_>>,
+    ) -> Outcome {
         let permit = self.admission.admit(job.priority, job.deadline).await?;
         let id = self.next_id();
         // Entered before the check: who gives up a key first publishes that and then looks here.
@@ -52,6 +68,9 @@
             checks_fence: self.settings.checks_fence,
             hold: Hold { permit: Some(permit), run: Some(run) },
         };
+        if let Some(claim) = claim {
+            claim.note_sent();
+        }
         let start = Instant::now();
         let outcome = exchange.run(request).await;
         // Noted before a refused head is dropped, whose slot would go by the old limit.
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -16,6 +16,7 @@
 mod outcome;
 mod path;
 mod peers;
+mod repeats;
 mod running;
 mod settings;
 mod spread;
--- a/crates/rattanarchd/src/request/path.rs
+++ b/crates/rattanarchd/src/request/path.rs
@@ -36,6 +36,7 @@
 use crate::request::job::Key;
 use crate::request::peers::Peer;
 use crate::request::peers::Peers;
+use crate::request::repeats::Repeats;
 use crate::request::target::Target;
 use crate::version::View;
 use crate::version::Views;
@@ -55,6 +56,7 @@
     /// Bound on the retries of the service.
     pub(super) budget: Mutex<RetryBudget>,
     pub(super) chooser: Chooser,
+    pub(super) repeats: Repeats,
     pub(super) upstream: Arc<Peer>,
     pub(super) control: Arc<Pool>,
     pub(super) peers: Peers,
@@ -73,6 +75,7 @@
             admission: Admission::new(settings.slots),
             budget: Mutex::default(),
             chooser: Chooser::new(),
+            repeats: Repeats::new(),
             upstream: Peer::new(settings.upstream, connections),
             control: Pool::new(settings.upstream, CONTROL_CONNECTIONS),
             peers: Peers::new(settings.peer_connections),
