--- a/crates/rattanarch_standins/src/bin/bench/control.rs
+++ b/crates/rattanarch_standins/src/bin/bench/control.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use gumdrop::Options;
 use rattanarch_standins::Counts;
@@ -20,6 +21,11 @@
 /// Most bytes a second, sent and received together: the users' letter.
 const MAX_BYTES_PER_SECOND: f64 = 3_000.0;
 
+/// Time without a change after which a record counts as settled.
+const QUIET: Duration = Duration::from_secs(5);
+/// Longest time until then.
+const QUIET_LIMIT: Duration = Duration::from_secs(120);
+
 /// Options of `bench control`.
 #[derive(Debug, Options)]
 pub(crate) struct ControlOptions {
@@ -71,8 +77,7 @@
 fn measure_size(size: usize, options: &ControlOptions) -> Result<Vec<String>, BenchError> {
     let mut fleet = Fleet::start(&[ServicePlan::trade_desk(size)])?;
     fleet.wait_shared("trade-desk", Duration::from_secs(60))?;
-    // Witness changes after the last join settle within two leases.
-    thread::sleep(Duration::from_secs(3));
+    wait_quiet(&fleet)?;
     let before = read(&mut fleet)?;
     let span = Duration::from_secs(options.seconds.max(1));
     run_changes(&fleet, span, options.changes)?;
@@ -80,6 +85,23 @@
     Ok(report(size, span, &before, &after))
 }
 
+/// Waits until the record has not changed for a while.
+fn wait_quiet(fleet: &Fleet) -> Result<(), BenchError> {
+    let start = Instant::now();
+    let mut version = fleet.record("trade-desk")?.version;
+    loop {
+        thread::sleep(QUIET);
+        let newest = fleet.record("trade-desk")?.version;
+        if newest == version {
+            return Ok(());
+        }
+        if start.elapsed() > QUIET_LIMIT {
+            return Err(format!("record still changes after {QUIET_LIMIT:?}").into());
+        }
+        version = newest;
+    }
+}
+
 /// Lets the time pass, and changes another service's part of the configuration at `rate`.
 fn run_changes(fleet: &Fleet, span: Duration, rate: f64) -> Result<(), BenchError> {
     if rate <= 0.0 {
--- a/crates/rattanarch_standins/src/bin/bench/latency.rs
+++ b/crates/rattanarch_standins/src/bin/bench/latency.rs
@@ -49,24 +49,36 @@
     let (owner, other) = (fleet.slots[0].caller_address(), fleet.slots[1].caller_address());
     let keys = owned_keys(owner, fleet.slots[0].instance())?;
     let ways = [
-        run("direct", options, &paths(upstream, "", &keys))?,
-        run("owner", options, &paths(owner, "/trade-desk", &keys))?,
-        run("forwarded", options, &paths(other, "/trade-desk", &keys))?,
+        run("direct", options, &Target { address: upstream, prefix: "", keys: &keys })?,
+        run("owner", options, &Target { address: owner, prefix: "/trade-desk", keys: &keys })?,
+        run("forwarded", options, &Target { address: other, prefix: "/trade-desk", keys: &keys })?,
     ];
     report(&ways)
 }
 
-fn paths(address: SocketAddr, prefix: &str, keys: &[String]) -> Vec<String> {
-    keys.iter().map(|key| format!("http://{address}{prefix}/stock/{key}")).collect()
+/// Where the requests of one way go.
+struct Target<'a> {
+    address: SocketAddr,
+    prefix: &'a str,
+    keys: &'a [String],
+}
+
+impl Target<'_> {
+    fn get(&self, agent: &ureq::Agent, key: &str) -> Result<String, ureq::Error> {
+        let url = format!("http://{}{}/stock/{key}", self.address, self.prefix);
+        let mut answer = agent.get(url).header("rattanarch-key", key).call()?;
+        answer.body_mut().read_to_string()
+    }
 }
 
 /// Keys that the daemon at `address` serves at its own upstream.
 fn owned_keys(address: SocketAddr, instance: &str) -> Result<Vec<String>, BenchError> {
+    let agent = ureq::Agent::new_with_defaults();
     let mut keys = Vec::new();
     for number in 0..CANDIDATES {
         let key = format!("latency-{number}");
-        let url = format!("http://{address}/trade-desk/stock/{key}");
-        let body: serde_json::Value = ureq::get(url).call()?.body_mut().read_json()?;
+        let target = Target { address, prefix: "/trade-desk", keys: &[] };
+        let body: serde_json::Value = serde_json::from_str(&target.get(&agent, &key)?)?;
         if body["instance"] == instance {
             keys.push(key);
         }
@@ -77,11 +89,15 @@
     Ok(keys)
 }
 
-fn run(name: &'static str, options: &LatencyOptions, urls: &[String]) -> Result<Way, BenchError> {
+fn run(
+    name: &'static str,
+    options: &LatencyOptions,
+    target: &Target<'_>,
+) -> Result<Way, BenchError> {
     let start = Instant::now();
     let mut latency = histogram()?;
     thread::scope(|scope| {
-        let call = |caller: usize| scope.spawn(move || call(urls, caller, options.requests));
+        let call = |caller: usize| scope.spawn(move || call(target, caller, options.requests));
         let callers: Vec<_> = (0..options.callers).map(call).collect();
         for caller in callers {
             let part = caller.join().map_err(|_| "a caller panicked")?;
@@ -93,14 +109,13 @@
 }
 
 /// One caller: sends its requests one after the other over one connection.
-fn call(urls: &[String], caller: usize, requests: usize) -> Result<Histogram<u64>, String> {
+fn call(target: &Target<'_>, caller: usize, requests: usize) -> Result<Histogram<u64>, String> {
     let agent = ureq::Agent::new_with_defaults();
     let mut latency = histogram().map_err(|error| error.to_string())?;
     for request in 0..requests {
-        let url = &urls[(caller + request) % urls.len()];
+        let key = &target.keys[(caller + request) % target.keys.len()];
         let start = Instant::now();
-        let mut answer = agent.get(url).call().map_err(|error| error.to_string())?;
-        answer.body_mut().read_to_string().map_err(|error| error.to_string())?;
+        target.get(&agent, key).map_err(|error| error.to_string())?;
         latency.saturating_record(start.elapsed().as_micros() as u64);
     }
     Ok(latency)
--- a/crates/rattanarch_standins/src/bin/bench/recovery.rs
+++ b/crates/rattanarch_standins/src/bin/bench/recovery.rs
@@ -1,5 +1,6 @@
 //! How long keys are unserved after an owner is killed.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -55,8 +56,8 @@
     let asked = (victim + 1) % fleet.slots.len();
     let address = fleet.slots[asked].caller_address();
     let agent = agent();
-    let url = |key: usize| format!("http://{address}/trade-desk/stock/recovery-{key}");
-    let owned = |key: &usize| owner(&agent, &url(*key)).as_deref() == Some(&*instance);
+    let ask = |key: usize| owner(&agent, address, &format!("recovery-{key}"));
+    let owned = |key: &usize| ask(*key).as_deref() == Some(&*instance);
     let mut waiting: Vec<usize> = (0..KEYS).filter(owned).collect();
     fleet.slots[victim].daemon().ok_or("a daemon is missing")?.kill()?;
     let start = Instant::now();
@@ -66,7 +67,7 @@
             return Err(format!("{} keys of {instance} did not recover", waiting.len()).into());
         }
         waiting.retain(|key| {
-            let served = owner(&agent, &url(*key)).is_some();
+            let served = ask(*key).is_some();
             if served {
                 gaps.push(start.elapsed());
             }
@@ -86,8 +87,10 @@
 }
 
 /// Instance that answers for a key, if one does.
-fn owner(agent: &ureq::Agent, url: &str) -> Option<String> {
-    let mut answer = agent.get(url).call().ok().filter(|answer| answer.status() == 200)?;
+fn owner(agent: &ureq::Agent, address: SocketAddr, key: &str) -> Option<String> {
+    let url = format!("http://{address}/trade-desk/stock/{key}");
+    let answer = agent.get(url).header("rattanarch-key", key).call();
+    let mut answer = answer.ok().filter(|answer| answer.status() == 200)?;
     let body: serde_json::Value = answer.body_mut().read_json().ok()?;
     body["instance"].as_str().map(str::to_owned)
 }
