Let settings name advertised addresses; bound the survey of members

It now ends after 3 s; who has not answered counts as not reached. Advertised addresses are needed behind address translation, and let tests put a relay between daemons.

--- a/crates/rattanarchd/src/process/mod.rs
+++ b/crates/rattanarchd/src/process/mod.rs
@@ -40,6 +40,7 @@
 pub(crate) use reports::Reports;
 pub use run::RunError;
 pub use run::run;
+pub use settings::AdvertiseSettings;
 pub use settings::ListenSettings;
 pub use settings::LogSettings;
 pub use settings::MetricSettings;
--- a/crates/rattanarchd/src/process/peer_fleet.rs
+++ b/crates/rattanarchd/src/process/peer_fleet.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -16,6 +19,7 @@
 use rattanarch_wire::Pull;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::timeout;
 
 use crate::connection::pull;
 use crate::operator::Fleet;
@@ -29,6 +33,8 @@
 use crate::version::View;
 use crate::version::Views;
 
+/// Longest time of a survey: a third of what the operators' program waits for an answer.
+const SURVEY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Members asked at one time: each exchange takes one connection and some 10 KB.
 const CONCURRENT_PULLS: usize = 32;
 
@@ -73,7 +79,11 @@
             }
         }
         survey.members = addresses.len();
-        survey.versions = self.runtime.block_on(self.ask(view.serving.me, addresses));
+        let versions = Mutex::new(BTreeMap::new());
+        let asking = self.ask(view.serving.me, addresses, &versions);
+        // Those that have not answered by then count as not reached.
+        let _ = self.runtime.block_on(async { timeout(SURVEY_TIMEOUT, asking).await });
+        survey.versions = versions.into_inner().unwrap_or_else(PoisonError::into_inner);
         survey
     }
 
@@ -115,14 +125,20 @@
         serde_json::from_value(object.value).ok().map(Arc::new)
     }
 
+    /// Asks each member and notes its answer in `versions`.
     async fn ask(
         &self,
         from: BootId,
         addresses: Vec<(BootId, SocketAddr)>,
-    ) -> BTreeMap<BootId, Version> {
+        versions: &Mutex<BTreeMap<BootId, Version>>,
+    ) {
         let questions = addresses.into_iter().map(|(to, address)| self.ask_one(from, to, address));
         let answers = stream::iter(questions).buffer_unordered(CONCURRENT_PULLS);
-        answers.filter_map(std::future::ready).collect().await
+        let note = |answer: Option<(BootId, Version)>| {
+            versions.lock().unwrap_or_else(PoisonError::into_inner).extend(answer);
+            std::future::ready(())
+        };
+        answers.for_each(note).await;
     }
 
     async fn ask_one(
--- a/crates/rattanarchd/src/process/run.rs
+++ b/crates/rattanarchd/src/process/run.rs
@@ -187,7 +187,9 @@
             slots = state.announcement.slots, fence = state.fence;
             "listening"
         );
-        let member = member(&settings, state, (caller, peer));
+        let advertise = &settings.advertise;
+        let addresses = (advertise.caller.unwrap_or(caller), advertise.peer.unwrap_or(peer));
+        let member = member(&settings, state, addresses);
         let start = ControlStart { settings: &settings, state, member, upstream, fleet: &fleet };
         let control = start.spawn(listeners.peer_udp, listeners.peer_tcp, received)?;
         Ok(Self { settings, requests, callers, control, inputs, _operators: operators })
--- a/crates/rattanarchd/src/process/settings.rs
+++ b/crates/rattanarchd/src/process/settings.rs
@@ -36,6 +36,9 @@
     pub process: ProcessSettings,
     /// Addresses that it listens at.
     pub listen: ListenSettings,
+    /// Addresses that it tells others, where they differ from those that it listens at.
+    #[serde(default)]
+    pub advertise: AdvertiseSettings,
     /// The upstream beside it.
     pub upstream: UpstreamSettings,
     /// The platform's object API.
@@ -82,6 +85,16 @@
     pub operator: SocketAddr,
 }
 
+/// Addresses that the daemon tells others; those that it listens at by default.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdvertiseSettings {
+    /// Where callers and forwarding daemons reach it.
+    pub caller: Option<SocketAddr>,
+    /// Where peers reach it.
+    pub peer: Option<SocketAddr>,
+}
+
 /// The upstream beside the daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
