Judge effects after a grant's end; end unavailable time at the latest failure

Unavailable time of a key that nobody asked for again was counted to the end of the run (10,001 ms in full_restart); now it ends at the latest failure.

--- a/crates/rattanarch_standins/src/load/ledger.rs
+++ b/crates/rattanarch_standins/src/load/ledger.rs
@@ -32,6 +32,8 @@
     instance: String,
     /// Time of the first failure since the last right answer.
     failing: Option<Duration>,
+    /// Time of the latest failure.
+    failed: Duration,
     longest: Duration,
     total: Duration,
 }
@@ -122,6 +124,7 @@
         let key = (planned.kind.service(), planned.key.clone());
         let state = self.keys.entry(key).or_default();
         state.failing.get_or_insert(since);
+        state.failed = state.failed.max(since);
     }
 
     /// The report of a run that ended at `now`.
@@ -134,7 +137,7 @@
             report.fill_imbalance(targets.of(service).len());
         }
         for (_, state) in self.keys {
-            self.report.unavailable.add(&state.closed(now));
+            self.report.unavailable.add(&state.closed());
         }
         self.report.seconds = now.as_secs_f64();
         self.report
@@ -142,10 +145,11 @@
 }
 
 impl KeyState {
-    /// Counts a failure that lasts to the end as unavailable until then.
-    fn closed(mut self, now: Duration) -> Self {
+    /// Counts a failure that lasts to the end as unavailable until the latest one: whether the key
+    /// was served after that, nobody asked.
+    fn closed(mut self) -> Self {
         if let Some(since) = self.failing.take() {
-            let gap = now.saturating_sub(since);
+            let gap = self.failed.saturating_sub(since);
             self.longest = self.longest.max(gap);
             self.total += gap;
         }
--- a/crates/rattanarch_standins/src/load/report.rs
+++ b/crates/rattanarch_standins/src/load/report.rs
@@ -67,7 +67,7 @@
 }
 
 /// Times without service: from a key's first refused or broken attempt to its next right answer,
-/// whichever request gets it. An attempt whose target could not be reached counts only if its
+/// whichever request gets it, or to its latest failure if none came after that. An attempt whose target could not be reached counts only if its
 /// request failed for good.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Unavailable {
--- a/crates/rattanarch_standins/tests/journal_checks.rs
+++ b/crates/rattanarch_standins/tests/journal_checks.rs
@@ -96,6 +96,15 @@
     assert!(matches!(found, Err(Violation::WrongFence { .. })), "{found:?}");
 }
 
+#[test]
+fn late_effect() {
+    // The grant ends at 1,000 ms.
+    let a = History::new("a").with_grant(0, 4);
+    let a = a.with_run(999_000, 1_200_000, 4, "x", Outcome::Done);
+    let found = exclusive(&journals(vec![a]));
+    assert!(matches!(found, Err(Violation::GrantEnded { late_us: 200_000, .. })), "{found:?}");
+}
+
 #[test]
 fn double_write() {
     let a = History::new("a").with_grant(0, 1).with_run(10, 20, 1, "x", Outcome::Done);
