--- a/crates/rattanarch_standins/tests/paused_owner.rs
+++ b/crates/rattanarch_standins/tests/paused_owner.rs
@@ -11,6 +11,7 @@
 fn paused_past_lease() {
     let mut fleet = support::trade_desk(5);
     let before = fleet.record("trade-desk").unwrap();
+    support::slow_down(&fleet);
     let load = support::load(&fleet, 10);
     thread::sleep(Duration::from_secs(2));
     fleet.slots[0].daemon().unwrap().pause().unwrap();
