--- a/crates/rattanarch_ownership/src/backoff.rs
+++ b/crates/rattanarch_ownership/src/backoff.rs
@@ -7,10 +7,12 @@
 use crate::draws::Draws;
 
 /// First pause of a member, which has keys waiting: a few round trips to the platform.
-const MEMBER_PAUSE: Duration = Duration::from_millis(40);
+const MEMBER_PAUSE: Duration = Duration::from_millis(80);
 /// First pause of a node that joins, one of a rack or a data centre perhaps.
-const JOIN_PAUSE: Duration = Duration::from_millis(160);
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_280);
+const JOIN_PAUSE: Duration = Duration::from_millis(320);
+/// Longest pauses of the two.
+const MEMBER_LIMIT: Duration = Duration::from_millis(640);
+const JOIN_LIMIT: Duration = Duration::from_millis(1_280);
 
 /// Exponential backoff with jitter.
 #[derive(Debug, Default)]
@@ -25,12 +27,18 @@
         now >= self.until
     }
 
+    /// When the pause ends; `None` without one.
+    pub(crate) fn end(&self) -> Option<Moment> {
+        (self.failures > 0).then_some(self.until)
+    }
+
     /// Starts the next, longer pause and returns its end.
     pub(crate) fn fail(&mut self, now: Moment, draws: &mut Draws, is_member: bool) -> Moment {
-        let first = if is_member { MEMBER_PAUSE } else { JOIN_PAUSE };
+        let (first, limit) =
+            if is_member { (MEMBER_PAUSE, MEMBER_LIMIT) } else { (JOIN_PAUSE, JOIN_LIMIT) };
         let factor = 1 << self.failures.min(6);
         self.failures += 1;
-        self.until = now + draws.jitter((first * factor).min(LONGEST_PAUSE));
+        self.until = now + draws.jitter((first * factor).min(limit));
         self.until
     }
 
--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -188,6 +188,16 @@
         self.attempt.is_none() && self.record.is_some() && self.backoff.is_over(now)
     }
 
+    /// Whether the record was read since the pause after a lost race, in which others may have
+    /// written; reads it otherwise.
+    pub(crate) fn has_reread(&mut self, now: Moment) -> bool {
+        let reread = self.backoff.end().is_none_or(|end| self.contact.since(end));
+        if !reread {
+            self.read(now);
+        }
+        reread
+    }
+
     /// Whether the update `write_id` may still take effect.
     pub(crate) fn is_pending(&self, write_id: WriteId) -> bool {
         self.attempt.as_ref().is_some_and(|attempt| attempt.record.write_id == write_id)
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -45,7 +45,8 @@
         if let Some(old) = self.old {
             return self.wait(core, now, &record, old);
         }
-        if core.can_write(now) && self.has_waited(core, now, old.is_some()) {
+        if core.can_write(now) && self.has_waited(core, now, old.is_some()) && core.has_reread(now)
+        {
             let draft = draft(core, old);
             core.write(now, draft);
         }
--- a/crates/rattanarch_ownership/src/leaving.rs
+++ b/crates/rattanarch_ownership/src/leaving.rs
@@ -15,7 +15,9 @@
 /// Heartbeats that a leaving member goes on as a witness while owners look for others.
 const WITNESS_HEARTBEATS: u32 = 5;
 
-/// A member that releases everything, then leaves the record.
+/// A member that says that it leaves, waits until no owner depends on it as a witness, releases
+/// everything and leaves the record, in this order, so that its keys are held only for the last
+/// update.
 ///
 /// Its lease goes on until it has left, since requests that run need it.
 #[derive(Debug)]
@@ -36,13 +38,15 @@
         self.member.takeovers.advance(core, witness, now);
         self.member.release.take_if(|release| release.is_over(core));
         let Some(record) = core.record.clone() else { return };
-        self.hold(core, &record, now);
-        if record.members.get(&core.me).is_some_and(|own| own.leaving) {
-            self.marked = self.marked.or(Some(now));
-        } else {
-            Self::mark(core, now);
+        if !record.members.get(&core.me).is_some_and(|own| own.leaving) {
+            return Self::mark(core, now);
+        }
+        let marked = *self.marked.get_or_insert(now);
+        if !is_dispensable(core, &record, now, marked) {
+            return;
         }
-        if self.may_leave(core, &record, now) && core.can_write(now) && core.is_reachable(now) {
+        self.hold(core, &record, now);
+        if self.is_quiet(core, &record) && core.can_write(now) && core.is_reachable(now) {
             Self::leave(core, now);
         }
     }
@@ -50,12 +54,13 @@
     /// Holds all that is owned, also what came after the stop.
     fn hold(&mut self, core: &mut Core, record: &Record, now: Moment) {
         let pending = self.member.release.as_ref().is_some_and(|release| release.is_written(core));
-        if pending || self.is_held(core, record) {
+        if pending || self.is_held(core, record) || !core.is_reachable(now) {
             return;
         }
         let slices = record.slices_of(core.me).collect();
         let keys = all_keys(core, record);
-        self.member.begin_release(core, now, slices, keys);
+        let before = self.member.release.take();
+        self.member.begin_release(core, now, (slices, keys), before.as_ref());
     }
 
     fn mark(core: &mut Core, now: Moment) {
@@ -69,14 +74,6 @@
         core.write(now, draft);
     }
 
-    /// Whether nothing runs, and no owner depends on this witness any more, for all that it has
-    /// had the time to change.
-    fn may_leave(&self, core: &Core, record: &Record, now: Moment) -> bool {
-        let Some(marked) = self.marked else { return false };
-        let patience = core.timing.heartbeat * WITNESS_HEARTBEATS;
-        self.is_quiet(core, record) && (!is_witness(core, record) || now >= marked + patience)
-    }
-
     /// Whether nothing runs here, and all that is owned is held.
     fn is_quiet(&self, core: &Core, record: &Record) -> bool {
         let quiet = self.member.release.as_ref().is_none_or(Release::is_quiet);
@@ -100,18 +97,24 @@
     }
 
     /// What the departure waits for.
-    pub(crate) fn waits(&self, core: &Core) -> Waits {
+    pub(crate) fn waits(&self, core: &Core, now: Moment) -> Waits {
         let Some(record) = &core.record else { return Waits::Platform };
-        if core.attempt.is_some() || self.marked.is_none() {
+        let Some(marked) = self.marked.filter(|_| core.attempt.is_none()) else {
             return Waits::Platform;
+        };
+        if !is_dispensable(core, record, now, marked) {
+            return Waits::Witnesses;
         }
-        if !self.is_quiet(core, record) {
-            return Waits::Requests;
-        }
-        if is_witness(core, record) { Waits::Witnesses } else { Waits::Platform }
+        if self.is_quiet(core, record) { Waits::Platform } else { Waits::Requests }
     }
 }
 
+/// Whether no owner names this witness any more, for all that it has had the time to change.
+fn is_dispensable(core: &Core, record: &Record, now: Moment, marked: Moment) -> bool {
+    let patience = core.timing.heartbeat * WITNESS_HEARTBEATS;
+    !is_witness(core, record) || now >= marked + patience
+}
+
 fn is_witness(core: &Core, record: &Record) -> bool {
     record.members.values().any(|member| member.witnesses.contains(&core.me))
 }
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -81,10 +81,10 @@
     }
 
     fn give_away(&mut self, core: &mut Core, now: Moment) {
-        self.release.take_if(|release| release.is_over(core));
+        let over = self.release.take_if(|release| release.is_over(core));
         if self.release.is_none() {
             let (slices, keys) = self.surplus(core, now);
-            self.begin_release(core, now, slices, keys);
+            self.begin_release(core, now, (slices, keys), over.as_ref());
         }
         if let Some(release) = &mut self.release {
             release.write(core, now);
@@ -99,17 +99,17 @@
         (slices, keys)
     }
 
-    /// Begins to release, unless there is nothing to release or no platform to write to.
+    /// Begins to release after `before`, unless there is nothing to release or no platform to write to.
     pub(crate) fn begin_release(
         &mut self,
         core: &mut Core,
         now: Moment,
-        slices: BTreeSet<SliceId>,
-        keys: BTreeMap<KeyHash, Option<BootId>>,
+        (slices, keys): Surplus,
+        before: Option<&Release>,
     ) {
         let empty = slices.is_empty() && keys.is_empty();
         if !empty && core.is_reachable(now) {
-            self.release = Some(Release::begin(core, slices, keys));
+            self.release = Some(Release::begin(core, slices, keys, before));
         }
     }
 
@@ -149,7 +149,7 @@
 }
 
 /// Slices and hot keys to be given away.
-type Surplus = (BTreeSet<SliceId>, BTreeMap<KeyHash, Option<BootId>>);
+pub(crate) type Surplus = (BTreeSet<SliceId>, BTreeMap<KeyHash, Option<BootId>>);
 
 /// Gives slices without an owner to members, this node's turn among them drawn by rank.
 fn adopt(core: &mut Core, now: Moment) {
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -89,7 +89,7 @@
     /// What the node waits for.
     pub fn waits(&self) -> Waits {
         let Life::Leaving(leaving) = &self.life else { return self.waits_to_serve() };
-        leaving.waits(&self.core)
+        leaving.waits(&self.core, self.now)
     }
 
     fn waits_to_serve(&self) -> Waits {
--- a/crates/rattanarch_ownership/src/release.rs
+++ b/crates/rattanarch_ownership/src/release.rs
@@ -29,16 +29,27 @@
 }
 
 impl Release {
-    /// Begins to release `slices` and `keys`: asks for quiet.
+    /// Begins to release `slices` and `keys`. Asks for quiet, except for what `before`, which was
+    /// held until this step, has asked for already.
+    ///
+    /// Word of quiet counts only for what was held ever since it was asked for, which is why a
+    /// release that is not quiet yet is never dropped.
     pub(crate) fn begin(
         core: &mut Core,
         slices: BTreeSet<SliceId>,
         keys: BTreeMap<KeyHash, Option<BootId>>,
+        before: Option<&Self>,
     ) -> Self {
-        let hot: Vec<_> = keys.keys().copied().collect();
-        core.out.push(Action::Quiesce { slices: slices.iter().copied().collect(), hot });
-        let loud_slices = slices.clone();
-        let loud_keys = keys.keys().copied().collect();
+        let nothing = Self::default();
+        let before = before.unwrap_or(&nothing);
+        let new_slices: Vec<_> = slices.difference(&before.slices).copied().collect();
+        let new_keys: Vec<_> =
+            keys.keys().copied().filter(|key| !before.keys.contains_key(key)).collect();
+        let loud_slices = before.loud_slices.iter().chain(&new_slices).copied().collect();
+        let loud_keys = before.loud_keys.iter().chain(&new_keys).copied().collect();
+        if !new_slices.is_empty() || !new_keys.is_empty() {
+            core.out.push(Action::Quiesce { slices: new_slices, hot: new_keys });
+        }
         Self { slices, keys, loud_slices, loud_keys, write: None }
     }
 
--- a/crates/rattanarch_ownership/src/takeovers.rs
+++ b/crates/rattanarch_ownership/src/takeovers.rs
@@ -76,14 +76,11 @@
     /// An owner declared lost: its witnesses are asked at once, and after a lease the operator's
     /// word stands in for those that do not answer.
     fn begin_lost(&mut self, core: &Core, now: Moment, owner: BootId, member: &Member) {
-        let able: Vec<_> = core.record.iter().flat_map(|r| r.members.keys()).copied().collect();
-        let now = now.saturating_sub(rank_delay(owner, core.me, &able));
-        if core.lost.get(&owner).is_none_or(|learned| now < *learned) {
-            return;
-        }
         let takeover = Takeover::new(member.term, member.witnesses.clone());
         let stage = self.stages.entry(owner).or_insert(Stage::Sealing(takeover));
-        let lapsed = core.is_lapsed(now, owner);
+        let able: Vec<_> = core.record.iter().flat_map(|r| r.members.keys()).copied().collect();
+        let delay = rank_delay(owner, core.me, &able);
+        let lapsed = core.is_lapsed(now.saturating_sub(delay), owner);
         if lapsed && matches!(stage, Stage::Sealing(_)) {
             *stage = Stage::declared(member.term);
         }
--- a/crates/rattanarch_ownership/tests/named_schedules.rs
+++ b/crates/rattanarch_ownership/tests/named_schedules.rs
@@ -69,6 +69,12 @@
     assert_eq!(World::new(setting).live_through(&faults), Ok(()));
 }
 
+#[test]
+fn starved_join() {
+    // No fault at all: a joiner lost six races in three seconds to records that it had not read.
+    live(2_347_946_033_503_106_889, 7, &[]);
+}
+
 #[test]
 fn stop_after_kill() {
     let faults = [Fault::Kill { slot: 64, millis: 1_120 }, Fault::Stop { slot: 101 }];
