--- a/crates/rattanarch_ownership/tests/harness/mod.rs
+++ b/crates/rattanarch_ownership/tests/harness/mod.rs
@@ -10,6 +10,7 @@
 mod network;
 mod platform;
 mod process;
+mod slots;
 mod world;
 
 pub use fault::Fault;
--- a/crates/rattanarch_ownership/tests/harness/world.rs
+++ b/crates/rattanarch_ownership/tests/harness/world.rs
@@ -3,7 +3,6 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
@@ -11,12 +10,9 @@
 use rand_core::SeedableRng;
 use rattanarch_ownership::Action;
 use rattanarch_ownership::Event;
-use rattanarch_ownership::Node;
 use rattanarch_ownership::Rules;
-use rattanarch_ownership::Serving;
 use rattanarch_ownership::Timing;
 use rattanarch_types::Fence;
-use rattanarch_types::Member;
 use rattanarch_types::Record;
 
 use super::Process;
@@ -24,7 +20,7 @@
 
 pub(crate) const MILLI: u64 = 1_000;
 const SECOND: u64 = 1_000_000;
-const TICK: u64 = 40 * MILLI;
+pub(crate) const TICK: u64 = 40 * MILLI;
 
 /// What does not change in a world.
 #[derive(Clone, Copy, Debug)]
@@ -153,66 +149,6 @@
         self.due.insert(self.count, due);
     }
 
-    /// Starts a new process in `slot`.
-    pub fn start(&mut self, slot: usize) {
-        let seed = self.rng.next_u64();
-        let old = self.current.get(slot).and_then(|index| self.processes.get(*index));
-        let reused = old.filter(|_| !self.setting.rules.new_boot_ids).map(|old| old.node.me());
-        let me = reused.unwrap_or(self.processes.len() as u64 + 1);
-        let index = self.processes.len();
-        let process = self.process(index, slot, me, seed);
-        self.processes.push(process);
-        self.current[slot] = index;
-        let first = self.below(TICK);
-        self.plan(first, Due::Tick(index));
-        self.plan(first, Due::Intent(index));
-    }
-
-    pub(crate) fn process(&mut self, index: usize, slot: usize, me: u64, seed: u64) -> Process {
-        let address = SocketAddr::from(([127, 0, 0, 1], 1));
-        let member = Member {
-            instance: format!("slot-{slot}"),
-            data_centre: format!("centre-{}", slot % self.setting.centres),
-            peer: address,
-            caller: address,
-            slots: 20,
-            fence: 0,
-            term: 0,
-            witnesses: Vec::new(),
-            leaving: false,
-        };
-        let fence = self.take_fence(index, slot, 0);
-        let member = Member { fence, ..member };
-        let half = i64::from(self.setting.drift_ppm / 2);
-        let node = Node::new(me, member, self.setting.timing, seed).with_rules(self.setting.rules);
-        Process {
-            slot,
-            node,
-            fence,
-            seed,
-            origin: Duration::from_secs(self.below(1_000)),
-            drift_ppm: self.below(half as u64 * 2 + 1) as i64 - half,
-            is_alive: true,
-            paused: 0,
-            inbox: Vec::new(),
-            undone: Vec::new(),
-            has_left: false,
-            granted: Duration::ZERO,
-            checked: Serving::default(),
-        }
-    }
-
-    /// The upstream of `slot` takes a fence above `above` and all before; 0 if it checks none.
-    pub(crate) fn take_fence(&mut self, index: usize, slot: usize, above: Fence) -> Fence {
-        if !self.checks_fence[slot] {
-            return 0;
-        }
-        self.holders[slot] = index;
-        let taken = self.fences[slot].max(above);
-        self.fences[slot] = taken + Member::FENCE_SPAN;
-        self.fences[slot]
-    }
-
     /// Runs for `millis` of true time.
     pub fn run(&mut self, millis: u64) -> Result<(), String> {
         let end = self.now + millis * MILLI;
@@ -329,31 +265,6 @@
         }
     }
 
-    fn is_manned(&self, slot: usize) -> bool {
-        self.processes.iter().any(|process| process.slot == slot && process.is_alive)
-    }
-
-    /// A daemon ends once the upstream refuses its grants for a higher fence.
-    fn end_superseded(&mut self, index: usize) {
-        let process = &self.processes[index];
-        let refused = process.fence > 0 && self.holders[process.slot] != index;
-        if refused && self.now >= process.paused {
-            self.rejoin(index);
-        }
-    }
-
-    /// The process ends; another starts in its place, unless one runs there.
-    fn rejoin(&mut self, index: usize) {
-        self.processes[index].is_alive = false;
-        let slot = self.processes[index].slot;
-        self.plan(50 * MILLI, Due::Start(slot));
-    }
-
-    fn leave(&mut self, index: usize) {
-        self.processes[index].has_left = true;
-        self.rejoin(index);
-    }
-
     fn intent(&self) -> Event {
         let barred = (0..self.setting.slots).filter(|slot| self.barred[*slot]);
         let barred = barred.filter_map(|slot| self.processes.get(self.current[slot]));
