--- a/crates/rattanarch_ownership/src/attempt.rs
+++ b/crates/rattanarch_ownership/src/attempt.rs
@@ -4,6 +4,11 @@
 
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
+use rattanarch_types::WriteId;
+
+use crate::Action;
+use crate::WriteOutcome;
+use crate::core::Core;
 
 /// Time after which an update without an answer is sent again.
 pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -24,3 +29,105 @@
     /// When to send it again.
     pub(crate) again: Moment,
 }
+
+impl Core {
+    /// Whether a new update may be sent now.
+    pub(crate) fn can_write(&self, now: Moment) -> bool {
+        self.attempt.is_none() && self.record.is_some() && self.backoff.is_over(now)
+    }
+
+    /// Whether the record was read since the pause after a lost race, in which others may have
+    /// written; reads it otherwise.
+    pub(crate) fn has_reread(&mut self, now: Moment) -> bool {
+        let reread = self.backoff.end().is_none_or(|end| self.contact.since(end));
+        if !reread {
+            self.read(now);
+        }
+        reread
+    }
+
+    /// Whether the update `write_id` may still take effect.
+    pub(crate) fn is_pending(&self, write_id: WriteId) -> bool {
+        self.attempt.as_ref().is_some_and(|attempt| attempt.record.write_id == write_id)
+    }
+
+    /// A copy of the applied record with the version and write id of the next update.
+    pub(crate) fn draft(&mut self) -> Record {
+        let mut record = self.record.as_deref().cloned().unwrap_or_default();
+        record.version += 1;
+        record.write_id = self.draws.id();
+        record
+    }
+
+    /// Sends the update `record`, made from [`Core::draft`].
+    pub(crate) fn write(&mut self, now: Moment, record: Record) {
+        self.out.push(Action::Write(record.clone()));
+        let again = now + ANSWER_TIMEOUT;
+        self.attempt = Some(Attempt { record, sent: now, unsure: false, again });
+    }
+
+    /// Takes the end of an update; one of an attempt already settled is ignored.
+    pub(crate) fn written(&mut self, now: Moment, write_id: WriteId, outcome: WriteOutcome) {
+        if !self.is_pending(write_id) {
+            if let WriteOutcome::Conflict(record) = outcome {
+                self.apply(now, record);
+            }
+            return;
+        }
+        match outcome {
+            WriteOutcome::Accepted => self.accept(now),
+            WriteOutcome::Conflict(record) => self.lose(now, record),
+            WriteOutcome::Unknown => self.doubt(now),
+            WriteOutcome::Failed => self.fail(now),
+        }
+    }
+
+    fn accept(&mut self, now: Moment) {
+        let Some(attempt) = self.attempt.take() else { return };
+        self.backoff.reset();
+        self.contact.answer(now);
+        self.apply(now, attempt.record);
+        self.confirm_unwitnessed(attempt.sent);
+    }
+
+    fn lose(&mut self, now: Moment, record: Record) {
+        self.pause(now);
+        self.contact.answer(now);
+        self.apply(now, record);
+    }
+
+    fn doubt(&mut self, now: Moment) {
+        let again = self.pause(now);
+        if !self.rules.settle_lost_answers {
+            self.attempt = None;
+        }
+        if let Some(attempt) = &mut self.attempt {
+            attempt.unsure = true;
+            attempt.again = again;
+        }
+    }
+
+    fn fail(&mut self, now: Moment) {
+        if self.attempt.as_ref().is_some_and(|attempt| attempt.unsure) {
+            return self.doubt(now);
+        }
+        self.pause(now);
+        self.attempt = None;
+    }
+
+    fn pause(&mut self, now: Moment) -> Moment {
+        let is_member = self.own().is_some();
+        self.backoff.fail(now, &mut self.draws, is_member)
+    }
+
+    /// Sends an update without an answer again.
+    pub(crate) fn resend(&mut self, now: Moment) {
+        let Some(attempt) = &mut self.attempt else { return };
+        if now < attempt.again {
+            return;
+        }
+        attempt.unsure = true;
+        attempt.again = now + ANSWER_TIMEOUT;
+        self.out.push(Action::Write(attempt.record.clone()));
+    }
+}
