--- a/crates/rattanarch_ownership/tests/model_replay.rs
+++ b/crates/rattanarch_ownership/tests/model_replay.rs
@@ -494,6 +494,7 @@
     let whole = Rules::default();
     let removed = [
         ("from_receipt", Rules { count_from_send: false, ..whole }),
+        ("no_majority_owner", Rules { count_majority: false, ..whole }),
         ("no_seal_memory", Rules { keep_promises: false, ..whole }),
         ("no_wait", Rules { wait_out_seal: false, ..whole }),
     ];
