--- a/crates/rattanarchd/src/request/job.rs
+++ b/crates/rattanarchd/src/request/job.rs
@@ -66,6 +66,22 @@
         Some(Operation::new(key, &idempotency, asked))
     }
 
+    /// The same request once more; `None` if its body is not held.
+    pub(crate) fn duplicate(&self) -> Option<Self> {
+        let Payload::Whole(body) = &self.payload else { return None };
+        Some(Self {
+            method: self.method.clone(),
+            full_path: self.full_path.clone(),
+            rest_path: self.rest_path.clone(),
+            fields: self.fields.clone(),
+            key: self.key.clone(),
+            priority: self.priority,
+            deadline: self.deadline,
+            forwarded: self.forwarded,
+            payload: Payload::Whole(body.clone()),
+        })
+    }
+
     /// Time left for the answer's head.
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod forward;
 mod headers;
+mod hedge;
 mod job;
 mod load_meter;
 mod local;
--- a/crates/rattanarchd/src/request/path.rs
+++ b/crates/rattanarchd/src/request/path.rs
@@ -12,6 +12,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use rattanarch_admission::HedgeBudget;
 use rattanarch_admission::Report;
 use rattanarch_admission::RetryBudget;
 use rattanarch_ownership::Refusal;
@@ -55,6 +56,7 @@
     pub(super) admission: Admission,
     /// Bound on the retries of the service.
     pub(super) budget: Mutex<RetryBudget>,
+    pub(super) hedges: Mutex<HedgeBudget>,
     pub(super) chooser: Chooser,
     pub(super) repeats: Repeats,
     pub(super) upstream: Arc<Peer>,
@@ -74,6 +76,7 @@
             load: LoadMeter::default(),
             admission: Admission::new(settings.slots),
             budget: Mutex::default(),
+            hedges: Mutex::default(),
             chooser: Chooser::new(),
             repeats: Repeats::new(),
             upstream: Peer::new(settings.upstream, connections),
--- a/crates/rattanarchd/src/request/spread.rs
+++ b/crates/rattanarchd/src/request/spread.rs
@@ -25,7 +25,7 @@
             return Err(self.no_instance());
         };
         let tried = first.member;
-        let outcome = self.run_turn(job, first).await;
+        let outcome = self.run_hedged(job, first).await;
         if !Self::allows_retry(job, &outcome, true) {
             return outcome;
         }
@@ -38,14 +38,14 @@
         self.run_turn(job, second).await
     }
 
-    async fn run_turn(&self, job: &mut Job, turn: Turn<'_>) -> Outcome {
+    pub(super) async fn run_turn(&self, job: &mut Job, turn: Turn<'_>) -> Outcome {
         let start = Instant::now();
         let outcome = self.run_at(job, turn.member).await;
         turn.end(ending(&outcome, start));
         outcome
     }
 
-    async fn run_at(
+    pub(super) async fn run_at(
         &self,
         job: &mut Job,
         member: BootId,
--- a/crates/rattanarchd/tests/unkeyed.rs
+++ b/crates/rattanarchd/tests/unkeyed.rs
@@ -3,6 +3,8 @@
 mod support;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rattanarch_types::Configuration;
@@ -92,6 +94,35 @@
     assert_eq!(one.asks().len() + two.asks().len(), 10);
 }
 
+/// Two upstreams of which the first request to either is slow; returns the answer to it and how
+/// many requests they got.
+async fn first_slow(method: &str, slow: Duration) -> (support::Got, usize) {
+    let count = Arc::new(AtomicUsize::new(0));
+    let script = || {
+        let count = Arc::clone(&count);
+        FakeUpstream::start(move |_, _| match count.fetch_add(1, Ordering::SeqCst) {
+            0 => Reply::Late(slow, 200, b"slow".to_vec()),
+            _ => Reply::Answer(200, b"fast".to_vec()),
+        })
+    };
+    let (one, two) = (script().await, script().await);
+    let rigs = Rig::unkeyed(&[one.address, two.address], SECOND * 3);
+    let got = ask(rigs[0].address, method, PATH).await;
+    (got, one.asks().len() + two.asks().len())
+}
+
+#[tokio::test]
+async fn hedged_lookup() {
+    let (got, asks) = first_slow("GET", SECOND * 10).await;
+    assert_eq!((got.body.as_deref(), asks), (Some(&b"fast"[..]), 2));
+}
+
+#[tokio::test]
+async fn no_hedged_deposit() {
+    let (got, asks) = first_slow("POST", SECOND / 2).await;
+    assert_eq!((got.body.as_deref(), asks), (Some(&b"slow"[..]), 1));
+}
+
 #[tokio::test]
 async fn retry_storm() {
     const ASKED: usize = 300;
