--- a/crates/rattanarchd/src/request/exchange.rs
+++ b/crates/rattanarchd/src/request/exchange.rs
@@ -1,21 +1,15 @@
 //! One request on one connection, from its first byte to a known end.
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Body;
-use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::body::SizeHint;
 use hyper::header;
 use tokio::sync::oneshot;
 
@@ -26,7 +20,7 @@
 use crate::request::OutBody;
 use crate::request::RequestError;
 use crate::request::admission::Permit;
-use crate::request::body::BodyError;
+use crate::request::answer_body::AnswerBody;
 use crate::request::body::Paced;
 use crate::request::control;
 use crate::request::control::Cancelled;
@@ -40,6 +34,9 @@
 /// How long a given-up request keeps its slot: upstreams end what is past its deadline.
 const SLOT_LINGER: Duration = Duration::from_millis(200);
 
+/// When to come back if every connection is in use.
+const FULL_RETRY: Duration = Duration::from_millis(100);
+
 /// What a request keeps until its end is known.
 #[derive(Debug, Default)]
 pub(crate) struct Hold {
@@ -120,7 +117,7 @@
             self.pool.checkout(self.deadline).await
         };
         taken.map_err(|error| match error {
-            PoolError::Full(_) => RequestError::Overloaded { retry: self.linger },
+            PoolError::Full(_) => RequestError::Overloaded { retry: FULL_RETRY },
             PoolError::Connect { address, source } => {
                 RequestError::Unreachable { address, reason: source.to_string() }
             }
@@ -200,8 +197,7 @@
             parts.headers.remove(header::CONTENT_LENGTH);
         }
         let inner = Paced::new(incoming, self.body_timeout);
-        let body =
-            AnswerBody { inner, ended: false, link: Some(link), pool: self.pool, _hold: self.hold };
+        let body = AnswerBody::new(inner, link, self.pool, self.hold);
         Ok(Response::from_parts(parts, body.boxed_unsync()))
     }
 
@@ -302,49 +298,3 @@
         && head.body().size_hint().exact().is_none()
         && !head.headers().contains_key(header::TRANSFER_ENCODING)
 }
-
-/// Body of an answer; gives its connection back after its end, and closes it if it is dropped
-/// before.
-struct AnswerBody {
-    inner: Paced,
-    ended: bool,
-    /// `None` only while being dropped.
-    link: Option<BusyLink>,
-    pool: Arc<Pool>,
-    _hold: Hold,
-}
-
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let next = Pin::new(&mut self.inner).poll_frame(cx);
-        if matches!(next, Poll::Ready(None)) {
-            self.ended = true;
-        }
-        next
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
-impl Drop for AnswerBody {
-    fn drop(&mut self) {
-        if !self.ended && !self.inner.is_end_stream() {
-            return;
-        }
-        if let Some(link) = self.link.take() {
-            self.pool.put_back(link);
-        }
-    }
-}
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer;
+mod answer_body;
 mod body;
 mod chooser;
 mod control;
