--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer;
+mod answer_body;
 mod body;
 mod chooser;
 mod control;
@@ -10,6 +11,7 @@
 mod exchange;
 mod forward;
 mod headers;
+mod hedge;
 mod job;
 mod load_meter;
 mod local;
