Let 1,024 callers wait to be accepted

Cause: docs/HTTP-LIBRARIES.md measured that a burst of 130 overflows the standard library's backlog of 128, and that such callers wait a second. The caller server raises the backlog of the listener it is given. Seen to fail without that: burst_of_callers.

--- a/crates/rattanarchd/src/connection/caller_server.rs
+++ b/crates/rattanarchd/src/connection/caller_server.rs
@@ -30,6 +30,9 @@
 const MAX_HEAD: usize = 16 * 1024;
 /// Most fields of a request.
 const MAX_FIELDS: usize = 100;
+/// Connections that may wait to be accepted; the standard library's 128 overflow in a burst of
+/// 130, and the overflow waits a second for its repeated SYN.
+const BACKLOG: i32 = 1_024;
 /// How long connections stay open after the stop begins, so that requests already on their way
 /// are answered.
 const STOP_LINGER: Duration = Duration::from_millis(500);
@@ -67,6 +70,8 @@
         path: Arc<RequestPath>,
     ) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
+        // Listening anew only raises the backlog.
+        rustix::net::listen(&listener, BACKLOG)?;
         let address = listener.local_addr()?;
         let listener = {
             let _entered = runtime.enter();
--- a/crates/rattanarchd/tests/connections.rs
+++ b/crates/rattanarchd/tests/connections.rs
@@ -83,3 +83,14 @@
     let used: BTreeSet<_> = upstream.asks().iter().map(|a| a.connection).collect();
     assert_eq!(used.len(), 1);
 }
+
+#[tokio::test]
+async fn burst_of_callers() {
+    const CALLERS: usize = 300;
+    let upstream = FakeUpstream::start(|_, _| Reply::Answer(200, Vec::new())).await;
+    let rig = Rig::start(upstream.address, SHORT);
+    // Nothing is accepted meanwhile: this thread runs the server, and does not await.
+    let connect = |_| std::net::TcpStream::connect_timeout(&rig.address, SHORT).ok();
+    let connected: Vec<_> = (0..CALLERS).filter_map(connect).collect();
+    assert_eq!(connected.len(), CALLERS);
+}
