Count load once, and take the upstream's own reports

The meter uses the sketch of rattanarch_placement; reports are asked for once a second and only correct the limit. Test: cargo test -p rattanarchd passes (serving encoded_key reads the meter).

--- a/crates/rattanarchd/src/process/control.rs
+++ b/crates/rattanarchd/src/process/control.rs
@@ -43,6 +43,7 @@
 use crate::process::Reports;
 use crate::process::Snapshot;
 use crate::process::UpstreamHealth;
+use crate::request::RequestPath;
 use crate::version::Freshness;
 use crate::version::Grant;
 use crate::version::barred_members;
@@ -88,6 +89,8 @@
     pub(crate) quiescence: Quiescence,
     /// Tells the rest of the process.
     pub(crate) publisher: Publisher,
+    /// Requests of this daemon.
+    pub(crate) requests: Arc<RequestPath>,
     /// What members reported.
     pub(crate) reports: Reports,
     /// Sends metrics.
@@ -192,8 +195,7 @@
 
     /// Tells the node which slices and keys requests asked for in the last `span`.
     fn tell_load(&mut self, span: Duration) {
-        let slices = self.node.serving().record.slice_count();
-        let rates = self.parts.quiescence.running().demand().take(span, slices);
+        let rates = self.parts.requests.load().take(span);
         self.step(Event::Load { slices: rates.slices, keys: rates.keys });
     }
 
@@ -230,6 +232,9 @@
                 log::debug!(peer = peer; "peer did not answer a pull");
             }
             Input::Granted(grant) => self.take_grant(grant),
+            Input::UpstreamLoad(load) => {
+                self.parts.requests.report_load(load.running, load.slots);
+            }
             Input::Fenced(fence) => self.parts.quiescence.fenced(fence),
             Input::ReadFailed | Input::UpstreamSilent => {}
             Input::Superseded(fence) => {
--- a/crates/rattanarchd/src/process/granter.rs
+++ b/crates/rattanarchd/src/process/granter.rs
@@ -11,6 +11,7 @@
 use rattanarch_types::Moment;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::process::Clock;
 use crate::process::ControlError;
 use crate::process::Counters;
 use crate::process::Input;
@@ -25,6 +26,9 @@
 /// Longest time without a call, so that an upstream that is gone is noticed without a lease.
 const IDLE_WAIT: Duration = Duration::from_millis(400);
 
+/// Time between two questions for the upstream's load.
+const LOAD_WAIT: Duration = Duration::from_secs(1);
+
 /// What the control loop wants the upstream to have taken.
 #[derive(Clone, Copy, Debug, Default)]
 struct Wanted {
@@ -62,6 +66,8 @@
             fence: first,
             raises: 0,
             settled: true,
+            clock: Clock,
+            reported: Moment::ZERO,
             inputs,
             counters,
             wanted: Arc::clone(&wanted),
@@ -116,6 +122,9 @@
     raises: u64,
     /// Whether nothing runs under fences lower than `fence`, and the control loop was told.
     settled: bool,
+    clock: Clock,
+    /// When the load was last asked for.
+    reported: Moment,
     inputs: UnboundedSender<Input>,
     counters: Arc<Counters>,
     wanted: Arc<(Mutex<Wanted>, Condvar)>,
@@ -129,7 +138,10 @@
             seen = wanted.changes;
             self.raise(wanted);
             match self.give(wanted) {
-                Ok(older_running) => self.settle(older_running),
+                Ok(older_running) => {
+                    self.settle(older_running);
+                    self.report_load();
+                }
                 Err(error) => {
                     log::debug!(reason:% = error; "grant not taken");
                     let _ = self.inputs.send(Input::UpstreamSilent);
@@ -143,6 +155,19 @@
         }
     }
 
+    /// Asks for the upstream's load, now and then.
+    fn report_load(&mut self) {
+        let now = self.clock.now();
+        if now.saturating_sub(self.reported) < LOAD_WAIT {
+            return;
+        }
+        self.reported = now;
+        // Without an answer, what the daemon measures itself stands.
+        if let Ok(load) = self.upstream.load() {
+            let _ = self.inputs.send(Input::UpstreamLoad(load));
+        }
+    }
+
     /// Raises the fence as often and as far as asked for.
     fn raise(&mut self, wanted: Wanted) {
         if self.raises == wanted.raises {
@@ -191,7 +216,8 @@
             Ok(GrantOutcome::Superseded(fence)) => {
                 Counters::add(&self.counters.grant_failures);
                 let _ = self.inputs.send(Input::Superseded(fence));
-                Ok(0)
+                // The loop ends; nothing is settled under a fence that was not taken.
+                Ok(u64::MAX)
             }
             Ok(GrantOutcome::Restarted) => {
                 Counters::add(&self.counters.grant_failures);
--- a/crates/rattanarchd/src/process/input.rs
+++ b/crates/rattanarchd/src/process/input.rs
@@ -9,6 +9,7 @@
 use rattanarch_types::Version;
 use rattanarch_types::WriteId;
 
+use crate::process::UpstreamLoad;
 use crate::version::Grant;
 
 /// One thing that the control loop is told.
@@ -59,6 +60,8 @@
     Granted(Grant),
     /// The upstream has taken this fence, asked for by a raise, and runs nothing under lower ones.
     Fenced(Fence),
+    /// The upstream reported its load; late or wrong, maybe.
+    UpstreamLoad(UpstreamLoad),
     /// The upstream did not answer a grant.
     UpstreamSilent,
     /// The upstream has taken a higher fence, of a later process in this slot.
--- a/crates/rattanarchd/src/process/mod.rs
+++ b/crates/rattanarchd/src/process/mod.rs
@@ -55,4 +55,5 @@
 pub(crate) use upstream_control::Announcement;
 pub(crate) use upstream_control::ControlError;
 pub(crate) use upstream_control::UpstreamControl;
+pub(crate) use upstream_control::UpstreamLoad;
 pub(crate) use upstream_health::UpstreamHealth;
--- a/crates/rattanarchd/src/process/peer_fleet.rs
+++ b/crates/rattanarchd/src/process/peer_fleet.rs
@@ -29,7 +29,7 @@
 use crate::process::Input;
 use crate::process::Reports;
 use crate::process::random;
-use crate::request::Running;
+use crate::request::RequestPath;
 use crate::version::View;
 use crate::version::Views;
 
@@ -45,8 +45,8 @@
     pub(crate) reports: Reports,
     /// The daemon's own view.
     pub(crate) views: Views,
-    /// Requests that run here.
-    pub(crate) running: Running,
+    /// Requests of this daemon.
+    pub(crate) requests: Arc<RequestPath>,
     /// Concurrent requests that the upstream bears.
     pub(crate) slots: u16,
     /// Counters of the process.
@@ -89,7 +89,7 @@
 
     fn loads(&self) -> BTreeMap<BootId, MemberLoad> {
         let view = self.views.current();
-        let running = u32::try_from(self.running.count()).unwrap_or(u32::MAX);
+        let running = u32::try_from(self.requests.running().count()).unwrap_or(u32::MAX);
         let load = MemberLoad { running, limit: u32::from(self.slots) };
         BTreeMap::from([(view.serving.me, load)])
     }
--- a/crates/rattanarchd/src/process/quiescence.rs
+++ b/crates/rattanarchd/src/process/quiescence.rs
@@ -35,11 +35,6 @@
         Self { running, pending: None, offered: Moment::ZERO, raising: false }
     }
 
-    /// The requests that it follows.
-    pub(crate) fn running(&self) -> &Running {
-        &self.running
-    }
-
     /// Begins to wait for slices and hot keys; replaces an earlier wait.
     pub(crate) fn start(&mut self, slices: Vec<SliceId>, hot: Vec<KeyHash>) {
         self.pending = Some(Pending { slices, hot });
--- a/crates/rattanarchd/src/process/upstream_control.rs
+++ b/crates/rattanarchd/src/process/upstream_control.rs
@@ -28,6 +28,15 @@
     pub(crate) checks_fence: bool,
 }
 
+/// What an upstream says of its load; it lags or misleads.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+pub(crate) struct UpstreamLoad {
+    /// Requests that run.
+    pub(crate) running: u32,
+    /// Concurrent requests that it bears now.
+    pub(crate) slots: u32,
+}
+
 /// A reading of the upstream's clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ClockReading {
@@ -126,6 +135,11 @@
         self.get("announce")
     }
 
+    /// Asks for the upstream's load.
+    pub(crate) fn load(&self) -> Result<UpstreamLoad, ControlError> {
+        self.get("load")
+    }
+
     /// Reads the upstream's clock and the highest fence that it has taken.
     pub(crate) fn clock(&self) -> Result<(ClockReading, Fence), ControlError> {
         let answer: ClockAnswer = self.get("clock")?;
--- a/crates/rattanarchd/src/request/load_meter.rs
+++ b/crates/rattanarchd/src/request/load_meter.rs
@@ -1,58 +1,65 @@
 //! Which slices and keys are asked for most.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
-use std::hash::Hash;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
+use rattanarch_placement::HotKeys;
 use rattanarch_types::KeyHash;
 use rattanarch_types::SliceId;
 
-/// Most keys counted at once. Any key with more than this part of all requests is among them.
-const MAX_KEYS: usize = 64;
+/// Counters of the sketch of hot keys: a key with more than 1 in 256 of the requests is found.
+const SKETCH_COUNTERS: usize = 256;
 
 /// Counts the requests that start at the own upstream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoadMeter {
-    counts: Mutex<LoadCounts>,
+    counts: Mutex<Counts>,
 }
 
-/// Requests since the last reading.
+#[derive(Debug)]
+struct Counts {
+    slices: BTreeMap<SliceId, u32>,
+    keys: HotKeys,
+}
+
+/// Requests a second over some time.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct LoadCounts {
+pub struct LoadRates {
     /// By slice.
     pub slices: BTreeMap<SliceId, u32>,
-    /// By the hash of the most asked keys, hot keys of the record included; may be too high by the
-    /// least of them.
-    pub keys: HashMap<KeyHash, u32>,
+    /// By the hash of the most asked keys, hot keys of the record included; never too high.
+    pub keys: BTreeMap<KeyHash, u32>,
+}
+
+impl Default for LoadMeter {
+    fn default() -> Self {
+        let counts = Counts { slices: BTreeMap::new(), keys: HotKeys::new(SKETCH_COUNTERS) };
+        Self { counts: Mutex::new(counts) }
+    }
 }
 
 impl LoadMeter {
-    /// The counts since the last call.
-    pub fn take(&self) -> LoadCounts {
-        std::mem::take(&mut *self.counts.lock().unwrap_or_else(PoisonError::into_inner))
+    /// The rates over the `span` since the last call.
+    pub fn take(&self, span: Duration) -> LoadRates {
+        let mut counts = self.lock();
+        let keys = counts.keys.take(span);
+        let slices = std::mem::take(&mut counts.slices);
+        let seconds = span.as_secs_f64().max(f64::MIN_POSITIVE);
+        let rate = |count: u32| (f64::from(count) / seconds).round() as u32;
+        let slices = slices.into_iter().map(|(slice, count)| (slice, rate(count)));
+        LoadRates { slices: slices.collect(), keys }
     }
 
     pub(crate) fn note(&self, slice: SliceId, hash: KeyHash) {
-        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts = self.lock();
         *counts.slices.entry(slice).or_default() += 1;
-        note_frequent(&mut counts.keys, hash);
+        counts.keys.record(hash);
     }
-}
 
-/// Counts `key`, in place of the least frequent one if the map is full (the space-saving sketch).
-fn note_frequent<K: Copy + Eq + Hash>(keys: &mut HashMap<K, u32>, key: K) {
-    if let Some(count) = keys.get_mut(&key) {
-        *count += 1;
-        return;
-    }
-    let mut count = 0;
-    if keys.len() >= MAX_KEYS
-        && let Some((&least, &least_count)) = keys.iter().min_by_key(|(_, count)| **count)
-    {
-        keys.remove(&least);
-        count = least_count;
+    fn lock(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
-    keys.insert(key, count + 1);
 }
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -6,7 +6,6 @@
 mod body;
 mod chooser;
 mod control;
-mod demand;
 mod error;
 mod exchange;
 mod forward;
@@ -26,8 +25,8 @@
 
 pub(crate) use body::OutBody;
 pub use error::RequestError;
-pub use load_meter::LoadCounts;
 pub use load_meter::LoadMeter;
+pub use load_meter::LoadRates;
 pub use path::RequestPath;
 pub use running::Running;
 pub use running::Unsettled;
--- a/crates/rattanarchd/src/request/running.rs
+++ b/crates/rattanarchd/src/request/running.rs
@@ -13,7 +13,6 @@
 use slotmap::new_key_type;
 use tokio::sync::watch;
 
-use crate::request::demand::Demand;
 use crate::version::Views;
 
 new_key_type! {
@@ -31,7 +30,6 @@
     state: Arc<Mutex<SlotMap<RunId, Run>>>,
     /// Counts departures.
     changes: Arc<watch::Sender<u64>>,
-    demand: Arc<Demand>,
 }
 
 #[derive(Clone, Debug)]
@@ -61,12 +59,7 @@
 impl Running {
     pub(crate) fn new(views: Views) -> Self {
         let changes = Arc::new(watch::Sender::new(0));
-        Self { views, state: Arc::default(), changes, demand: Arc::default() }
-    }
-
-    /// What the requests ask for.
-    pub(crate) fn demand(&self) -> &Demand {
-        &self.demand
+        Self { views, state: Arc::default(), changes }
     }
 
     /// Number of requests that run or may run.
@@ -141,9 +134,6 @@
 
     /// Enters a request; to be called before its ownership check.
     pub(crate) fn enter(&self, request: String, hash: Option<KeyHash>) -> RunGuard {
-        if let Some(hash) = hash {
-            self.demand.record(hash);
-        }
         let run = Run { request, hash, fence: None, unsettled: false };
         let id = self.lock().insert(run);
         RunGuard { running: self.clone(), id, abandoned: false }
