--- /dev/null
+++ b/crates/rattanarch_standins/tests/cut_daemons.rs
@@ -0,0 +1,101 @@
+//! Daemons that are cut from each other: no key has two owners, and who is heard goes on.
+
+mod relay_support;
+
+use std::thread;
+use std::time::Duration;
+
+use rattanarch_standins::Fleet;
+use rattanarch_standins::Happening;
+use rattanarch_standins::moved_slices;
+use rattanarch_types::BootId;
+use rattanarch_types::Record;
+use relay_support::relayed_desk;
+
+/// Longer than the time in which a lost owner's keys move.
+const HOLD: Duration = Duration::from_secs(4);
+
+/// Number of a slot's requests that its upstream has begun.
+fn started(fleet: &Fleet, slot: usize) -> usize {
+    let journal = fleet.slots[slot].journal().unwrap();
+    let begun = |happening: &Happening| matches!(happening, Happening::Started { .. });
+    journal.entries.iter().filter(|entry| begun(&entry.happening)).count()
+}
+
+fn boot_of(record: &Record, instance: &str) -> BootId {
+    *record.members.iter().find(|(_, member)| member.instance == instance).unwrap().0
+}
+
+/// Slots of the witnesses of the first slot's daemon.
+fn witness_slots(fleet: &Fleet, record: &Record) -> Vec<usize> {
+    let witnesses = &record.members[&boot_of(record, "trade-desk-1")].witnesses;
+    let names: Vec<_> = witnesses.iter().map(|boot| &*record.members[boot].instance).collect();
+    let slots = fleet.slots.iter().enumerate();
+    slots.filter(|(_, slot)| names.contains(&slot.instance())).map(|(index, _)| index).collect()
+}
+
+/// Cuts the first owner from one of its witnesses; no slice may move and every request succeeds.
+fn cut_witness(cut: impl Fn(&Fleet, usize)) {
+    let fleet = relayed_desk(5);
+    let before = fleet.record("trade-desk").unwrap();
+    let witness = witness_slots(&fleet, &before)[0];
+    let load = relay_support::load(&fleet, 6);
+    thread::sleep(Duration::from_secs(1));
+    cut(&fleet, witness);
+    let report = relay_support::judge(&fleet, load);
+    let after = fleet.record("trade-desk").unwrap();
+    eprintln!("slices moved: {}", moved_slices(&before, &after));
+    assert_eq!(report.succeeded(), report.sent(), "{report}");
+    assert_eq!(moved_slices(&before, &after), 0);
+}
+
+#[test]
+fn witness_unheard() {
+    cut_witness(|fleet, witness| fleet.cut_path(witness, 0));
+}
+
+#[test]
+fn witness_apart() {
+    cut_witness(|fleet, witness| {
+        fleet.cut_path(witness, 0);
+        fleet.cut_path(0, witness);
+    });
+}
+
+/// Cuts the first owner off; its keys must move, it must not serve, and comes back when healed.
+fn cut_owner(cut: impl Fn(&Fleet)) {
+    let fleet = relayed_desk(5);
+    let before = fleet.record("trade-desk").unwrap();
+    let load = relay_support::load(&fleet, 12);
+    thread::sleep(Duration::from_secs(1));
+    cut(&fleet);
+    let moved = fleet.wait_without("trade-desk", "trade-desk-1", relay_support::LIMIT).unwrap();
+    eprintln!("slices moved: {}", moved_slices(&before, &moved));
+    let at_move = started(&fleet, 0);
+    thread::sleep(HOLD);
+    let at_heal = started(&fleet, 0);
+    fleet.heal();
+    let report = relay_support::judge(&fleet, load);
+    fleet.wait_shared("trade-desk", relay_support::LIMIT).unwrap();
+    fleet.wait_serving(relay_support::LIMIT).unwrap();
+    assert!(report.succeeded() > 0);
+    assert_eq!(at_heal, at_move, "it served while it was cut off");
+    let after = fleet.record("trade-desk").unwrap();
+    let old = boot_of(&before, "trade-desk-1");
+    assert!(!after.members.contains_key(&old), "it came back as the same life");
+}
+
+#[test]
+fn owner_apart() {
+    cut_owner(|fleet| fleet.cut_peers(0));
+}
+
+#[test]
+fn owner_unheard() {
+    cut_owner(|fleet| (1..5).for_each(|other| fleet.cut_path(0, other)));
+}
+
+#[test]
+fn owner_deaf() {
+    cut_owner(|fleet| (1..5).for_each(|other| fleet.cut_path(other, 0)));
+}
--- /dev/null
+++ b/crates/rattanarch_standins/tests/cut_platform.rs
@@ -0,0 +1,64 @@
+//! A daemon that is cut from the platform only goes on and learns by gossip.
+
+mod relay_support;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rattanarch_standins::Fleet;
+use rattanarch_standins::PlatformFaults;
+use rattanarch_types::Configuration;
+use rattanarch_types::Standing;
+use relay_support::relayed_desk;
+use serde_json::Value;
+
+/// Daemon that is cut off.
+const CUT: usize = 0;
+
+/// Reads that answer with an old version after the cut has healed.
+const STALE_READS: u32 = 40;
+
+fn version(fleet: &Fleet, slot: usize) -> u64 {
+    let status: Value = fleet.slots[slot].read_operator("/status").unwrap();
+    status["configuration_version"].as_u64().unwrap()
+}
+
+/// Stores a configuration that takes a data centre out, as a daemon would.
+fn take_out(fleet: &Fleet, centre: &str) -> u64 {
+    let path = "configuration/co-op";
+    let object = fleet.platform().get(path).unwrap();
+    let mut configuration: Configuration = serde_json::from_value(object.value).unwrap();
+    configuration.data_centres.get_mut(centre).unwrap().standing = Standing::Out;
+    configuration.version = object.version + 1;
+    configuration.write_id = object.version + 1;
+    let value = serde_json::to_value(&configuration).unwrap();
+    fleet.platform().put(path, object.version, &value).unwrap();
+    configuration.version
+}
+
+#[test]
+fn learns_by_gossip() {
+    let fleet = relayed_desk(4);
+    let load = relay_support::load(&fleet, 10);
+    fleet.cut_platform(CUT);
+    thread::sleep(Duration::from_secs(2));
+    let accepted = take_out(&fleet, "nordkuehl");
+    let start = Instant::now();
+    while version(&fleet, CUT) < accepted {
+        assert!(start.elapsed() < relay_support::LIMIT, "version {accepted} did not arrive");
+        thread::sleep(Duration::from_millis(20));
+    }
+    eprintln!("in force at the cut daemon after {} ms", start.elapsed().as_millis());
+    let stale = PlatformFaults { stale_reads: Some(STALE_READS), ..PlatformFaults::default() };
+    fleet.set_platform_faults(stale).unwrap();
+    fleet.heal();
+    while start.elapsed() < Duration::from_secs(6) {
+        for slot in 0..fleet.slots.len() {
+            assert!(version(&fleet, slot) >= accepted, "slot {slot} fell back");
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    let report = relay_support::judge(&fleet, load);
+    assert_eq!(report.succeeded(), report.sent(), "{report}");
+}
