--- a/crates/rattanarch_standins/tests/cut_daemons.rs
+++ b/crates/rattanarch_standins/tests/cut_daemons.rs
@@ -17,13 +17,13 @@
 
 /// Number of a slot's requests that its upstream has begun.
 fn started(fleet: &Fleet, slot: usize) -> usize {
-    let journal = fleet.slots[slot].journal().unwrap();
+    let journal = fleet.slots[slot].journal().expect("a journal");
     let begun = |happening: &Happening| matches!(happening, Happening::Started { .. });
     journal.entries.iter().filter(|entry| begun(&entry.happening)).count()
 }
 
 fn boot_of(record: &Record, instance: &str) -> BootId {
-    *record.members.iter().find(|(_, member)| member.instance == instance).unwrap().0
+    *record.members.iter().find(|(_, member)| member.instance == instance).expect("a member").0
 }
 
 /// Slots of the witnesses of the first slot's daemon.
@@ -37,13 +37,13 @@
 /// Cuts the first owner from one of its witnesses; no slice may move and every request succeeds.
 fn cut_witness(cut: impl Fn(&Fleet, usize)) {
     let fleet = relayed_desk(5);
-    let before = fleet.record("trade-desk").unwrap();
+    let before = fleet.record("trade-desk").expect("a record");
     let witness = witness_slots(&fleet, &before)[0];
     let load = relay_support::load(&fleet, 6);
     thread::sleep(Duration::from_secs(1));
     cut(&fleet, witness);
     let report = relay_support::judge(&fleet, load);
-    let after = fleet.record("trade-desk").unwrap();
+    let after = fleet.record("trade-desk").expect("a record");
     eprintln!("slices moved: {}", moved_slices(&before, &after));
     assert_eq!(report.succeeded(), report.sent(), "{report}");
     assert_eq!(moved_slices(&before, &after), 0);
@@ -65,22 +65,24 @@
 /// Cuts the first owner off; its keys must move, it must not serve, and comes back when healed.
 fn cut_owner(cut: impl Fn(&Fleet)) {
     let fleet = relayed_desk(5);
-    let before = fleet.record("trade-desk").unwrap();
+    let before = fleet.record("trade-desk").expect("a record");
     let load = relay_support::load(&fleet, 12);
     thread::sleep(Duration::from_secs(1));
     cut(&fleet);
-    let moved = fleet.wait_without("trade-desk", "trade-desk-1", relay_support::LIMIT).unwrap();
+    let moved = fleet
+        .wait_without("trade-desk", "trade-desk-1", relay_support::LIMIT)
+        .expect("moved slices");
     eprintln!("slices moved: {}", moved_slices(&before, &moved));
     let at_move = started(&fleet, 0);
     thread::sleep(HOLD);
     let at_heal = started(&fleet, 0);
     fleet.heal();
     let report = relay_support::judge(&fleet, load);
-    fleet.wait_shared("trade-desk", relay_support::LIMIT).unwrap();
-    fleet.wait_serving(relay_support::LIMIT).unwrap();
+    fleet.wait_shared("trade-desk", relay_support::LIMIT).expect("even shares");
+    fleet.wait_serving(relay_support::LIMIT).expect("service");
     assert!(report.succeeded() > 0);
     assert_eq!(at_heal, at_move, "it served while it was cut off");
-    let after = fleet.record("trade-desk").unwrap();
+    let after = fleet.record("trade-desk").expect("a record");
     let old = boot_of(&before, "trade-desk-1");
     assert!(!after.members.contains_key(&old), "it came back as the same life");
 }
--- a/crates/rattanarch_standins/tests/cut_platform.rs
+++ b/crates/rattanarch_standins/tests/cut_platform.rs
@@ -20,20 +20,21 @@
 const STALE_READS: u32 = 40;
 
 fn version(fleet: &Fleet, slot: usize) -> u64 {
-    let status: Value = fleet.slots[slot].read_operator("/status").unwrap();
-    status["configuration_version"].as_u64().unwrap()
+    let status: Value = fleet.slots[slot].read_operator("/status").expect("a status");
+    status["configuration_version"].as_u64().expect("a number")
 }
 
 /// Stores a configuration that takes a data centre out, as a daemon would.
 fn take_out(fleet: &Fleet, centre: &str) -> u64 {
     let path = "configuration/co-op";
-    let object = fleet.platform().get(path).unwrap();
-    let mut configuration: Configuration = serde_json::from_value(object.value).unwrap();
-    configuration.data_centres.get_mut(centre).unwrap().standing = Standing::Out;
+    let object = fleet.platform().get(path).expect("an object");
+    let mut configuration: Configuration =
+        serde_json::from_value(object.value).expect("a configuration");
+    configuration.data_centres.get_mut(centre).expect("a data centre").standing = Standing::Out;
     configuration.version = object.version + 1;
     configuration.write_id = object.version + 1;
-    let value = serde_json::to_value(&configuration).unwrap();
-    fleet.platform().put(path, object.version, &value).unwrap();
+    let value = serde_json::to_value(&configuration).expect("a value");
+    fleet.platform().put(path, object.version, &value).expect("a stored object");
     configuration.version
 }
 
--- /dev/null
+++ b/crates/rattanarch_standins/tests/killed_witness.rs
@@ -0,0 +1,67 @@
+//! Owners go on without a gap when a witness dies, and replace it.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use rattanarch_standins::Fleet;
+use rattanarch_standins::Happening;
+use rattanarch_standins::Outcome;
+use rattanarch_standins::moved_slices;
+use rattanarch_types::BootId;
+use rattanarch_types::Fence;
+use rattanarch_types::Record;
+
+/// The owner that is looked at.
+const OWNER: &str = "trade-desk-1";
+
+fn boot_of(record: &Record, instance: &str) -> Option<BootId> {
+    record.members.iter().find(|(_, member)| member.instance == instance).map(|(boot, _)| *boot)
+}
+
+/// Fences of the owner's grants, and its requests that a grant's end stopped.
+fn grants(fleet: &Fleet) -> (Vec<Fence>, usize) {
+    let journal = fleet.slots[0].journal().expect("a journal");
+    let fence = |happening: &Happening| match happening {
+        Happening::Grant { fence, .. } => Some(*fence),
+        _ => None,
+    };
+    let mut fences: Vec<_> = journal.entries.iter().filter_map(|e| fence(&e.happening)).collect();
+    fences.dedup();
+    let stopped = |happening: &Happening| {
+        matches!(happening, Happening::Ended { outcome: Outcome::GrantEnded, .. })
+    };
+    let stopped = journal.entries.iter().filter(|entry| stopped(&entry.happening)).count();
+    (fences, stopped)
+}
+
+#[test]
+fn witness_killed() {
+    let mut fleet = support::trade_desk(5);
+    let before = fleet.record("trade-desk").unwrap();
+    let owner = boot_of(&before, OWNER).unwrap();
+    let witness = before.members[&before.members[&owner].witnesses[0]].instance.clone();
+    let (fences, _) = grants(&fleet);
+    let load = support::load(&fleet, 8);
+    thread::sleep(Duration::from_secs(1));
+    let killed = fleet.slots.iter().position(|slot| slot.instance() == witness).unwrap();
+    fleet.slots[killed].daemon().unwrap().kill().unwrap();
+    let after = fleet.wait_without("trade-desk", &witness, support::LIMIT).unwrap();
+    eprintln!("slices moved: {}", moved_slices(&before, &after));
+    let what = "an owner whose witnesses all live";
+    let replaced = fleet.wait_record("trade-desk", what, support::LIMIT, |record| {
+        let Some(member) = record.members.get(&owner) else { return false };
+        let lives = |boot: &BootId| {
+            record.members.get(boot).is_some_and(|member| member.instance != witness)
+        };
+        !member.witnesses.is_empty() && member.witnesses.iter().all(lives)
+    });
+    let replaced = replaced.unwrap();
+    support::judge(&fleet, load);
+    assert!(replaced.members[&owner].term > before.members[&owner].term);
+    let slices: Vec<_> = before.slices_of(owner).collect();
+    let kept = slices.iter().filter(|slice| after.owners[usize::from(**slice)] == Some(owner));
+    assert_eq!(kept.count(), slices.len(), "the owner lost slices");
+    assert_eq!(grants(&fleet), (fences, 0), "its grants had a gap");
+}
