--- a/crates/rattanarch_standins/src/bin/bench/main.rs
+++ b/crates/rattanarch_standins/src/bin/bench/main.rs
@@ -1,13 +1,15 @@
 //! Measurements of real processes on one machine, with the bounds that the targets set.
 //!
 //! `bench control` gives each daemon's control cost by fleet size, `bench recovery` how long keys
-//! are unserved after an owner is killed, `bench latency` what the daemon adds to a request. Each
-//! prints its figures and exits with status 1 if a bound from the users' letter is missed.
+//! are unserved after an owner is killed, `bench latency` what the daemon adds to a request, `bench
+//! measures` the brief's five measures for both firms. Each prints its figures and exits with
+//! status 1 if a bound from the users' letter is missed.
 
 #![expect(clippy::print_stdout, reason = "the figures are this program's output")]
 
 mod control;
 mod latency;
+mod measures;
 mod recovery;
 mod usage;
 
@@ -17,6 +19,7 @@
 
 use crate::control::ControlOptions;
 use crate::latency::LatencyOptions;
+use crate::measures::MeasuresOptions;
 use crate::recovery::RecoveryOptions;
 
 /// Command line.
@@ -42,6 +45,9 @@
     /// Latency added by the daemon.
     #[options(help = "latency and throughput of a daemon beside its upstream's own")]
     Latency(LatencyOptions),
+    /// The brief's measures.
+    #[options(help = "the brief's five measures for both firms, beside plain baselines")]
+    Measures(MeasuresOptions),
 }
 
 /// A failed measurement, or a bound that was missed.
@@ -53,7 +59,8 @@
         Some(Command::Control(options)) => control::measure(&options),
         Some(Command::Recovery(options)) => recovery::measure(&options),
         Some(Command::Latency(options)) => latency::measure(&options),
-        None => Err("name what to measure: control, recovery or latency".into()),
+        Some(Command::Measures(options)) => measures::measure(&options),
+        None => Err("name what to measure: control, recovery, latency or measures".into()),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/rattanarch_standins/src/bin/bench/measures/placement.rs
@@ -0,0 +1,97 @@
+//! Pure placement beside rendezvous hashing and round robin, at a deployment's size.
+
+use std::collections::BTreeSet;
+
+use rattanarch_placement::fill;
+use rattanarch_placement::plan;
+use rattanarch_placement::rank;
+use rattanarch_types::BootId;
+use rattanarch_types::Member;
+use rattanarch_types::Record;
+
+use crate::measures::table::Table;
+
+/// Slices of a keyed service, as the fixture's.
+const SLICES: u16 = 144;
+
+/// Most slices of a member over the mean; slices moved by a join and by a loss.
+struct Figures {
+    imbalance: f64,
+    join: usize,
+    loss: usize,
+}
+
+/// Prints the rows for a service of `members` members.
+pub(crate) fn measure(members: u64, table: &Table) {
+    let rows = [
+        ("rattanarch_placement", planned(members)),
+        ("rendezvous hashing", chosen(rendezvous, members)),
+        ("round robin", chosen(round_robin, members)),
+    ];
+    for (name, Figures { imbalance, join, loss }) in rows {
+        let variant = format!("{name}, {members} members, pure");
+        table.note("imbalance of slices", &variant, &format!("{imbalance:.2}"));
+        let moved = format!("join {join}, loss {loss} of {SLICES}");
+        table.note("churn, slices moved", &variant, &moved);
+    }
+}
+
+fn member(id: BootId) -> Member {
+    Member {
+        instance: format!("slot-{id}"),
+        data_centre: format!("centre-{}", id % 4),
+        peer: ([127, 0, 0, 1], 7000).into(),
+        caller: ([127, 0, 0, 1], 7001).into(),
+        slots: 20,
+        fence: 0,
+        term: 1,
+        witnesses: Vec::new(),
+        leaving: false,
+    }
+}
+
+fn planned(members: u64) -> Figures {
+    let nobody = BTreeSet::new();
+    let mut record = Record::new("measures", SLICES);
+    record.members = (1..=members).map(|id| (id, member(id))).collect();
+    fill(&mut record, &nobody);
+    let owners: Vec<_> = record.owners.iter().flatten().copied().collect();
+    let mut joined = record.clone();
+    joined.members.insert(members + 1, member(members + 1));
+    let join = plan(&joined, &nobody).len();
+    let mut left = record.clone();
+    left.members.remove(&1);
+    for owner in left.owners.iter_mut().filter(|owner| **owner == Some(1)) {
+        *owner = None;
+    }
+    fill(&mut left, &nobody);
+    let rest = plan(&left, &nobody).len();
+    let lost = record.owners.iter().zip(&left.owners).filter(|(a, b)| a != b).count();
+    Figures { imbalance: imbalance(&owners, members), join, loss: lost + rest }
+}
+
+fn chosen(choose: fn(u64, &[BootId]) -> BootId, members: u64) -> Figures {
+    let owners = |ids: &[BootId]| -> Vec<BootId> {
+        (0..u64::from(SLICES)).map(|slice| choose(slice, ids)).collect()
+    };
+    let ids: Vec<BootId> = (1..=members + 1).collect();
+    let before = owners(&ids[..ids.len() - 1]);
+    let joined = owners(&ids);
+    let left = owners(&ids[1..ids.len() - 1]);
+    let differ = |after: &[BootId]| before.iter().zip(after).filter(|(a, b)| a != b).count();
+    Figures { imbalance: imbalance(&before, members), join: differ(&joined), loss: differ(&left) }
+}
+
+fn imbalance(owners: &[BootId], members: u64) -> f64 {
+    let count = |id| owners.iter().filter(|owner| **owner == id).count();
+    let most = (1..=members).map(count).max().unwrap_or_default();
+    most as f64 * members as f64 / owners.len() as f64
+}
+
+fn rendezvous(slice: u64, ids: &[BootId]) -> BootId {
+    ids.iter().copied().max_by_key(|id| rank(slice, *id)).unwrap_or_default()
+}
+
+fn round_robin(slice: u64, ids: &[BootId]) -> BootId {
+    ids[slice as usize % ids.len()]
+}
