Take late answers for a collapse only while the limit is in use

Cause: ColdStart counts an answer as very late beyond 8 times the mean. When work turns from 2 ms to 202 ms, the first three answers count as a silent collapse, although 5 of 20 slots are busy: the limit falls to 2, which serves 10 of the 24 requests a second, and grows by one in 16 slow answers. What waits and what comes back meanwhile is shed for seconds.

Ruled out: an idle period (no limit falls with time), and the Limiter's own fall by latency (it ends at half of the slots, 10, and 5 are needed).

Now an answer that is late while less than half of the limit is in use counts as the new usual time: no load can have made that upstream collapse. Late answers of an upstream in use, failures and refusals count as before; the tests of cold start and collapse are unchanged.

The fleet's scene was not run again here.

--- a/crates/rattanarch_admission/src/cold_start.rs
+++ b/crates/rattanarch_admission/src/cold_start.rs
@@ -21,6 +21,7 @@
 
 /// Limit for an upstream that may be cold: small at first, it grows with each answer while it is
 /// in use, and falls back at once when the upstream refuses as cold, or collapses without a word.
+/// Late answers mean a collapse only while the limit is in use; otherwise they are the new usual.
 ///
 /// A fall before the upstream was warm halves the growth, so that a few falls find the pace at
 /// which this upstream warms up.
@@ -73,8 +74,9 @@
     /// included. A refusal for want of room says nothing about warmth.
     pub fn note(&mut self, ending: Ending, running: u32) {
         match ending {
-            Ending::Answered(time) if !self.is_late(time) => self.grow(time, running),
-            Ending::Answered(_) | Ending::Failed => self.fail(),
+            Ending::Answered(time) if self.is_late(time) && self.is_used(running) => self.fail(),
+            Ending::Answered(time) => self.grow(time, running),
+            Ending::Failed => self.fail(),
             Ending::Cold => self.fall(),
             Ending::Refused => {}
         }
@@ -84,13 +86,18 @@
         self.mean > 0.0 && time.as_secs_f64() > self.mean * LATE_FACTOR
     }
 
+    /// Whether at least half of the limit is in use. An upstream that is hardly used proves nothing
+    /// about a higher limit, and no load has made it collapse: its work has become slow.
+    fn is_used(&self, running: u32) -> bool {
+        f64::from(running) * 2.0 >= self.limit
+    }
+
     fn grow(&mut self, time: Duration, running: u32) {
         let seconds = time.as_secs_f64();
         let weight = if self.mean == 0.0 { 1.0 } else { MEAN_WEIGHT };
         self.mean += (seconds - self.mean) * weight;
         self.bad = 0;
-        // An upstream that is hardly used proves nothing about a higher limit.
-        if f64::from(running) * 2.0 >= self.limit {
+        if self.is_used(running) {
             self.limit = (self.limit + self.growth).min(self.slots);
         }
     }
