Follow the owner that a 421 names, within the retry budget

A forwarded request that a peer turned away with 421 was tried again only if the own table had moved already; until gossip came, each caller saw the 421.

Now such a request goes, as its one retry and out of the retry budgets, to the owner by the own table if that has moved, else to the member of the applied record whose caller address stands in rattanarch-owner. That member checks its own ownership, so a wrong hint costs an attempt. Never for a streamed body, nor a second time.

The refusing daemon does put the owner by its own record into rattanarch-owner (own_hint: two request paths with different records). But where it had none, the forwarding daemon filled in the refusing daemon's own address, which sent callers back to where they were refused: it leaves the field out of a 421 now.

--- a/crates/rattanarchd/src/request/forward.rs
+++ b/crates/rattanarchd/src/request/forward.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::PoisonError;
 
+use hyper::StatusCode;
 use rattanarch_admission::RetryBudget;
 use rattanarch_ownership::Refusal;
 use rattanarch_types::BootId;
@@ -16,6 +17,7 @@
 use crate::request::exchange::Hold;
 use crate::request::headers;
 use crate::request::job::Job;
+use crate::request::misdirected;
 use crate::request::outcome;
 use crate::request::outcome::Outcome;
 
@@ -24,13 +26,21 @@
     pub(super) async fn run_keyed(&self, job: &mut Job, hash: KeyHash) -> Outcome {
         let tried = self.views.current().serving.record.owner_of(hash);
         let outcome = self.run_at_owner(job, hash).await;
-        let Some(owner) = self.views.current().serving.record.owner_of(hash) else {
-            return outcome;
+        let next = if misdirected::is_misdirected(&outcome) && job.payload.is_whole() {
+            let hint = misdirected::hint(&outcome);
+            self.next_owner(job.deadline, hash, tried, hint).await
+        } else {
+            self.views.current().serving.record.owner_of(hash)
         };
-        let moved = Some(owner) != tried;
-        if !Self::allows_retry(job, &outcome, moved) || !self.spend_retry(owner) {
+        let Some(next) = next else { return outcome };
+        let moved = Some(next) != tried;
+        if !Self::allows_retry(job, &outcome, moved) || !self.spend_retry(next) {
             return outcome;
         }
+        if self.views.current().serving.record.owner_of(hash) == tried && moved {
+            // Only the peer's hint leads there.
+            return self.forward(job, next).await;
+        }
         self.run_at_owner(job, hash).await
     }
 
@@ -106,7 +116,8 @@
         if answer::verdict(&head).is_none() {
             return Err(RequestError::Crossed);
         }
-        if !head.headers().contains_key(headers::OWNER) {
+        let is_owner = head.status() != StatusCode::MISDIRECTED_REQUEST;
+        if is_owner && !head.headers().contains_key(headers::OWNER) {
             let owner = headers::value(&address.to_string());
             head.headers_mut().insert(headers::OWNER, owner);
         }
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -14,6 +14,7 @@
 mod job;
 mod load_meter;
 mod local;
+mod misdirected;
 mod outcome;
 mod path;
 mod peers;
