Keep silent in spells when no majority answers, so that a deaf owner is taken over

Cause: witnesses renewed their trust in an owner whose requests they heard, also when it heard none of their answers; it had no lease, was never suspected, and its keys were not served for as long as the cut lasted. An owner that no majority answers for one and a half leases sends nothing for two leases, then sends for two, and so on. Silence is loss of messages, which the model allows at any time, so no rule of safety changes. Ruled out: a flag in the request, which changes the wire format and the model.

--- a/crates/rattanarch_ownership/src/acks.rs
+++ b/crates/rattanarch_ownership/src/acks.rs
@@ -24,6 +24,11 @@
         Self { term, began, witnesses, sent: BTreeMap::new() }
     }
 
+    /// Since when the term may be acknowledged.
+    pub(crate) fn began(&self) -> Moment {
+        self.began
+    }
+
     /// Takes an acknowledgement; one of another term or from no witness is ignored.
     pub(crate) fn take(&mut self, from: BootId, term: Version, sent: Moment) {
         if term != self.term || !self.witnesses.contains(&from) {
--- a/crates/rattanarch_ownership/src/lease.rs
+++ b/crates/rattanarch_ownership/src/lease.rs
@@ -45,6 +45,20 @@
         true
     }
 
+    /// Whether to send nothing, so that witnesses who hear this member and are not heard by it take
+    /// it for lost. Spells of silence and of requests take turns, two leases each, as long as no
+    /// majority answers.
+    pub(crate) fn is_hushed(&self, core: &Core, now: Moment) -> bool {
+        if self.acks.witnesses.is_empty() {
+            return false;
+        }
+        let heard = self.since(core).unwrap_or_default().max(self.acks.began());
+        let unheard = now.saturating_sub(heard).saturating_sub(core.timing.lease / 2);
+        let spell = core.timing.lease * 2;
+        // The first spell of requests is half as long: the lease has ended by then.
+        (unheard + spell / 2).as_nanos() / spell.as_nanos() % 2 == 1
+    }
+
     /// Takes a refusal of terms up to `sealed`.
     pub(crate) fn refuse(&mut self, sealed: Version) {
         self.refused |= sealed >= self.acks.term;
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -49,6 +49,9 @@
         let ready = self.replacer.change.as_ref().map(|change| &change.acks);
         self.lease.follow(core, ready);
         self.replacer.settle(core, now);
+        if self.lease.is_hushed(core, now) {
+            return;
+        }
         let due = self.lease.is_due(core, now);
         let changed = self.replacer.seen != core.version();
         if due || changed || self.lease.refused || self.replacer.is_wanted {
