--- a/crates/rattanarch_standins/tests/killed_witness.rs
+++ b/crates/rattanarch_standins/tests/killed_witness.rs
@@ -43,7 +43,8 @@
     let owner = boot_of(&before, OWNER).unwrap();
     let witness = before.members[&before.members[&owner].witnesses[0]].instance.clone();
     let (fences, _) = grants(&fleet);
-    let load = support::load(&fleet, 8);
+    support::slow_down(&fleet);
+    let load = support::load(&fleet, 6);
     thread::sleep(Duration::from_secs(1));
     let killed = fleet.slots.iter().position(|slot| slot.instance() == witness).unwrap();
     fleet.slots[killed].daemon().unwrap().kill().unwrap();
