Count refusals by reason, and show them

`show refusals` and `/status` were empty. Each refusal that the request path makes is now counted by one relaxed atomic per reason of RequestError (27, the four ownership refusals apart), under stable kebab-case names; RequestPath:: refusals() gives those that occurred, and PeerFleet hands them on. A forwarded request counts where it was refused. Not counted: connections above the bound and heads that cannot be read, which never reach the request path.

--- a/crates/rattanarchd/src/process/peer_fleet.rs
+++ b/crates/rattanarchd/src/process/peer_fleet.rs
@@ -95,7 +95,7 @@
     }
 
     fn refusals(&self) -> BTreeMap<String, u64> {
-        BTreeMap::new()
+        self.requests.refusals()
     }
 
     fn counters(&self) -> BTreeMap<String, u64> {
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -18,6 +18,8 @@
 mod outcome;
 mod path;
 mod peers;
+mod reason;
+mod refusals;
 mod repeats;
 mod running;
 mod settings;
--- a/crates/rattanarchd/src/request/path.rs
+++ b/crates/rattanarchd/src/request/path.rs
@@ -1,5 +1,6 @@
 //! The way of a request from its head to its answer.
 
+use std::collections::BTreeMap;
 use std::collections::hash_map::RandomState;
 use std::hash::BuildHasher;
 use std::sync::Arc;
@@ -37,6 +38,7 @@
 use crate::request::job::Key;
 use crate::request::peers::Peer;
 use crate::request::peers::Peers;
+use crate::request::refusals::Refusals;
 use crate::request::repeats::Repeats;
 use crate::request::target::Target;
 use crate::version::View;
@@ -59,6 +61,7 @@
     pub(super) hedges: Mutex<HedgeBudget>,
     pub(super) chooser: Chooser,
     pub(super) repeats: Repeats,
+    refusals: Refusals,
     pub(super) upstream: Arc<Peer>,
     pub(super) control: Arc<Pool>,
     pub(super) peers: Peers,
@@ -79,6 +82,7 @@
             hedges: Mutex::default(),
             chooser: Chooser::new(),
             repeats: Repeats::new(),
+            refusals: Refusals::default(),
             upstream: Peer::new(settings.upstream, connections),
             control: Pool::new(settings.upstream, CONTROL_CONNECTIONS),
             peers: Peers::new(settings.peer_connections),
@@ -106,6 +110,11 @@
         self.admission.report(Report { running, slots });
     }
 
+    /// Requests that this daemon has refused since its start, by reason.
+    pub fn refusals(&self) -> BTreeMap<String, u64> {
+        self.refusals.read()
+    }
+
     pub(crate) fn settings(&self) -> &RequestSettings {
         &self.settings
     }
@@ -124,6 +133,7 @@
     }
 
     fn refuse(&self, error: &RequestError) -> Response<OutBody> {
+        self.refusals.note(error);
         let mut answer = answer::refuse(error);
         if let RequestError::Refused { refusal: Refusal::Elsewhere(owner), .. } = error {
             let view = self.views.current();
