Count what light load has warmed, so that slow work finds its slots

Now ColdStart counts the growth of answers that come while the limit is hardly used, and spends it, at most half a slot an answer, once a higher limit is in use. A fall as cold or by failures forfeits it. Very late answers at the start's own limit are no collapse, and before the upstream was warm they keep what was earned. From warm, a silent collapse falls as before. Tests of cold start and collapse are unchanged and pass, cold_collapse over HTTP too.

Ruled out: earning without keeping it at late answers (the model gave the same figures as before).

--- a/crates/rattanarch_admission/src/cold_start.rs
+++ b/crates/rattanarch_admission/src/cold_start.rs
@@ -10,6 +10,8 @@
 const MAX_GROWTH: f64 = 1.0 / 16.0;
 /// Least growth for each answer.
 const MIN_GROWTH: f64 = 1.0 / 512.0;
+/// Most growth for an answer out of what was earned before.
+const MAX_SPEND: f64 = 0.5;
 /// Part of the growth that is left after a fall while it grew.
 const FALL_PART: f64 = 0.5;
 /// Failures or very late answers in a row that mean a collapse.
@@ -21,7 +23,9 @@
 
 /// Limit for an upstream that may be cold: small at first, it grows with each answer while it is
 /// in use, and falls back at once when the upstream refuses as cold, or collapses without a word.
-/// Late answers mean a collapse only while the limit is in use; otherwise they are the new usual.
+/// Answers that come while it is hardly used warm the upstream as well: they count once a higher
+/// limit can be tried. Late answers mean a collapse only under load; otherwise they are the new
+/// usual.
 ///
 /// A fall before the upstream was warm halves the growth, so that a few falls find the pace at
 /// which this upstream warms up.
@@ -47,6 +51,9 @@
     slots: f64,
     /// Growth for each answer.
     growth: f64,
+    /// Growth of the answers that came while the limit was not in use; at most `slots`. They have
+    /// warmed the upstream, and count as soon as a higher limit can be tried.
+    earned: f64,
     /// Mean service time in seconds; 0 before the first answer.
     mean: f64,
     /// Failures and very late answers since the last good one.
@@ -57,7 +64,7 @@
     /// For an upstream of `slots` (at least 1) that may be cold.
     pub fn new(slots: u16) -> Self {
         let slots = f64::from(slots.max(1));
-        Self { limit: START.min(slots), slots, growth: MAX_GROWTH, mean: 0.0, bad: 0 }
+        Self { limit: START.min(slots), slots, growth: MAX_GROWTH, earned: 0.0, mean: 0.0, bad: 0 }
     }
 
     /// Requests that may run at once; 1 to the upstream's slots.
@@ -74,7 +81,7 @@
     /// included. A refusal for want of room says nothing about warmth.
     pub fn note(&mut self, ending: Ending, running: u32) {
         match ending {
-            Ending::Answered(time) if self.is_late(time) && self.is_used(running) => self.fail(),
+            Ending::Answered(time) if self.is_late(time) && self.is_loaded(running) => self.lag(),
             Ending::Answered(time) => self.grow(time, running),
             Ending::Failed => self.fail(),
             Ending::Cold => self.fall(),
@@ -86,8 +93,18 @@
         self.mean > 0.0 && time.as_secs_f64() > self.mean * LATE_FACTOR
     }
 
+    /// Whether load can have made the upstream collapse; otherwise its work has become slow.
+    fn is_loaded(&self, running: u32) -> bool {
+        self.is_raised() && self.is_used(running)
+    }
+
+    /// Whether more run at once than at the start.
+    fn is_raised(&self) -> bool {
+        self.limit >= START + 1.0
+    }
+
     /// Whether at least half of the limit is in use. An upstream that is hardly used proves nothing
-    /// about a higher limit, and no load has made it collapse: its work has become slow.
+    /// about a higher limit.
     fn is_used(&self, running: u32) -> bool {
         f64::from(running) * 2.0 >= self.limit
     }
@@ -98,7 +115,24 @@
         self.mean += (seconds - self.mean) * weight;
         self.bad = 0;
         if self.is_used(running) {
-            self.limit = (self.limit + self.growth).min(self.slots);
+            let spent = self.earned.min(MAX_SPEND);
+            self.earned -= spent;
+            self.limit = (self.limit + self.growth + spent).min(self.slots);
+        } else {
+            self.earned = (self.earned + self.growth).min(self.slots);
+        }
+        if self.is_warm() {
+            self.earned = 0.0;
+        }
+    }
+
+    /// Notes a very late answer. Before the upstream was warm, and with growth left that it has
+    /// earned, its work may just be slow: then the way back up is short.
+    fn lag(&mut self) {
+        let (earned, growth) = (self.earned, self.growth);
+        self.fail();
+        if earned > 0.0 {
+            (self.earned, self.growth) = (earned, growth);
         }
     }
 
@@ -111,10 +145,11 @@
 
     /// Starts anew, the mean included: a cold upstream is slower.
     fn fall(&mut self) {
-        if !self.is_warm() && self.limit > START {
+        if !self.is_warm() && self.is_raised() {
             self.growth = (self.growth * FALL_PART).max(MIN_GROWTH);
         }
         self.limit = START.min(self.slots);
+        self.earned = 0.0;
         self.mean = 0.0;
         self.bad = 0;
     }
--- a/crates/rattanarch_admission/tests/cold_start.rs
+++ b/crates/rattanarch_admission/tests/cold_start.rs
@@ -106,3 +106,24 @@
     }
     assert!(falls <= 5, "{falls} falls before it was warm");
 }
+
+#[test]
+fn unproven_growth() {
+    let mut cold = ColdStart::new(20);
+    for _ in 0..1_000 {
+        cold.note(ANSWERED, 1);
+    }
+    // What lone requests have earned counts once more run at a time,
+    for _ in 0..12 {
+        let running = cold.limit();
+        cold.note(ANSWERED, running);
+    }
+    assert!(cold.limit() >= 8, "{}", cold.limit());
+    // and is gone when the upstream was cold all the same.
+    cold.note(Ending::Cold, 8);
+    for _ in 0..12 {
+        let running = cold.limit();
+        cold.note(ANSWERED, running);
+    }
+    assert_eq!(cold.limit(), 2);
+}
--- a/crates/rattanarch_admission/tests/slow_work.rs
+++ b/crates/rattanarch_admission/tests/slow_work.rs
@@ -167,3 +167,15 @@
     assert!(scene.refused * 100 <= scene.answered, "{}", scene.tell());
     assert_eq!(scene.failed, 0);
 }
+
+#[test]
+fn light_load_before() {
+    let mut scene = Scene::new(4);
+    // One request at a time leaves the limit near its start.
+    scene.run(15);
+    assert!(!scene.limiter.is_warm());
+    scene.work = 200;
+    scene.run(15);
+    assert!(scene.refused * 100 <= scene.answered * 2, "{}", scene.tell());
+    assert_eq!(scene.failed, 0);
+}
