Ask for keys without pause beside the load over each change

Cause: the load tool heeds Retry-After, which a daemon states in whole seconds (it also states rattanarch-retry-ms, which the tool does not read), so a key that few ask for counts as unserved until its retry. The load's figure stays, beside one by callers that wait for nothing; both are held to the bound of 2 s.

--- a/crates/rattanarch_standins/src/bin/bench/measures/mod.rs
+++ b/crates/rattanarch_standins/src/bin/bench/measures/mod.rs
@@ -4,6 +4,7 @@
 mod deployment;
 mod moves;
 mod placement;
+mod probe;
 mod stragglers;
 mod table;
 
--- a/crates/rattanarch_standins/src/bin/bench/measures/moves.rs
+++ b/crates/rattanarch_standins/src/bin/bench/measures/moves.rs
@@ -17,6 +17,7 @@
 use crate::measures::MeasuresOptions;
 use crate::measures::deployment::Deployment;
 use crate::measures::deployment::LIMIT;
+use crate::measures::probe::Probe;
 use crate::measures::table::Bound;
 use crate::measures::table::Table;
 
@@ -29,6 +30,15 @@
 /// Slot whose daemon is killed.
 const VICTIM: usize = 0;
 
+/// Slot whose daemon is asked for keys: neither killed nor in the data centre that leaves.
+const ASKED: usize = 2;
+
+/// Load and questions over one change.
+struct Watch {
+    load: BackgroundLoad,
+    probe: Probe,
+}
+
 /// A deployment under load whose members change.
 struct Moves<'a> {
     deployment: &'a Deployment,
@@ -59,7 +69,7 @@
 }
 
 impl Moves<'_> {
-    fn load(&self, span: Duration) -> BackgroundLoad {
+    fn watch(&self, span: Duration) -> Watch {
         let settings = LoadSettings::default()
             .with_targets(self.fleet.targets())
             .with_firm(self.deployment.firm)
@@ -67,8 +77,10 @@
             .with_duration(span)
             .with_seed(self.options.seed + self.acknowledged.len() as u64);
         let load = BackgroundLoad::start(settings);
+        let address = self.fleet.slots[ASKED].caller_address();
+        let probe = Probe::start(address, self.deployment.read.0);
         thread::sleep(LEAD);
-        load
+        Watch { load, probe }
     }
 
     fn settled(&self) -> Result<Record, BenchError> {
@@ -76,43 +88,43 @@
     }
 
     fn calm(&mut self, table: &mut Table) -> Result<(), BenchError> {
-        let report = self.load(SPAN).finish()?;
+        let watch = self.watch(SPAN);
+        let report = self.report(table, "nothing changes", watch)?;
         for (service, figures) in &report.services {
             let variant = format!("rattanarch, {service}");
             table.add("imbalance of answers", &variant, figures.imbalance, Bound::None);
         }
-        self.report(table, "nothing changes", report);
         Ok(())
     }
 
     fn kill(&mut self, table: &mut Table) -> Result<(), BenchError> {
         let before = self.settled()?;
-        let load = self.load(SPAN);
+        let watch = self.watch(SPAN);
         let slot = &mut self.fleet.slots[VICTIM];
         slot.daemon().ok_or("a daemon is missing")?.kill()?;
         let instance = slot.instance().to_owned();
         self.fleet.wait_without(self.deployment.keyed, &instance, LIMIT)?;
         let after = self.settled()?;
         churn(table, "kill", &before, &after);
-        self.report(table, "kill", load.finish()?);
+        self.report(table, "kill", watch)?;
         Ok(())
     }
 
     fn join(&mut self, table: &mut Table) -> Result<(), BenchError> {
         let before = self.settled()?;
-        let load = self.load(SPAN);
+        let watch = self.watch(SPAN);
         self.fleet.restart_daemon(VICTIM)?;
         self.fleet.wait_shared(self.deployment.keyed, LIMIT)?;
         let after = self.settled()?;
         churn(table, "join", &before, &after);
-        self.report(table, "join", load.finish()?);
+        self.report(table, "join", watch)?;
         Ok(())
     }
 
     fn centre(&mut self, table: &mut Table) -> Result<(), BenchError> {
         let centre = self.deployment.centre;
         let before = self.settled()?;
-        let load = self.load(CENTRE_SPAN);
+        let watch = self.watch(CENTRE_SPAN);
         self.set_standing("out")?;
         let what = format!("slices owned outside {centre}");
         self.fleet.wait_record(self.deployment.keyed, &what, LIMIT, |record| {
@@ -125,7 +137,7 @@
         self.fleet.wait_shared(self.deployment.keyed, LIMIT)?;
         let back = self.settled()?;
         churn(table, "data centre back", &out, &back);
-        self.report(table, "data centre out and back", load.finish()?);
+        self.report(table, "data centre out and back", watch)?;
         Ok(())
     }
 
@@ -142,17 +154,27 @@
         Ok(())
     }
 
-    fn report(&mut self, table: &mut Table, change: &str, report: LoadReport) {
+    /// Waits for the last answer and prints the rows of one change.
+    fn report(
+        &mut self,
+        table: &mut Table,
+        change: &str,
+        watch: Watch,
+    ) -> Result<LoadReport, BenchError> {
+        let report = watch.load.finish()?;
+        let unserved = watch.probe.finish()?.as_secs_f64() * 1e3;
         let variant = format!("rattanarch, {change}");
+        table.add("longest unserved by probe, ms", &variant, unserved, Bound::Unserved);
         let gap = report.unavailable.longest_ms as f64;
-        table.add("longest unavailable, ms", &variant, gap, Bound::Unserved);
+        table.add("longest unavailable by load, ms", &variant, gap, Bound::Unserved);
         let gaps = &report.unavailable;
         let keys = format!("{} of {} keys, sum {} ms", gaps.affected, gaps.keys, gaps.total_ms);
         table.note("keys with unavailable time", &variant, &keys);
         let service = format!("{}/{}", report.succeeded(), report.sent());
         table.note("service, right/sent", &variant, &service);
         table.add("wrong answers", &variant, report.wrong as f64, Bound::NoWrong);
-        self.acknowledged.extend(report.acknowledged);
+        self.acknowledged.extend(report.acknowledged.iter().cloned());
+        Ok(report)
     }
 }
 
--- a/crates/rattanarch_standins/src/bin/bench/measures/table.rs
+++ b/crates/rattanarch_standins/src/bin/bench/measures/table.rs
@@ -66,7 +66,7 @@
                 format!("{limit:.0}: missed")
             }
         };
-        println!("| {measure} | {firm} | {variant} | {figure:.1} | {verdict} |");
+        println!("| {measure} | {firm} | {variant} | {figure:.2} | {verdict} |");
     }
 
     /// An error if a bound was missed.
