--- a/crates/rattanarch_standins/src/bin/bench/latency.rs
+++ b/crates/rattanarch_standins/src/bin/bench/latency.rs
@@ -12,6 +12,7 @@
 use rattanarch_standins::ServicePlan;
 
 use crate::BenchError;
+use crate::usage::Usage;
 
 /// Longest time for 99 in 100 requests: the users' letter.
 const MAX_P99: Duration = Duration::from_millis(19);
@@ -37,21 +38,25 @@
     name: &'static str,
     latency: Histogram<u64>,
     seconds: f64,
+    /// Processor time of the daemons on the way.
+    processor: Duration,
 }
 
 /// Prints a row for each way and the ratios to the direct one; an error if a bound is missed.
 pub(crate) fn measure(options: &LatencyOptions) -> Result<(), BenchError> {
-    let fleet = Fleet::start(&[ServicePlan::trade_desk(3)])?;
+    let mut fleet = Fleet::start(&[ServicePlan::trade_desk(3)])?;
     fleet.wait_shared("trade-desk", Duration::from_secs(60))?;
     fleet.wait_serving(Duration::from_secs(60))?;
     let direct = Program::find("upstream-standin")?.with_argument("--ignore-fences");
     let (_upstream, upstream) = direct.listen("upstream")?;
     let (owner, other) = (fleet.slots[0].caller_address(), fleet.slots[1].caller_address());
     let keys = owned_keys(owner, fleet.slots[0].instance())?;
+    let daemons = [pid(&mut fleet, 0)?, pid(&mut fleet, 1)?];
+    let prefix = "/trade-desk";
     let ways = [
-        run("direct", options, &Target { address: upstream, prefix: "", keys: &keys })?,
-        run("owner", options, &Target { address: owner, prefix: "/trade-desk", keys: &keys })?,
-        run("forwarded", options, &Target { address: other, prefix: "/trade-desk", keys: &keys })?,
+        run("direct", options, &Target { address: upstream, prefix: "", keys: &keys }, &[])?,
+        run("owner", options, &Target { address: owner, prefix, keys: &keys }, &daemons)?,
+        run("forwarded", options, &Target { address: other, prefix, keys: &keys }, &daemons)?,
     ];
     report(&ways)
 }
@@ -89,11 +94,23 @@
     Ok(keys)
 }
 
+/// Process of the daemon in a slot.
+fn pid(fleet: &mut Fleet, slot: usize) -> Result<u32, BenchError> {
+    Ok(fleet.slots[slot].daemon().ok_or("a daemon is missing")?.pid())
+}
+
+/// Processor time that all of `daemons` have used.
+fn processor(daemons: &[u32]) -> Result<Duration, BenchError> {
+    daemons.iter().map(|pid| Ok(Usage::read(*pid)?.processor)).sum()
+}
+
 fn run(
     name: &'static str,
     options: &LatencyOptions,
     target: &Target<'_>,
+    daemons: &[u32],
 ) -> Result<Way, BenchError> {
+    let before = processor(daemons)?;
     let start = Instant::now();
     let mut latency = histogram()?;
     thread::scope(|scope| {
@@ -105,7 +122,9 @@
         }
         Ok::<_, BenchError>(())
     })?;
-    Ok(Way { name, latency, seconds: start.elapsed().as_secs_f64() })
+    let seconds = start.elapsed().as_secs_f64();
+    let processor = processor(daemons)?.saturating_sub(before);
+    Ok(Way { name, latency, seconds, processor })
 }
 
 /// One caller: sends its requests one after the other over one connection.
@@ -127,7 +146,9 @@
 }
 
 fn report(ways: &[Way]) -> Result<(), BenchError> {
-    println!("way        p50 ms  p99 ms  requests/s  p50 ratio  p99 ratio  rate ratio");
+    println!(
+        "way        p50 ms  p99 ms  requests/s  p50 ratio  p99 ratio  rate ratio  core us/request"
+    );
     let figures = |way: &Way| {
         let quantile = |q: f64| way.latency.value_at_quantile(q) as f64 / 1e3;
         (quantile(0.5), quantile(0.99), way.latency.len() as f64 / way.seconds)
@@ -137,11 +158,12 @@
     for way in ways {
         let (p50, p99, rate) = figures(way);
         println!(
-            "{:9}  {p50:6.2}  {p99:6.2}  {rate:10.0}  {:9.2}  {:9.2}  {:10.2}",
+            "{:9}  {p50:6.2}  {p99:6.2}  {rate:10.0}  {:9.2}  {:9.2}  {:10.2}  {:15.0}",
             way.name,
             p50 / direct.0,
             p99 / direct.1,
             rate / direct.2,
+            way.processor.as_secs_f64() * 1e6 / way.latency.len().max(1) as f64,
         );
         if p99 > MAX_P99.as_secs_f64() * 1e3 {
             missed.push(format!("p99 of {} is {p99:.1} ms; allowed: {MAX_P99:?}", way.name));
--- a/crates/rattanarch_standins/src/load/attempt.rs
+++ b/crates/rattanarch_standins/src/load/attempt.rs
@@ -133,10 +133,11 @@
 async fn refused(answer: Response<Incoming>) -> Result<Reply, hyper::Error> {
     let status = answer.status();
     let verdict = header(answer.headers(), Verdict::HEADER).and_then(|text| text.parse().ok());
-    let retry_after = header(answer.headers(), "retry-after").and_then(|text| text.parse().ok());
+    let millis = header(answer.headers(), "rattanarch-retry-ms").and_then(|text| text.parse().ok());
+    let seconds = header(answer.headers(), "retry-after").and_then(|text| text.parse().ok());
     // Read to its end, so that the connection can be used again.
     answer.into_body().collect().await?;
-    let retry_after = retry_after.map(Duration::from_secs);
+    let retry_after = millis.map(Duration::from_millis).or(seconds.map(Duration::from_secs));
     Ok(Reply::Refused(Refused { status, verdict, retry_after }))
 }
 
--- /dev/null
+++ b/crates/rattanarchd/src/process/control_start.rs
@@ -0,0 +1,110 @@
+//! Starts the control thread and the threads that work for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rattanarch_ownership::Timing;
+use rattanarch_types::Member;
+use tokio::runtime::Builder;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
+
+use crate::connection::BulkServer;
+use crate::connection::Holdings;
+use crate::connection::PeerSocket;
+use crate::process::Control;
+use crate::process::ControlEnd;
+use crate::process::ControlParts;
+use crate::process::Granter;
+use crate::process::Input;
+use crate::process::Metrics;
+use crate::process::PeerFleet;
+use crate::process::PlatformWorker;
+use crate::process::Publisher;
+use crate::process::Quiescence;
+use crate::process::RunError;
+use crate::process::Settings;
+use crate::process::UpstreamControl;
+use crate::process::UpstreamState;
+
+/// The control thread.
+pub(crate) type ControlThread = std::thread::JoinHandle<ControlEnd>;
+
+/// What the control thread starts with.
+pub(crate) struct ControlStart<'a> {
+    /// Settings of the daemon.
+    pub(crate) settings: &'a Settings,
+    /// What the upstream said at the start.
+    pub(crate) state: &'a UpstreamState,
+    /// Entry of this member in the record.
+    pub(crate) member: Member,
+    /// Calls to the upstream.
+    pub(crate) upstream: UpstreamControl,
+    /// What is shared with the operators' side.
+    pub(crate) fleet: &'a PeerFleet,
+}
+
+impl ControlStart<'_> {
+    /// Starts the control thread and the threads that work for it.
+    pub(crate) fn spawn(
+        self,
+        peer_udp: std::net::UdpSocket,
+        peer_tcp: std::net::TcpListener,
+        inputs: UnboundedReceiver<Input>,
+    ) -> Result<ControlThread, RunError> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let entered = runtime.enter();
+        let socket = tokio::net::UdpSocket::from_std(peer_udp)?;
+        let listener = tokio::net::TcpListener::from_std(peer_tcp)?;
+        let (holdings, held) = watch::channel(Holdings::default());
+        let bulk =
+            BulkServer::new(self.fleet.codec.clone(), held, Arc::clone(&self.fleet.counters));
+        let parts = self.parts(socket, holdings, inputs)?;
+        drop(entered);
+        let run = move || {
+            runtime.block_on(async move {
+                tokio::spawn(bulk.run(listener));
+                Control::new(parts).run().await
+            })
+        };
+        Ok(std::thread::Builder::new().name("control".to_owned()).spawn(run)?)
+    }
+
+    fn parts(
+        self,
+        socket: tokio::net::UdpSocket,
+        holdings: watch::Sender<Holdings>,
+        inputs: UnboundedReceiver<Input>,
+    ) -> Result<ControlParts, RunError> {
+        let process = &self.settings.process;
+        let names = (&*process.firm, &*process.service);
+        let (fleet, sender) = (self.fleet, self.fleet.inputs.clone());
+        let counters = || Arc::clone(&fleet.counters);
+        let first = (self.state.reading, self.state.fence);
+        let platform = fleet.platform.clone();
+        Ok(ControlParts {
+            member: self.member,
+            timing: timing(self.settings),
+            socket: PeerSocket::new(socket, fleet.codec.clone(), counters()),
+            codec: fleet.codec.clone(),
+            worker: PlatformWorker::start(platform, names, sender.clone(), counters())?,
+            granter: Granter::start(self.upstream, first, sender.clone(), counters())?,
+            quiescence: Quiescence::new(fleet.requests.running().clone()),
+            publisher: Publisher::new(fleet.views.clone(), holdings),
+            requests: Arc::clone(&fleet.requests),
+            reports: fleet.reports.clone(),
+            metrics: Metrics::new(self.settings.metrics.statsd, counters())?,
+            counters: counters(),
+            inputs,
+            sender,
+            service: process.service.clone(),
+            checks_fence: self.state.announcement.checks_fence,
+        })
+    }
+}
+
+/// Durations of the lease protocol in the proportions of the default ones.
+fn timing(settings: &Settings) -> Timing {
+    let lease = Duration::from_millis(settings.peers.lease_ms);
+    Timing { lease, heartbeat: lease / 3, suspicion: lease * 5 / 6, ..Timing::default() }
+}
--- a/crates/rattanarchd/src/process/run.rs
+++ b/crates/rattanarchd/src/process/run.rs
@@ -5,22 +5,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rattanarch_ownership::Timing;
 use rattanarch_platform::Platform;
 use rattanarch_types::Fence;
 use rattanarch_types::Member;
 use rattanarch_wire::Codec;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
-use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::mpsc::unbounded_channel;
-use tokio::sync::watch;
 
-use crate::connection::BulkServer;
 use crate::connection::CallerServer;
-use crate::connection::Holdings;
-use crate::connection::PeerSocket;
 use crate::operator::Access;
 use crate::operator::Desk;
 use crate::operator::Fleet;
@@ -28,19 +22,14 @@
 use crate::operator::ServerError;
 use crate::process::Announcement;
 use crate::process::Clock;
-use crate::process::Control;
 use crate::process::ControlEnd;
-use crate::process::ControlParts;
+use crate::process::ControlStart;
+use crate::process::ControlThread;
 use crate::process::Counters;
-use crate::process::Granter;
 use crate::process::Input;
 use crate::process::ListenError;
 use crate::process::Listeners;
-use crate::process::Metrics;
 use crate::process::PeerFleet;
-use crate::process::PlatformWorker;
-use crate::process::Publisher;
-use crate::process::Quiescence;
 use crate::process::Reports;
 use crate::process::Settings;
 use crate::process::UpstreamControl;
@@ -97,10 +86,13 @@
 }
 
 /// What the upstream said at the start.
-struct UpstreamState {
-    announcement: Announcement,
-    reading: ClockReading,
-    fence: Fence,
+pub(crate) struct UpstreamState {
+    /// What it announced.
+    pub(crate) announcement: Announcement,
+    /// A reading of its clock.
+    pub(crate) reading: ClockReading,
+    /// Fence of this process that it has taken.
+    pub(crate) fence: Fence,
 }
 
 /// Waits until the upstream announces itself and refuses every earlier life of this daemon;
@@ -138,8 +130,6 @@
     Err(RunError::WrongService { announced: announced.clone(), expected: expected.clone() })
 }
 
-type ControlThread = std::thread::JoinHandle<ControlEnd>;
-
 /// The running parts of the daemon.
 struct Daemon {
     settings: Settings,
@@ -228,74 +218,6 @@
     }
 }
 
-/// What the control thread starts with.
-struct ControlStart<'a> {
-    settings: &'a Settings,
-    state: &'a UpstreamState,
-    member: Member,
-    upstream: UpstreamControl,
-    fleet: &'a PeerFleet,
-}
-
-impl ControlStart<'_> {
-    /// Starts the control thread and the threads that work for it.
-    fn spawn(
-        self,
-        peer_udp: std::net::UdpSocket,
-        peer_tcp: std::net::TcpListener,
-        inputs: UnboundedReceiver<Input>,
-    ) -> Result<ControlThread, RunError> {
-        let runtime = Builder::new_current_thread().enable_all().build()?;
-        let entered = runtime.enter();
-        let socket = tokio::net::UdpSocket::from_std(peer_udp)?;
-        let listener = tokio::net::TcpListener::from_std(peer_tcp)?;
-        let (holdings, held) = watch::channel(Holdings::default());
-        let bulk =
-            BulkServer::new(self.fleet.codec.clone(), held, Arc::clone(&self.fleet.counters));
-        let parts = self.parts(socket, holdings, inputs)?;
-        drop(entered);
-        let run = move || {
-            runtime.block_on(async move {
-                tokio::spawn(bulk.run(listener));
-                Control::new(parts).run().await
-            })
-        };
-        Ok(std::thread::Builder::new().name("control".to_owned()).spawn(run)?)
-    }
-
-    fn parts(
-        self,
-        socket: tokio::net::UdpSocket,
-        holdings: watch::Sender<Holdings>,
-        inputs: UnboundedReceiver<Input>,
-    ) -> Result<ControlParts, RunError> {
-        let process = &self.settings.process;
-        let names = (&*process.firm, &*process.service);
-        let (fleet, sender) = (self.fleet, self.fleet.inputs.clone());
-        let counters = || Arc::clone(&fleet.counters);
-        let first = (self.state.reading, self.state.fence);
-        let platform = fleet.platform.clone();
-        Ok(ControlParts {
-            member: self.member,
-            timing: timing(self.settings),
-            socket: PeerSocket::new(socket, fleet.codec.clone(), counters()),
-            codec: fleet.codec.clone(),
-            worker: PlatformWorker::start(platform, names, sender.clone(), counters())?,
-            granter: Granter::start(self.upstream, first, sender.clone(), counters())?,
-            quiescence: Quiescence::new(fleet.requests.running().clone()),
-            publisher: Publisher::new(fleet.views.clone(), holdings),
-            requests: Arc::clone(&fleet.requests),
-            reports: fleet.reports.clone(),
-            metrics: Metrics::new(self.settings.metrics.statsd, counters())?,
-            counters: counters(),
-            inputs,
-            sender,
-            service: process.service.clone(),
-            checks_fence: self.state.announcement.checks_fence,
-        })
-    }
-}
-
 /// How often the end of the control loop is looked for.
 const STOP_POLL: Duration = Duration::from_millis(100);
 /// Least time that callers get to take their answers, also when the stop is late.
@@ -335,9 +257,3 @@
         fence: state.fence,
     }
 }
-
-/// Durations of the lease protocol in the proportions of the default ones.
-fn timing(settings: &Settings) -> Timing {
-    let lease = Duration::from_millis(settings.peers.lease_ms);
-    Timing { lease, heartbeat: lease / 3, suspicion: lease * 5 / 6, ..Timing::default() }
-}
--- a/crates/rattanarchd/src/process/settings.rs
+++ b/crates/rattanarchd/src/process/settings.rs
@@ -14,20 +14,6 @@
 
 use crate::process::SettingsError;
 
-/// Shortest secret shared by peers, in bytes: as long as the tag that it makes.
-const MIN_SECRET_BYTES: usize = 16;
-/// Longest name of an instance, service, firm or data centre, in bytes.
-const MAX_NAME_BYTES: usize = 63;
-/// Range of the lease, in milliseconds: below the first, scheduling delays on a busy machine end
-/// leases; above the second, a lost owner's keys are not served again within 2 s.
-const LEASE_MS: (u64, u64) = (300, 1_500);
-/// Range of connections to the upstream; the brief's endpoints take 120 to 130.
-const CONNECTIONS: (u64, u64) = (1, 130);
-/// Range of the platform timeout, in milliseconds.
-const PLATFORM_TIMEOUT_MS: (u64, u64) = (50, 10_000);
-/// Range of the time that a planned stop may take, in milliseconds.
-const STOP_MS: (u64, u64) = (1_000, 600_000);
-
 /// Settings of one daemon, read from one TOML file and checked whole.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -238,87 +224,6 @@
         }
         Ok(())
     }
-
-    fn check(&self, path: &Path) -> Result<(), SettingsError> {
-        let fault = |field: &str, value: &str, allowed: String| SettingsError::NotAllowed {
-            file: path.to_owned(),
-            field: field.to_owned(),
-            value: value.to_owned(),
-            allowed,
-        };
-        let names = [
-            ("process.instance", &self.process.instance),
-            ("process.firm", &self.process.firm),
-            ("process.service", &self.process.service),
-            ("process.data_centre", &self.process.data_centre),
-        ];
-        for (field, value) in names {
-            if !is_name(value) {
-                let allowed = format!(
-                    "1 to {MAX_NAME_BYTES} lower-case letters, digits and hyphens, a letter first"
-                );
-                return Err(fault(field, value, allowed));
-            }
-        }
-        let numbers = [
-            ("process.stop_ms", self.process.stop_ms, STOP_MS),
-            ("upstream.connections", self.upstream.connections, CONNECTIONS),
-            ("platform.timeout_ms", self.platform.timeout_ms, PLATFORM_TIMEOUT_MS),
-            ("peers.lease_ms", self.peers.lease_ms, LEASE_MS),
-        ];
-        for (field, value, (low, high)) in numbers {
-            if !(low..=high).contains(&value) {
-                return Err(fault(field, &value.to_string(), format!("{low} to {high}")));
-            }
-        }
-        if !self.platform.address.starts_with("http://") {
-            let allowed = "a URL that starts with http://".to_owned();
-            return Err(fault("platform.address", &self.platform.address, allowed));
-        }
-        if self.peers.secret.len() < MIN_SECRET_BYTES {
-            let allowed = format!("at least {MIN_SECRET_BYTES} bytes, here or in secret_file");
-            let value = format!("({} bytes)", self.peers.secret.len());
-            return Err(fault("peers.secret", &value, allowed));
-        }
-        if self.log.level.parse::<log::LevelFilter>().is_err() {
-            let allowed = "error, warn, info, debug or trace".to_owned();
-            return Err(fault("log.level", &self.log.level, allowed));
-        }
-        for (number, operator) in self.operators.iter().enumerate() {
-            let digest = &operator.token_sha256;
-            if digest.len() != 64 || !digest.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-                let field = format!("operators[{number}].token_sha256");
-                return Err(fault(&field, digest, "64 hexadecimal digits".to_owned()));
-            }
-        }
-        self.check_listeners(path)
-    }
-
-    fn check_listeners(&self, path: &Path) -> Result<(), SettingsError> {
-        let listen = &self.listen;
-        let pairs = [
-            ("listen.peer", listen.peer, listen.caller),
-            ("listen.operator", listen.operator, listen.caller),
-            ("listen.operator", listen.operator, listen.peer),
-        ];
-        for (field, address, other) in pairs {
-            if address.port() != 0 && address == other {
-                return Err(SettingsError::NotAllowed {
-                    file: path.to_owned(),
-                    field: field.to_owned(),
-                    value: address.to_string(),
-                    allowed: "an address that no other listener has".to_owned(),
-                });
-            }
-        }
-        Ok(())
-    }
-}
-
-fn is_name(text: &str) -> bool {
-    let starts = text.bytes().next().is_some_and(|byte| byte.is_ascii_lowercase());
-    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
-    starts && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
 }
 
 fn read_secret(settings: &Path, file: &Path) -> Result<String, SettingsError> {
