Back off between attempts of the load tool, for as long as a takeover may last

Cause: since the tool heeds rattanarch-retry-ms, its four attempts were over after 400 ms, less than a takeover of some 1.2 s: scripts/quickstart once had 2 of 1,216 requests failed, not run (23:17). Ruled out: a wrong answer (0) and a lost write (474 of 474 ran once). The pause is at least what the answer says and doubles with each attempt; eight attempts last some 3.6 s, as four whole seconds did before.

--- a/crates/rattanarch_standins/src/load/run.rs
+++ b/crates/rattanarch_standins/src/load/run.rs
@@ -114,11 +114,12 @@
     targets.get((index % count) as usize).copied()
 }
 
+/// Pause before the next attempt: as long as the answer says, and longer after each attempt.
 fn pause(reply: &Reply, attempts: u32) -> Duration {
     let said = match reply {
         Reply::Refused(refused) => refused.retry_after,
         _ => None,
     };
     let backoff = RETRY_PAUSE * 2_u32.saturating_pow(attempts.saturating_sub(1));
-    said.unwrap_or(backoff).min(RETRY_PAUSE_LIMIT)
+    said.unwrap_or_default().max(backoff).min(RETRY_PAUSE_LIMIT)
 }
--- a/crates/rattanarch_standins/src/load/settings.rs
+++ b/crates/rattanarch_standins/src/load/settings.rs
@@ -79,7 +79,7 @@
             duration: Duration::from_secs(10),
             seed: 1,
             timeout: Duration::from_secs(5),
-            attempts: 4,
+            attempts: 8,
         }
     }
 }
