Draw ids, read the wall clock and name objects in one place each

Cause: a last reading of the whole change. The daemon drew random ids in two ways, read the wall clock in two places and wrote the paths of records and configurations in five; two inputs of the control loop (a failed read, a silent upstream) were sent and ignored; raise_fence repeated fence_above. Behaviour stays: paths are in rattanarch_platform, ids come from the operating system as boot ids do. Left, since the likeness is of form and not of logic: the conversions of wire records both ways, bodies of the stand-in upstream, quickstart's requests. Run: clippy on the workspace; tests of rattanarchd, rattanarch_cli, rattanarch_platform; of the stand-ins killed_owner, full_restart and operator_race.

--- a/crates/rattanarch_platform/src/lib.rs
+++ b/crates/rattanarch_platform/src/lib.rs
@@ -7,9 +7,12 @@
 mod error;
 mod failure;
 mod object;
+mod path;
 mod wire;
 
 pub use client::Platform;
 pub use error::PlatformError;
 pub use object::Object;
 pub use object::Put;
+pub use path::configuration_path;
+pub use path::record_path;
--- a/crates/rattanarchd/src/operator/desk.rs
+++ b/crates/rattanarchd/src/operator/desk.rs
@@ -28,7 +28,6 @@
 use crate::operator::dry_run::places;
 use crate::operator::firms::Firms;
 use crate::operator::ids::draw_write_id;
-use crate::operator::ids::unix_ms;
 use crate::operator::known::Look;
 use crate::operator::names::owner_of;
 use crate::operator::queries::Queries;
@@ -37,6 +36,7 @@
 use crate::operator::writer::write;
 use crate::process::Clock;
 use crate::process::ProcessSettings;
+use crate::process::unix_ms;
 use crate::version::Views;
 
 /// Answers queries and carries commands out, for operators whose names are proved.
--- a/crates/rattanarchd/src/operator/firms.rs
+++ b/crates/rattanarchd/src/operator/firms.rs
@@ -7,6 +7,8 @@
 use rattanarch_platform::Object;
 use rattanarch_platform::Platform;
 use rattanarch_platform::PlatformError;
+use rattanarch_platform::configuration_path;
+use rattanarch_platform::record_path;
 use rattanarch_types::Configuration;
 use rattanarch_types::Record;
 use rattanarch_types::Version;
@@ -171,7 +173,7 @@
 
     /// The service's record, from the platform. Version 0 when the service has none.
     pub(crate) fn read_record(&self, service: &str) -> Result<Look<Record>, ReadError> {
-        let path = format!("records/{service}");
+        let path = record_path(service);
         let object = self.platform.get(&path)?;
         let version = object.version;
         if version == 0 {
@@ -194,10 +196,6 @@
     configuration
 }
 
-pub(crate) fn configuration_path(firm: &str) -> String {
-    format!("configuration/{firm}")
-}
-
 pub(crate) fn decode<T: DeserializeOwned>(path: &str, object: Object) -> Result<T, ReadError> {
     serde_json::from_value(object.value)
         .map_err(|error| ReadError::Malformed { path: path.to_owned(), reason: error.to_string() })
--- a/crates/rattanarchd/src/operator/writer.rs
+++ b/crates/rattanarchd/src/operator/writer.rs
@@ -12,6 +12,7 @@
 use rattanarch_config::check_places;
 use rattanarch_platform::PlatformError;
 use rattanarch_platform::Put;
+use rattanarch_platform::configuration_path;
 use rattanarch_types::Configuration;
 use rattanarch_types::Entry;
 use rattanarch_types::FirmName;
@@ -26,7 +27,6 @@
 use crate::operator::audit::make_room;
 use crate::operator::firms::Firms;
 use crate::operator::firms::ReadError;
-use crate::operator::firms::configuration_path;
 use crate::operator::names::claim;
 use crate::operator::update::Update;
 
--- a/crates/rattanarchd/src/process/clock.rs
+++ b/crates/rattanarchd/src/process/clock.rs
@@ -1,6 +1,8 @@
 //! The daemon's clock.
 
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use rattanarch_types::Moment;
 use rustix::time::ClockId;
@@ -18,3 +20,9 @@
         Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
     }
 }
+
+/// Wall clock, in milliseconds since the Unix epoch; 0 if it stands before that.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
--- a/crates/rattanarchd/src/process/control/mod.rs
+++ b/crates/rattanarchd/src/process/control/mod.rs
@@ -149,7 +149,6 @@
                 self.parts.requests.report_load(load.running, load.slots);
             }
             Input::Fenced(fence) => self.parts.quiescence.fenced(fence),
-            Input::ReadFailed | Input::UpstreamSilent => {}
             Input::Superseded(fence) => {
                 log::error!(fence = fence; "a later process in this slot has taken the upstream");
                 self.end = Some(ControlEnd::Superseded);
--- a/crates/rattanarchd/src/process/granter.rs
+++ b/crates/rattanarchd/src/process/granter.rs
@@ -87,10 +87,7 @@
 
     /// Asks for a higher fence; [`Input::Fenced`] tells when nothing runs under lower ones.
     pub(crate) fn raise_fence(&self) {
-        self.change(|wanted| {
-            wanted.raises += 1;
-            true
-        });
+        self.fence_above(0);
     }
 
     /// Asks for a fence above `fence` and above the present one, as [`Self::raise_fence`] does.
@@ -144,7 +141,6 @@
                 }
                 Err(error) => {
                     log::debug!(reason:% = error; "grant not taken");
-                    let _ = self.inputs.send(Input::UpstreamSilent);
                     self.settled = false;
                 }
             }
--- a/crates/rattanarchd/src/process/input.rs
+++ b/crates/rattanarchd/src/process/input.rs
@@ -22,8 +22,6 @@
         /// When the read was sent; `None` for a watch, whose send tells nothing of its freshness.
         sent: Option<Moment>,
     },
-    /// The platform did not answer a read of the record.
-    ReadFailed,
     /// A write of the record ended.
     Written {
         /// Copied from the record.
@@ -62,8 +60,6 @@
     Fenced(Fence),
     /// The upstream reported its load; late or wrong, maybe.
     UpstreamLoad(UpstreamLoad),
-    /// The upstream did not answer a grant.
-    UpstreamSilent,
     /// The upstream has taken a higher fence, of a later process in this slot.
     Superseded(Fence),
     /// The process is to stop.
--- a/crates/rattanarchd/src/process/logs.rs
+++ b/crates/rattanarchd/src/process/logs.rs
@@ -1,8 +1,5 @@
 //! Log lines in JSON.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
 use log::LevelFilter;
 use log::Record;
 use log::kv::Error;
@@ -12,6 +9,7 @@
 use serde_json::Map;
 
 use crate::process::LogSettings;
+use crate::process::unix_ms;
 
 /// Starts logging as `settings` say; called once by the binary.
 ///
@@ -58,11 +56,6 @@
     serde_json::Value::Object(fields.0)
 }
 
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    elapsed.as_millis() as u64
-}
-
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
--- a/crates/rattanarchd/src/process/mod.rs
+++ b/crates/rattanarchd/src/process/mod.rs
@@ -23,6 +23,7 @@
 mod upstream_health;
 
 pub use clock::Clock;
+pub(crate) use clock::unix_ms;
 pub(crate) use control::Control;
 pub(crate) use control::ControlEnd;
 pub(crate) use control::ControlParts;
--- a/crates/rattanarchd/src/process/peer_fleet.rs
+++ b/crates/rattanarchd/src/process/peer_fleet.rs
@@ -10,6 +10,7 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 use rattanarch_platform::Platform;
+use rattanarch_platform::record_path;
 use rattanarch_types::BootId;
 use rattanarch_types::Configuration;
 use rattanarch_types::Record;
@@ -118,7 +119,7 @@
         if *service == view.serving.record.service {
             return Some(Arc::clone(&view.serving.record));
         }
-        let object = self.platform.get(&format!("records/{service}")).ok()?;
+        let object = self.platform.get(&record_path(service)).ok()?;
         if object.version == 0 {
             return Some(Arc::default());
         }
--- a/crates/rattanarchd/src/process/platform_worker.rs
+++ b/crates/rattanarchd/src/process/platform_worker.rs
@@ -12,6 +12,8 @@
 use rattanarch_platform::Platform;
 use rattanarch_platform::PlatformError;
 use rattanarch_platform::Put;
+use rattanarch_platform::configuration_path;
+use rattanarch_platform::record_path;
 use rattanarch_types::Configuration;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
@@ -72,8 +74,8 @@
             inputs,
             counters,
             clock: Clock,
-            record_path: format!("records/{service}"),
-            configuration_path: format!("configuration/{firm}"),
+            record_path: record_path(service),
+            configuration_path: configuration_path(firm),
         };
         let (jobs, queue) = mpsc::channel();
         let worker = Self {
@@ -146,7 +148,7 @@
             Ok(record) => Some(Input::RecordRead { record, sent: Some(sent) }),
             Err(error) => {
                 log::warn!(reason:% = error; "record not read");
-                Some(Input::ReadFailed)
+                None
             }
         }
     }
