--- /dev/null
+++ b/crates/rattanarch_admission/src/gate.rs
@@ -0,0 +1,165 @@
+//! The only way to the upstream beside a daemon.
+
+use std::time::Duration;
+
+use rattanarch_types::Moment;
+use rattanarch_types::Rank;
+
+use crate::ColdPace;
+use crate::Pace;
+use crate::Popped;
+use crate::Queue;
+use crate::Shed;
+
+/// Requests that may wait, for each slot: those far back would be late in any case.
+const QUEUE_FACTOR: usize = 4;
+
+/// Weight of a new service time in the mean: some twenty answers, a fraction of a second under
+/// load, so that a slow neighbour shows and one long request does not.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// Service time that is expected before the first answer.
+const FIRST_MEAN: Duration = Duration::from_millis(100);
+
+/// What became of an offer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Offered<T> {
+    /// The request, if it may start at once; it then holds a slot.
+    pub started: Option<T>,
+    /// Requests that will not run, of which this may be one.
+    pub shed: Vec<Shed<T>>,
+}
+
+/// Admits requests to one upstream: at most one for each slot, at its pace while it is cold, the
+/// most urgent first, and none that would be late.
+///
+/// Answers the load of the heaviest days: more requests than slots, of several ranks. All daemons
+/// send through the upstream's own, so that its count of running requests is exact and nothing ever
+/// waits inside the upstream, which may drop what it cannot queue.
+///
+/// ```
+/// use std::time::Duration;
+/// use rattanarch_admission::Gate;
+///
+/// let ms = Duration::from_millis;
+/// let mut gate = Gate::new(1);
+/// assert_eq!(gate.offer(ms(0), 1, ms(1_000), "first").started, Some("first"));
+/// assert_eq!(gate.offer(ms(1), 2, ms(1_000), "second").started, None);
+/// assert_eq!(gate.offer(ms(2), 0, ms(1_000), "urgent").started, None);
+/// gate.end(Some(ms(50)));
+/// assert_eq!(gate.start(ms(50)).next, Some("urgent"));
+/// assert_eq!(gate.start(ms(50)).next, None);
+/// ```
+#[derive(Debug)]
+pub struct Gate<T> {
+    slots: u32,
+    /// Requests that hold a slot.
+    running: u32,
+    queue: Queue<T>,
+    cold: ColdPace,
+    /// Mean service time in seconds; 0 before the first answer.
+    mean: f64,
+}
+
+impl<T> Gate<T> {
+    /// A gate to an upstream with `slots` (at least 1).
+    pub fn new(slots: u32) -> Self {
+        let slots = slots.max(1);
+        let queue = Queue::new(slots as usize * QUEUE_FACTOR);
+        Self { slots, running: 0, queue, cold: ColdPace::default(), mean: 0.0 }
+    }
+
+    /// Sets the number of slots, which may differ in each life of the upstream.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Notes that the upstream stays cold for `left` and bears `rate` requests a second.
+    pub fn cool(&mut self, now: Moment, left: Duration, rate: f64) {
+        self.cold.cool(now, left, rate);
+    }
+
+    /// Whether the upstream is cold.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.cold.is_cold(now)
+    }
+
+    /// Offers a request that must be answered by `deadline`.
+    pub fn offer(&mut self, now: Moment, rank: Rank, deadline: Moment, item: T) -> Offered<T> {
+        self.set_pace(now);
+        if self.queue.ahead(rank) == 0 && self.running < self.slots && self.cold.take(now) {
+            self.running += 1;
+            return Offered { started: Some(item), shed: Vec::new() };
+        }
+        let shed = self.queue.push(now, rank, deadline, item);
+        Offered { started: None, shed }
+    }
+
+    /// Starts the next waiting request, if a slot and the pace allow one. To be called until it
+    /// returns none after [`Gate::end`] and at [`Gate::wake`].
+    pub fn start(&mut self, now: Moment) -> Popped<T> {
+        self.set_pace(now);
+        if self.queue.is_empty() || self.running >= self.slots || !self.cold.take(now) {
+            return Popped { next: None, shed: self.queue.expire(now) };
+        }
+        let popped = self.queue.pop(now);
+        if popped.next.is_some() {
+            self.running += 1;
+        }
+        popped
+    }
+
+    /// Frees a slot; `took` is the service time of a request that the upstream answered.
+    pub fn end(&mut self, took: Option<Duration>) {
+        self.running = self.running.saturating_sub(1);
+        let Some(seconds) = took.map(|took| took.as_secs_f64()) else { return };
+        let weight = if self.mean == 0.0 { 1.0 } else { MEAN_WEIGHT };
+        self.mean += (seconds - self.mean) * weight;
+    }
+
+    /// When [`Gate::start`] is to be called although no slot becomes free: requests wait for the
+    /// pace of a cold upstream.
+    pub fn wake(&self, now: Moment) -> Option<Moment> {
+        let waits = !self.queue.is_empty() && self.running < self.slots;
+        self.cold.next(now).filter(|_| waits)
+    }
+
+    /// Drops waiting requests that `keep` rejects.
+    pub fn retain(&mut self, keep: impl Fn(&T) -> bool) {
+        self.queue.retain(keep);
+    }
+
+    /// Requests that hold a slot.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> u32 {
+        self.queue.len() as u32
+    }
+
+    /// Slots of the upstream.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Mean service time; a guess before the first answer.
+    pub fn mean(&self) -> Duration {
+        if self.mean == 0.0 { FIRST_MEAN } else { Duration::from_secs_f64(self.mean) }
+    }
+
+    /// Time until a request of `rank` that came now would start.
+    pub fn wait(&self, rank: Rank) -> Duration {
+        let free = self.running < self.slots && self.queue.is_empty();
+        if free { Duration::ZERO } else { self.queue.wait(rank) }
+    }
+
+    /// Requests that end at once: the slots, or fewer while the pace of a cold upstream binds.
+    fn set_pace(&mut self, now: Moment) {
+        let mean = self.mean();
+        let paced = self.cold.rate(now) * mean.as_secs_f64();
+        let limit = f64::from(self.slots).min(paced).max(1.0) as u32;
+        self.queue.set_pace(Pace { limit, mean });
+    }
+}
--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -34,8 +34,10 @@
 //!
 //! [`Moment`]: rattanarch_types::Moment
 
+mod cold_pace;
 mod cold_start;
 mod ending;
+mod gate;
 mod hedge_budget;
 mod idempotency_memory;
 mod limiter;
@@ -45,8 +47,11 @@
 mod selector;
 mod tokens;
 
+pub use cold_pace::ColdPace;
 pub use cold_start::ColdStart;
 pub use ending::Ending;
+pub use gate::Gate;
+pub use gate::Offered;
 pub use hedge_budget::HedgeBudget;
 pub use idempotency_memory::Finish;
 pub use idempotency_memory::IdempotencyEntry;
--- a/crates/rattanarch_admission/src/queue.rs
+++ b/crates/rattanarch_admission/src/queue.rs
@@ -1,16 +1,14 @@
 //! Requests that wait for a slot.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use rattanarch_types::Moment;
-use rattanarch_types::Priority;
+use rattanarch_types::Rank;
 
 /// Least time that a shed caller is told to stay away.
 const MIN_RETRY: Duration = Duration::from_millis(20);
-/// Number of classes in [`Priority`].
-const CLASSES: usize = 3;
-
 /// How fast an upstream works.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Pace {
@@ -53,7 +51,7 @@
 /// ```
 /// use std::time::Duration;
 /// use rattanarch_admission::{Pace, Queue};
-/// use rattanarch_types::Priority;
+/// use rattanarch_types::Rank;
 ///
 /// let ms = Duration::from_millis;
 /// let mut queue = Queue::new(40);
@@ -66,8 +64,8 @@
 /// ```
 #[derive(Debug)]
 pub struct Queue<T> {
-    /// By class, the lowest first.
-    lanes: [VecDeque<Entry<T>>; CLASSES],
+    /// Waiting requests by rank, the most urgent first; no lane is empty.
+    lanes: BTreeMap<Rank, VecDeque<Entry<T>>>,
     max: usize,
     pace: Pace,
 }
@@ -76,7 +74,7 @@
     /// An empty queue of at most `max` requests.
     pub fn new(max: usize) -> Self {
         let pace = Pace { limit: 1, mean: Duration::ZERO };
-        Self { lanes: Default::default(), max, pace }
+        Self { lanes: BTreeMap::new(), max, pace }
     }
 
     /// Sets how fast the upstream works now.
@@ -86,22 +84,22 @@
 
     /// Number of waiting requests.
     pub fn len(&self) -> usize {
-        self.lanes.iter().map(VecDeque::len).sum()
+        self.lanes.values().map(VecDeque::len).sum()
     }
 
     /// Whether none waits.
     pub fn is_empty(&self) -> bool {
-        self.lanes.iter().all(VecDeque::is_empty)
+        self.lanes.is_empty()
     }
 
-    /// Requests that go before a new one of `priority`.
-    pub fn ahead(&self, priority: Priority) -> usize {
-        self.lanes[class(priority)..].iter().map(VecDeque::len).sum()
+    /// Requests that go before a new one of `rank`.
+    pub fn ahead(&self, rank: impl Into<Rank>) -> usize {
+        self.lanes.range(..=rank.into()).map(|(_, lane)| lane.len()).sum()
     }
 
-    /// Time until a new request of `priority` would start, while all slots are taken.
-    pub fn wait(&self, priority: Priority) -> Duration {
-        self.time_for(self.ahead(priority) + 1)
+    /// Time until a new request of `rank` would start, while all slots are taken.
+    pub fn wait(&self, rank: impl Into<Rank>) -> Duration {
+        self.time_for(self.ahead(rank) + 1)
     }
 
     /// Adds a request that must be answered by `deadline`. Returns those that will not run, of
@@ -109,11 +107,11 @@
     pub fn push(
         &mut self,
         now: Moment,
-        priority: Priority,
+        rank: impl Into<Rank>,
         deadline: Moment,
         item: T,
     ) -> Vec<Shed<T>> {
-        self.lanes[class(priority)].push_back(Entry { item, deadline });
+        self.lanes.entry(rank.into()).or_default().push_back(Entry { item, deadline });
         let mut shed = self.expire(now);
         if self.len() > self.max {
             shed.extend(self.shed_newest());
@@ -124,11 +122,22 @@
     /// Takes the next request to run, a slot being free for it.
     pub fn pop(&mut self, now: Moment) -> Popped<T> {
         let shed = self.sift(now, 0);
-        let lane = self.lanes.iter_mut().rev().find(|lane| !lane.is_empty());
-        let next = lane.and_then(VecDeque::pop_front).map(|entry| entry.item);
+        let Some(mut lane) = self.lanes.first_entry() else { return Popped { next: None, shed } };
+        let next = lane.get_mut().pop_front().map(|entry| entry.item);
+        if lane.get().is_empty() {
+            lane.remove();
+        }
         Popped { next, shed }
     }
 
+    /// Drops waiting requests that `keep` rejects, such as those of callers that have left.
+    pub fn retain(&mut self, keep: impl Fn(&T) -> bool) {
+        for lane in self.lanes.values_mut() {
+            lane.retain(|entry| keep(&entry.item));
+        }
+        self.lanes.retain(|_, lane| !lane.is_empty());
+    }
+
     /// Sheds what can't make its deadline any more, while all slots are taken.
     pub fn expire(&mut self, now: Moment) -> Vec<Shed<T>> {
         self.sift(now, 1)
@@ -138,11 +147,11 @@
     fn sift(&mut self, now: Moment, busy: usize) -> Vec<Shed<T>> {
         let mut shed = Vec::new();
         let mut ahead = busy;
-        for class in (0..CLASSES).rev() {
-            for entry in std::mem::take(&mut self.lanes[class]) {
+        for (rank, lane) in std::mem::take(&mut self.lanes) {
+            for entry in lane {
                 let answered = now + self.time_for(ahead) + self.pace.mean;
                 if answered < entry.deadline {
-                    self.lanes[class].push_back(entry);
+                    self.lanes.entry(rank).or_default().push_back(entry);
                     ahead += 1;
                 } else {
                     shed.push(entry.item);
@@ -165,15 +174,11 @@
 
     fn shed_newest(&mut self) -> Option<Shed<T>> {
         let retry = self.retry();
-        let lane = self.lanes.iter_mut().find(|lane| !lane.is_empty())?;
-        lane.pop_back().map(|entry| Shed { item: entry.item, retry })
-    }
-}
-
-fn class(priority: Priority) -> usize {
-    match priority {
-        Priority::Deferrable => 0,
-        Priority::Normal => 1,
-        Priority::Urgent => 2,
+        let mut lane = self.lanes.last_entry()?;
+        let newest = lane.get_mut().pop_back();
+        if lane.get().is_empty() {
+            lane.remove();
+        }
+        newest.map(|entry| Shed { item: entry.item, retry })
     }
 }
--- /dev/null
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -0,0 +1,14 @@
+//! What lives for one connection.
+
+mod body;
+mod pool;
+mod server;
+
+pub(crate) use body::AnswerBody;
+pub(crate) use pool::Checkout;
+pub(crate) use pool::Link;
+pub(crate) use pool::Pool;
+pub(crate) use pool::SendError;
+pub(crate) use server::Handler;
+pub(crate) use server::ServerOptions;
+pub(crate) use server::serve;
--- /dev/null
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -0,0 +1,160 @@
+//! Which versions of the shared state daemons know, and how they catch up with each other.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use rattanarch_adapter::StoredRecord;
+use rattanarch_process::random;
+use rattanarch_types::hash_key;
+use rattanarch_wire::Digest;
+
+use crate::connection::AnswerBody;
+use crate::connection::Checkout;
+use crate::process::Shared;
+use crate::process::learn_configuration;
+use crate::process::learn_evacuated;
+use crate::process::learn_record;
+use crate::version::Snapshot;
+use crate::version::Versions;
+
+/// Path at which a daemon answers what it knows.
+pub(crate) const STATE_PATH: &str = "/rattanarch/state";
+
+/// Time between two digests to a peer drawn at random. News has to be everywhere within 2 s, also
+/// where the store can't be reached.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Peers that are told at once of something new.
+const FANOUT: usize = 2;
+
+/// Longest time that an exchange with a peer may take.
+const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Largest state that is taken from a peer, in bytes: the values that the store holds.
+const MAX_STATE: usize = 8 << 20;
+
+/// Tells a peer drawn at random what is known, as long as the process lives.
+pub(crate) async fn gossip(shared: Rc<Shared>) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        tell(&shared, 1);
+    }
+}
+
+/// Tells a few peers at once, after something new was learned.
+pub(crate) fn tell_some(shared: &Shared) {
+    tell(shared, FANOUT);
+}
+
+fn tell(shared: &Shared, count: usize) {
+    let peers = peers(shared);
+    if peers.is_empty() {
+        return;
+    }
+    let digest = digest(shared);
+    for _ in 0..count {
+        let index = (random() % peers.len() as u64) as usize;
+        shared.socket.tell(&digest, peers[index]);
+    }
+}
+
+/// Where other daemons take datagrams.
+fn peers(shared: &Shared) -> Vec<SocketAddr> {
+    let knowledge = shared.knowledge.borrow();
+    let members = knowledge.records().flat_map(|record| record.members.values());
+    let own = shared.settings.listen.datagrams;
+    members.map(|member| member.peer).filter(|peer| *peer != own).collect()
+}
+
+fn digest(shared: &Shared) -> Digest {
+    let versions = shared.knowledge.borrow().versions();
+    Digest {
+        state: shared.settings.listen.peers,
+        configuration: versions.configuration,
+        evacuated: versions.evacuated,
+        records: versions.records.iter().map(|(name, v)| (hash_key(name), *v)).collect(),
+    }
+}
+
+/// Takes a digest: asks its sender for what is newer, or tells it what it lacks.
+pub(crate) fn hear(shared: &Rc<Shared>, theirs: &Digest, from: SocketAddr) {
+    let own = digest(shared);
+    if theirs.is_newer(&own) {
+        let (shared, peer) = (Rc::clone(shared), theirs.state);
+        tokio::task::spawn_local(async move { pull(&shared, peer).await });
+    } else if own.is_newer(theirs) {
+        shared.socket.tell(&own, from);
+    }
+}
+
+/// Fetches what `peer` knows and this daemon does not.
+async fn pull(shared: &Rc<Shared>, peer: SocketAddr) {
+    match tokio::time::timeout(PULL_TIMEOUT, fetch(shared, peer)).await {
+        Ok(Ok(snapshot)) => take(shared, snapshot),
+        Ok(Err(reason)) => log::warn!(peer:% = peer, reason:% = reason; "state not fetched"),
+        Err(_) => log::warn!(peer:% = peer; "state not fetched in time"),
+    }
+}
+
+async fn fetch(shared: &Shared, peer: SocketAddr) -> Result<Snapshot, String> {
+    let versions = shared.knowledge.borrow().versions();
+    let body = serde_json::to_vec(&versions).map_err(|error| error.to_string())?;
+    let request = Request::post(STATE_PATH)
+        .header(header::HOST, peer.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|error| error.to_string())?;
+    let pool = Rc::clone(&shared.peers.get(peer).pool);
+    let mut link = pool.checkout(Checkout::Reuse).await.map_err(|error| error.to_string())?;
+    let response = link.send(request).await.map_err(|error| error.to_string())?;
+    let body = Limited::new(response.into_body(), MAX_STATE).collect().await;
+    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    pool.put_back(link);
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
+}
+
+fn take(shared: &Rc<Shared>, snapshot: Snapshot) {
+    if let Some(spec) = snapshot.configuration {
+        learn_configuration(shared, spec, "peer");
+    }
+    if let Some(evacuated) = snapshot.evacuated {
+        learn_evacuated(shared, evacuated, "peer");
+    }
+    for (revision, spec) in snapshot.records {
+        match StoredRecord::read(&spec) {
+            Ok(record) => learn_record(shared, record, revision, None),
+            Err(error) => log::warn!(reason:% = error; "peer's record malformed"),
+        }
+    }
+}
+
+/// Answers a peer that asks for what is newer than its versions.
+pub(crate) async fn answer_pull(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let body = Limited::new(request.into_body(), MAX_STATE).collect().await;
+    let versions = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
+    let Some(versions): Option<Versions> = versions else {
+        let mut response = Response::new(AnswerBody::full(""));
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        return response;
+    };
+    let snapshot = shared.knowledge.borrow().newer(&versions);
+    // Strings, numbers and lists always have a JSON form.
+    let body = serde_json::to_vec(&snapshot).unwrap_or_default();
+    let mut response = Response::new(AnswerBody::full(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/control/state.rs
@@ -0,0 +1,67 @@
+//! This daemon's part in the ownership of its service.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use rattanarch_ownership::Node;
+use rattanarch_ownership::Timing;
+use rattanarch_types::BootId;
+use rattanarch_types::Fence;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+use rattanarch_types::SliceId;
+
+/// This daemon's part in the ownership of its service.
+#[derive(Debug)]
+pub(crate) struct Control {
+    /// `None` while no upstream is there to serve, and after it has left.
+    pub(crate) node: Option<Node>,
+    pub(crate) timing: Timing,
+    /// When the process started.
+    pub(crate) started: Moment,
+    /// Slices that are to become quiet.
+    pub(crate) quiescing: BTreeSet<SliceId>,
+    /// What the upstream left of slices for their next owner.
+    pub(crate) handovers: BTreeMap<SliceId, String>,
+    /// Members that are to own nothing, as the node was last told.
+    pub(crate) barred: BTreeSet<BootId>,
+    /// Whether the node was told to leave.
+    pub(crate) leaving: bool,
+    /// The newest record that does not show this node, from which it may inherit.
+    pub(crate) before: Option<Rc<Record>>,
+    /// Fences under which the upstream held slices when its life was first heard of.
+    pub(crate) kept: BTreeMap<SliceId, Fence>,
+    /// Version of the record that grants follow.
+    pub(crate) followed: u64,
+}
+
+impl Control {
+    /// No part yet, of a process that started at `started`.
+    pub(crate) fn new(timing: Timing, started: Moment) -> Self {
+        Self {
+            node: None,
+            timing,
+            started,
+            quiescing: BTreeSet::new(),
+            handovers: BTreeMap::new(),
+            barred: BTreeSet::new(),
+            leaving: false,
+            before: None,
+            kept: BTreeMap::new(),
+            followed: 0,
+        }
+    }
+
+    /// Forgets what concerned an earlier life of the upstream.
+    pub(crate) fn reset(&mut self) {
+        self.node = None;
+        self.quiescing.clear();
+        self.handovers.clear();
+        self.barred.clear();
+        self.leaving = false;
+        self.before = None;
+        self.kept.clear();
+        self.followed = 0;
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/process/follower.rs
@@ -0,0 +1,165 @@
+//! Follows the store's objects of one kind.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rattanarch_adapter::Changes;
+use rattanarch_adapter::Listing;
+use rattanarch_adapter::StoreError;
+use rattanarch_adapter::StoredObject;
+use rattanarch_adapter::StoredRecord;
+use rattanarch_adapter::kind;
+use rattanarch_process::random;
+
+use crate::process::Shared;
+use crate::process::records::learn_configuration;
+use crate::process::records::learn_evacuated;
+use crate::process::records::learn_record;
+use crate::version::Evacuated;
+
+/// Longest wait of one watch; each is a priced call.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// First and longest pause after a call that failed. The longest leaves a store that returns time
+/// to be noticed within a second.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Time in which changes to ownership records are gathered: members that join or leave together
+/// make many, and each answer of a watch is a priced call.
+const RECORD_PAUSE: Duration = Duration::from_millis(100);
+
+/// Kinds of objects that every daemon follows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Followed {
+    /// The operators' configuration.
+    Configuration,
+    /// Data centres taken out.
+    Evacuations,
+    /// Ownership records.
+    Records,
+}
+
+impl Followed {
+    fn kind(self) -> &'static str {
+        match self {
+            Self::Configuration => kind::CONFIGURATION,
+            Self::Evacuations => kind::EVACUATION,
+            Self::Records => kind::RECORD,
+        }
+    }
+}
+
+/// Follows objects as long as the process lives.
+pub(crate) async fn follow(shared: Rc<Shared>, followed: Followed) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        match shared.store.list(followed.kind()).await {
+            Ok(listing) => {
+                shared.note_store(true, &"");
+                pause = FIRST_PAUSE;
+                let revision = listing.revision;
+                listed(&shared, followed, listing);
+                watch(&shared, followed, revision).await;
+            }
+            Err(error) => {
+                shared.note_store(false, &error);
+                rest(&mut pause).await;
+            }
+        }
+    }
+}
+
+/// Sleeps for `pause`, spread by half, and doubles it.
+async fn rest(pause: &mut Duration) {
+    let spread = random() as f64 / u64::MAX as f64;
+    tokio::time::sleep(pause.mul_f64(0.75 + spread / 2.0)).await;
+    *pause = (*pause * 2).min(LONGEST_PAUSE);
+}
+
+/// Takes changes after `revision` until the store no longer has them.
+async fn watch(shared: &Rc<Shared>, followed: Followed, mut revision: u64) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        match shared.store.watch(followed.kind(), revision, WATCH_WAIT).await {
+            Ok(changes) => {
+                shared.note_store(true, &"");
+                pause = FIRST_PAUSE;
+                revision = changes.revision;
+                changed(shared, followed, changes);
+                if followed == Followed::Records {
+                    tokio::time::sleep(RECORD_PAUSE).await;
+                }
+            }
+            Err(StoreError::HistoryGone) => return,
+            Err(error) => {
+                shared.note_store(false, &error);
+                rest(&mut pause).await;
+            }
+        }
+    }
+}
+
+fn listed(shared: &Rc<Shared>, followed: Followed, listing: Listing) {
+    match followed {
+        Followed::Configuration => {
+            for object in listing.objects {
+                configuration(shared, object);
+            }
+        }
+        Followed::Evacuations => {
+            let names = listing.objects.into_iter().map(|object| object.name);
+            evacuated(shared, Evacuated::new(listing.revision, names));
+        }
+        Followed::Records => {
+            shared.knowledge.borrow_mut().listed = true;
+            for object in listing.objects {
+                record(shared, &object);
+            }
+            crate::control::maintain(shared);
+        }
+    }
+}
+
+fn changed(shared: &Rc<Shared>, followed: Followed, changes: Changes) {
+    for change in changes.changes {
+        match followed {
+            Followed::Configuration if !change.removed => configuration(shared, change.object),
+            Followed::Records if !change.removed => record(shared, &change.object),
+            Followed::Evacuations => {
+                let known = Rc::clone(shared.knowledge.borrow().evacuated());
+                let name = change.object.name;
+                let others = known.names().filter(|other| **other != name).cloned();
+                let added = (!change.removed).then(|| name.clone());
+                let names: Vec<_> = others.chain(added).collect();
+                evacuated(shared, Evacuated::new(changes.revision, names));
+            }
+            Followed::Configuration | Followed::Records => {
+                log::warn!(kind:% = followed.kind(), name:% = change.object.name; "object removed");
+            }
+        }
+    }
+}
+
+fn configuration(shared: &Rc<Shared>, object: StoredObject) {
+    if object.name == kind::CONFIGURATION_NAME {
+        learn_configuration(shared, object.spec, "store");
+    }
+}
+
+fn evacuated(shared: &Rc<Shared>, evacuated: Evacuated) {
+    let known = Rc::clone(shared.knowledge.borrow().evacuated());
+    // The same state at a later revision is no news.
+    if known.revision == 0 || !known.is_same(&evacuated) {
+        learn_evacuated(shared, evacuated, "store");
+    }
+}
+
+fn record(shared: &Rc<Shared>, object: &StoredObject) {
+    match StoredRecord::read(&object.spec) {
+        Ok(record) => learn_record(shared, record, object.revision, None),
+        Err(error) => {
+            log::warn!(name:% = object.name, reason:% = error; "record malformed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/process/listeners.rs
@@ -0,0 +1,101 @@
+//! Where the process listens.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+
+use crate::connection::AnswerBody;
+use crate::connection::Handler;
+use crate::connection::ServerOptions;
+use crate::connection::serve;
+use crate::process::Shared;
+use crate::request::Inbound;
+use crate::request::Outbound;
+use crate::upstream::HeartbeatHandler;
+
+/// Connections that may wait to be accepted: a burst of a second's requests.
+const BACKLOG: u32 = 1_024;
+
+/// How long connections of daemons, of the upstream and of the platform may be idle.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// Largest head of a request on those connections, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// How much longer an idle caller's connection stays open than operators say, so that a request
+/// never crosses its end.
+const IDLE_RESERVE: Duration = Duration::from_secs(2);
+
+/// Starts to listen on all addresses of the settings.
+///
+/// # Errors
+/// If an address can't be had.
+pub(crate) fn listen(shared: &Rc<Shared>) -> io::Result<()> {
+    let listen = shared.settings.listen;
+    let fixed = || ServerOptions { idle_time: IDLE_TIME, head_bytes: HEAD_BYTES };
+    let callers = {
+        let shared = Rc::clone(shared);
+        move || {
+            let limits = shared.knowledge.borrow().routes().map(|routes| routes.limits);
+            let limits = limits.unwrap_or_default();
+            let idle_time = limits.idle_time + IDLE_RESERVE;
+            ServerOptions { idle_time, head_bytes: limits.head_bytes.max(HEAD_BYTES) }
+        }
+    };
+    start(shared, listen.callers, callers, Outbound::new(Rc::clone(shared)))?;
+    start(shared, listen.peers, fixed, Inbound(Rc::clone(shared)))?;
+    start(shared, listen.upstream, fixed, HeartbeatHandler(Rc::clone(shared)))?;
+    start(shared, listen.ready, fixed, ReadyHandler(Rc::clone(shared)))?;
+    start(shared, listen.metrics, fixed, MetricsHandler(Rc::clone(shared)))
+}
+
+fn start<H: Handler>(
+    shared: &Rc<Shared>,
+    address: SocketAddr,
+    options: impl Fn() -> ServerOptions + 'static,
+    handler: H,
+) -> io::Result<()> {
+    let listener = bind(address)?;
+    tokio::task::spawn_local(serve(Rc::clone(shared), listener, options, Rc::new(handler)));
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // An earlier process of this slot may have left connections behind.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Says whether callers may come.
+struct ReadyHandler(Rc<Shared>);
+
+impl Handler for ReadyHandler {
+    async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
+        let shared = &self.0;
+        let ready = shared.phase.borrow().is_open() && shared.knowledge.borrow().routes().is_some();
+        let mut response = Response::new(AnswerBody::full(""));
+        if !ready {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+}
+
+/// Serves the metrics as text.
+struct MetricsHandler(Rc<Shared>);
+
+impl Handler for MetricsHandler {
+    async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
+        Response::new(AnswerBody::full(self.0.metrics.text()))
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -0,0 +1,21 @@
+//! What lives as long as the process.
+
+mod follower;
+mod listeners;
+mod records;
+mod run;
+mod settings;
+mod shared;
+mod stop;
+
+pub(crate) use records::learn_configuration;
+pub(crate) use records::learn_evacuated;
+pub(crate) use records::learn_record;
+pub(crate) use records::read_record;
+pub(crate) use records::write_record;
+pub use run::StartError;
+pub use run::run;
+pub use settings::Settings;
+pub use settings::SettingsError;
+pub(crate) use shared::Shared;
+pub(crate) use stop::Phase;
--- /dev/null
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -0,0 +1,190 @@
+//! What the process learns of the shared state, and how it reads and writes its record.
+
+use std::rc::Rc;
+
+use rattanarch_adapter::Put;
+use rattanarch_adapter::StoreError;
+use rattanarch_adapter::StoredObject;
+use rattanarch_adapter::StoredRecord;
+use rattanarch_adapter::kind;
+use rattanarch_ownership::Event;
+use rattanarch_ownership::WriteOutcome;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+use serde_json::Value;
+
+use crate::control;
+use crate::process::Shared;
+use crate::version::Evacuated;
+
+/// Takes a configuration from `source`.
+pub(crate) fn learn_configuration(shared: &Rc<Shared>, spec: Value, source: &str) {
+    let learned = shared.knowledge.borrow_mut().learn_configuration(spec);
+    match learned {
+        Ok(false) => {}
+        Ok(true) => {
+            if let Some(routes) = shared.knowledge.borrow().routes() {
+                let rules = routes.rule_count();
+                log::info!(version = routes.version, rules = rules, source:% = source;
+                    "configuration in force");
+            }
+            control::tell_some(shared);
+            control::maintain(shared);
+            shared.changed.notify_waiters();
+        }
+        Err(error) => {
+            log::warn!(reason:% = error, source:% = source; "configuration not understood");
+        }
+    }
+}
+
+/// Takes the data centres that are out, from `source`.
+pub(crate) fn learn_evacuated(shared: &Rc<Shared>, evacuated: Evacuated, source: &str) {
+    let now = shared.now();
+    let names: Vec<String> = evacuated.names().cloned().collect();
+    let revision = evacuated.revision;
+    if shared.knowledge.borrow_mut().learn_evacuated(now, evacuated) {
+        log::info!(revision = revision, out:% = names.join(","), source:% = source;
+            "data centres taken out");
+        control::tell_some(shared);
+        control::maintain(shared);
+        shared.changed.notify_waiters();
+    }
+}
+
+/// Takes a record; `read_sent` is when a read was sent that the store has just answered.
+pub(crate) fn learn_record(
+    shared: &Rc<Shared>,
+    record: Record,
+    revision: u64,
+    read_sent: Option<Moment>,
+) {
+    let service = record.service.clone();
+    let newer = shared.knowledge.borrow_mut().learn_record(record, revision);
+    let Some(known) = shared.knowledge.borrow().record(&service).cloned() else { return };
+    if newer {
+        forget_peers(shared);
+        control::tell_some(shared);
+        shared.changed.notify_waiters();
+    }
+    if newer || read_sent.is_some() {
+        control::learned_record(shared, &known, read_sent);
+    }
+}
+
+/// Forgets daemons that are in no record any more.
+fn forget_peers(shared: &Shared) {
+    let knowledge = shared.knowledge.borrow();
+    shared.peers.retain(|address| {
+        let mut members = knowledge.records().flat_map(|record| record.members.values());
+        members.any(|member| member.caller == address)
+    });
+}
+
+/// Reads the record of this daemon's service.
+pub(crate) async fn read_record(shared: Rc<Shared>) {
+    let sent = shared.now();
+    let service = &shared.settings.service;
+    match shared.store.get(kind::RECORD, service).await {
+        Ok(Some(object)) => {
+            shared.note_store(true, &"");
+            match StoredRecord::read(&object.spec) {
+                Ok(record) => learn_record(&shared, record, object.revision, Some(sent)),
+                Err(error) => log::error!(reason:% = error; "record malformed"),
+            }
+        }
+        Ok(None) => {
+            shared.note_store(true, &"");
+            shared.knowledge.borrow_mut().listed = true;
+            let slices = shared.upstream.state.borrow().serving.record.slice_count();
+            let record = Record::new(service.clone(), slices);
+            control::step(&shared, Event::Record { record, read_sent: Some(sent) });
+        }
+        Err(error) => shared.note_store(false, &error),
+    }
+}
+
+/// Replaces the record that `record` was made from.
+pub(crate) async fn write_record(shared: Rc<Shared>, record: Record) {
+    let write_id = record.write_id;
+    let outcome = match stored_revision(&shared, &record) {
+        Err(newer) => WriteOutcome::Conflict(newer),
+        Ok(revision) => put(&shared, &record, revision).await,
+    };
+    log::info!(version = record.version, members = record.members.len(),
+        outcome:% = name(&outcome); "record written");
+    control::step(&shared, Event::Written { write_id, outcome });
+    control::maintain(&shared);
+}
+
+fn name(outcome: &WriteOutcome) -> &'static str {
+    match outcome {
+        WriteOutcome::Accepted => "accepted",
+        WriteOutcome::Conflict(_) => "conflict",
+        WriteOutcome::Unknown => "unknown",
+        WriteOutcome::Failed => "not taken",
+    }
+}
+
+/// The store's revision of the record before `record`; 0 if there is none.
+///
+/// # Errors
+/// A newer record than that, if one is known.
+fn stored_revision(shared: &Shared, record: &Record) -> Result<u64, Record> {
+    let knowledge = shared.knowledge.borrow();
+    let Some(known) = knowledge.known_record(&record.service) else { return Ok(0) };
+    if known.record.version >= record.version {
+        return Err(Record::clone(&known.record));
+    }
+    Ok(known.revision)
+}
+
+async fn put(shared: &Rc<Shared>, record: &Record, revision: u64) -> WriteOutcome {
+    let spec = StoredRecord::write(record);
+    let name = &record.service;
+    let written = if revision == 0 {
+        shared.store.create(kind::RECORD, name, &spec).await
+    } else {
+        shared.store.replace(kind::RECORD, name, revision, &spec).await
+    };
+    match written {
+        Ok(Put::Accepted(revision)) => {
+            shared.note_store(true, &"");
+            learn_record(shared, record.clone(), revision, None);
+            WriteOutcome::Accepted
+        }
+        Ok(Put::Conflict(Some(object))) => {
+            shared.note_store(true, &"");
+            conflict(shared, &object)
+        }
+        Ok(Put::Conflict(None)) => match shared.store.get(kind::RECORD, name).await {
+            Ok(Some(object)) => conflict(shared, &object),
+            Ok(None) => WriteOutcome::Failed,
+            Err(error) => failed(shared, &error),
+        },
+        Err(error) => failed(shared, &error),
+    }
+}
+
+fn conflict(shared: &Rc<Shared>, object: &StoredObject) -> WriteOutcome {
+    match StoredRecord::read(&object.spec) {
+        Ok(record) => {
+            learn_record(shared, record.clone(), object.revision, None);
+            WriteOutcome::Conflict(record)
+        }
+        Err(error) => {
+            log::error!(reason:% = error; "record malformed");
+            WriteOutcome::Unknown
+        }
+    }
+}
+
+fn failed(shared: &Shared, error: &StoreError) -> WriteOutcome {
+    shared.note_store(false, error);
+    match error {
+        StoreError::NotTaken(_) => WriteOutcome::Failed,
+        StoreError::NoAnswer(_) | StoreError::HistoryGone | StoreError::Malformed(_) => {
+            WriteOutcome::Unknown
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -0,0 +1,145 @@
+//! From the start of the process to its end.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rattanarch_adapter::Store;
+use rattanarch_process::Clock;
+use rattanarch_process::LogError;
+use rattanarch_process::LogOptions;
+use rattanarch_process::Metrics;
+use rattanarch_process::start_logs;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::control;
+use crate::control::Control;
+use crate::control::PeerSocket;
+use crate::process::Phase;
+use crate::process::Settings;
+use crate::process::SettingsError;
+use crate::process::Shared;
+use crate::process::follower::Followed;
+use crate::process::follower::follow;
+use crate::process::listeners::listen;
+use crate::process::shared::StoreContact;
+use crate::process::stop;
+use crate::request::Peers;
+use crate::upstream::Upstream;
+use crate::version::Knowledge;
+
+/// Time between two looks at whether a stopping process may end.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Time in which connections end after the last request.
+const CLOSE_TIME: Duration = Duration::from_millis(150);
+
+/// Why the daemon could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The settings can't be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// Logging can't be started.
+    #[error(transparent)]
+    Logs(#[from] LogError),
+    /// An address can't be had, or the system refuses something else.
+    #[error("cannot start: {0}")]
+    System(#[from] io::Error),
+}
+
+/// Runs the daemon with the settings file at `path` until it is asked to stop.
+///
+/// # Errors
+/// See [`StartError`].
+pub fn run(path: PathBuf) -> Result<(), StartError> {
+    let settings = Settings::read(&path)?;
+    start_logs(LogOptions {
+        // Checked when the settings were read.
+        level: settings.log.level.parse().unwrap_or(log::LevelFilter::Info),
+        common: vec![("instance", settings.instance.clone())],
+        out: Box::new(io::stdout()),
+    })?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let tasks = LocalSet::new();
+    tasks.block_on(&runtime, serve(settings, path))
+}
+
+async fn serve(settings: Settings, path: PathBuf) -> Result<(), StartError> {
+    let stop = signal(SignalKind::terminate())?;
+    let reload = signal(SignalKind::hangup())?;
+    let shared = share(settings).await?;
+    listen(&shared)?;
+    let settings = &shared.settings;
+    log::info!(service:% = settings.service, data_centre:% = settings.data_centre,
+        upstream:% = settings.upstream, store:% = settings.store; "started");
+    for followed in [Followed::Configuration, Followed::Evacuations, Followed::Records] {
+        tokio::task::spawn_local(follow(Rc::clone(&shared), followed));
+    }
+    tokio::task::spawn_local(control::receive(Rc::clone(&shared)));
+    tokio::task::spawn_local(control::run(Rc::clone(&shared)));
+    tokio::task::spawn_local(control::gossip(Rc::clone(&shared)));
+    tokio::task::spawn_local(reload_settings(Rc::clone(&shared), reload, path));
+    wait_for_stop(&shared, stop).await;
+    log::info!("stopped");
+    log::logger().flush();
+    Ok(())
+}
+
+async fn share(settings: Settings) -> io::Result<Rc<Shared>> {
+    let clock = Clock;
+    let socket = PeerSocket::bind(settings.listen.datagrams).await?;
+    let timing = control::timing(settings.heartbeat());
+    let (phase, _) = watch::channel(Phase::Open);
+    Ok(Rc::new(Shared {
+        bounds: Cell::new(settings.bounds()),
+        clock,
+        metrics: Metrics::default(),
+        store: Store::new(settings.store),
+        contact: Cell::new(StoreContact::default()),
+        knowledge: RefCell::new(Knowledge::default()),
+        changed: Notify::new(),
+        upstream: Upstream::new(settings.upstream),
+        control: RefCell::new(Control::new(timing, clock.now())),
+        socket,
+        peers: Peers::default(),
+        phase,
+        busy: Cell::new(0),
+        settings,
+    }))
+}
+
+/// Reads the settings again when asked to. Addresses stay as they were at the start.
+async fn reload_settings(shared: Rc<Shared>, mut reload: Signal, path: PathBuf) {
+    while reload.recv().await.is_some() {
+        match Settings::read(&path) {
+            Ok(settings) => {
+                shared.bounds.set(settings.bounds());
+                log::info!("settings read again");
+            }
+            Err(error) => log::error!(reason:% = error; "settings not read again"),
+        }
+    }
+}
+
+/// Waits for the signal to stop, then until the process may end.
+async fn wait_for_stop(shared: &Rc<Shared>, mut stop: Signal) {
+    stop.recv().await;
+    let asked = shared.now();
+    shared.phase.send_replace(Phase::Stopping(asked));
+    log::info!(busy = shared.busy.get(); "stopping");
+    let grace = shared.bounds.get().grace;
+    while !stop::is_due(shared.now(), asked, grace, shared.busy.get()) {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+    shared.phase.send_replace(Phase::Closing);
+    tokio::time::sleep(CLOSE_TIME).await;
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -0,0 +1,89 @@
+//! What all parts of the process share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use rattanarch_adapter::Bounds;
+use rattanarch_adapter::Store;
+use rattanarch_process::Clock;
+use rattanarch_process::Metrics;
+use rattanarch_types::Moment;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::control::Control;
+use crate::control::PeerSocket;
+use crate::process::Phase;
+use crate::process::Settings;
+use crate::request::Peers;
+use crate::upstream::Upstream;
+use crate::version::Knowledge;
+
+/// State of the process. No borrow of a cell outlives a step: none is held across an await.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) bounds: Cell<Bounds>,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    pub(crate) store: Store,
+    /// Whether the store answered the last call, and since when.
+    pub(crate) contact: Cell<StoreContact>,
+    pub(crate) knowledge: RefCell<Knowledge>,
+    /// Told of each change of `knowledge`, of grants and of the upstream.
+    pub(crate) changed: Notify,
+    pub(crate) upstream: Upstream,
+    pub(crate) control: RefCell<Control>,
+    pub(crate) socket: PeerSocket,
+    pub(crate) peers: Peers,
+    pub(crate) phase: watch::Sender<Phase>,
+    /// Requests of callers and peers under way.
+    pub(crate) busy: Cell<usize>,
+}
+
+/// Whether the store answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StoreContact {
+    /// Whether the last call was answered.
+    pub(crate) reachable: bool,
+    /// When that changed.
+    pub(crate) since: Moment,
+}
+
+impl Shared {
+    /// The time now.
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Notes whether a call to the store was answered.
+    pub(crate) fn note_store(&self, reachable: bool, reason: &dyn std::fmt::Display) {
+        let before = self.contact.get();
+        if before.reachable == reachable && before.since > Moment::ZERO {
+            return;
+        }
+        let now = self.now();
+        let lasted = now.saturating_sub(before.since).as_millis() as u64;
+        self.contact.set(StoreContact { reachable, since: now });
+        if reachable {
+            log::info!(lasted_ms = lasted; "store reached");
+        } else {
+            log::warn!(reason:% = reason, lasted_ms = lasted; "store lost");
+        }
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn begin_request(self: &Rc<Self>) -> BusyGuard {
+        self.busy.set(self.busy.get() + 1);
+        BusyGuard(Rc::clone(self))
+    }
+}
+
+/// A request under way.
+pub(crate) struct BusyGuard(Rc<Shared>);
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/answers.rs
@@ -0,0 +1,39 @@
+//! Answers that the daemon gives itself.
+
+use std::time::Duration;
+
+use hyper::Response;
+use hyper::StatusCode;
+use rattanarch_adapter::headers::set_retry_after;
+use rattanarch_process::random;
+
+use crate::connection::AnswerBody;
+use crate::request::Failure;
+use crate::request::Refusal;
+
+/// Shortest pause that a refused caller is told: what refused it lasts longer than a round trip.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Part of the pause by which callers are spread, so that they do not come back together.
+const SPREAD: f64 = 0.4;
+
+/// An answer with `status` and a short text.
+pub(crate) fn plain(status: StatusCode, text: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::full(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// The answer to a request that has not run.
+pub(crate) fn refused(refusal: Refusal) -> Response<AnswerBody> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.to_string());
+    let draw = random() as f64 / u64::MAX as f64;
+    let pause = refusal.pause.max(MIN_PAUSE).mul_f64(1.0 + SPREAD * draw);
+    set_retry_after(response.headers_mut(), pause);
+    response
+}
+
+/// The answer to a request that may have run.
+pub(crate) fn failed(failure: &Failure) -> Response<AnswerBody> {
+    plain(failure.status(), failure.to_string())
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -0,0 +1,143 @@
+//! A request on its way to another daemon.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use rattanarch_types::Verdict;
+
+use crate::connection::AnswerBody;
+use crate::connection::Checkout;
+use crate::connection::Link;
+use crate::connection::SendError;
+use crate::process::Shared;
+use crate::request::Call;
+use crate::request::Failure;
+use crate::request::Outcome;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::mark::AnswerMark;
+use crate::request::mark::FORWARD;
+use crate::request::mark::ForwardMark;
+use crate::request::peers::Peer;
+
+/// Time for the answer's way back: the daemon beside the upstream gives up at the deadline, and its
+/// word is better than silence.
+const WAY_BACK: Duration = Duration::from_millis(60);
+
+/// Sends `call` to the daemon `peer`. Dropping the future ends the request there.
+pub(crate) async fn forward(shared: &Rc<Shared>, peer: &Rc<Peer>, call: &Call) -> Outcome {
+    let _sent = SentGuard::new(peer);
+    let outcome = exchange(shared, peer, call).await;
+    match &outcome {
+        Outcome::Refused(refusal) if refusal.reason == Reason::Unreachable => {
+            log::warn!(id:% = call.id, peer:% = peer.address; "peer not reached");
+            peer.note_away(shared.now());
+        }
+        Outcome::Failed(failure) => {
+            log::debug!(id:% = call.id, peer:% = peer.address, reason:% = failure; "peer failed");
+        }
+        _ => {}
+    }
+    outcome
+}
+
+async fn exchange(shared: &Rc<Shared>, peer: &Rc<Peer>, call: &Call) -> Outcome {
+    let unreachable = || Outcome::Refused(Refusal::new(Reason::Unreachable, RETURN_PAUSE));
+    let Ok(mut link) = peer.pool.checkout(Checkout::Reuse).await else { return unreachable() };
+    let left = call.deadline.saturating_sub(shared.now());
+    let Some(request) = request(peer, call, left) else { return unreachable() };
+    let sent = tokio::time::timeout(left + WAY_BACK, link.send(request)).await;
+    match sent {
+        Err(_) => {
+            peer.note(shared.now(), false, None);
+            Outcome::Failed(Failure::TimedOut)
+        }
+        Ok(Ok(response)) => read(shared, peer, response, link),
+        Ok(Err(SendError::Unsent(_))) => unreachable(),
+        Ok(Err(SendError::Broken(reason))) => {
+            peer.note(shared.now(), false, None);
+            if link.is_reused() {
+                peer.pool.clear();
+            }
+            Outcome::Failed(Failure::Cut(reason))
+        }
+    }
+}
+
+/// When to come back if a daemon can't be reached: it may be starting.
+const RETURN_PAUSE: Duration = Duration::from_millis(400);
+
+fn request(peer: &Peer, call: &Call, left: Duration) -> Option<Request<Full<bytes::Bytes>>> {
+    let mark = ForwardMark {
+        service: call.service.clone(),
+        origin: call.origin.clone(),
+        rank: call.rank,
+        left,
+        idempotent: call.idempotent,
+        key: call.key,
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    let headers = request.headers_mut();
+    headers.clone_from(&call.headers);
+    headers.insert(FORWARD, HeaderValue::from_str(&mark.to_string()).ok()?);
+    if !headers.contains_key(header::HOST) {
+        headers.insert(header::HOST, HeaderValue::from_str(&peer.address.to_string()).ok()?);
+    }
+    Some(request)
+}
+
+fn read(shared: &Shared, peer: &Rc<Peer>, response: Response<Incoming>, link: Link) -> Outcome {
+    let (mut parts, body) = response.into_parts();
+    let Some(mark) = AnswerMark::take(&mut parts.headers) else {
+        peer.note(shared.now(), false, None);
+        return Outcome::Failed(Failure::Cut("the peer gave no verdict".to_owned()));
+    };
+    let good = mark.verdict == Verdict::Done && !parts.status.is_server_error();
+    peer.note(shared.now(), good, mark.load);
+    let pause = retry_after(&parts.headers);
+    let body = AnswerBody::relayed(body, link, Rc::clone(&peer.pool));
+    match mark.verdict {
+        Verdict::Done => {
+            super::call::strip_connection_headers(&mut parts.headers);
+            Outcome::Answered(Response::from_parts(parts, body))
+        }
+        Verdict::NotRun => {
+            let reason = mark.reason.parse().unwrap_or(Reason::Unreachable);
+            let refusal = Refusal::new(reason, pause.unwrap_or_else(|| reason.pause()));
+            Outcome::Refused(if mark.arrived { refusal.arrived() } else { refusal })
+        }
+        Verdict::MayHaveRun if parts.status == hyper::StatusCode::GATEWAY_TIMEOUT => {
+            Outcome::Failed(Failure::TimedOut)
+        }
+        Verdict::MayHaveRun => Outcome::Failed(Failure::Cut(mark.reason)),
+    }
+}
+
+fn retry_after(headers: &hyper::HeaderMap) -> Option<Duration> {
+    let seconds: f64 = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+/// Counts a request that was sent to a peer, until its answer has begun.
+struct SentGuard<'a>(&'a Peer);
+
+impl<'a> SentGuard<'a> {
+    fn new(peer: &'a Peer) -> Self {
+        peer.sent.set(peer.sent.get() + 1);
+        Self(peer)
+    }
+}
+
+impl Drop for SentGuard<'_> {
+    fn drop(&mut self) {
+        self.0.sent.set(self.0.sent.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -0,0 +1,111 @@
+//! Requests that other daemons forward.
+
+use std::rc::Rc;
+
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use rattanarch_adapter::headers;
+use rattanarch_types::Verdict;
+
+use crate::connection::AnswerBody;
+use crate::connection::Handler;
+use crate::control;
+use crate::process::Shared;
+use crate::request::Call;
+use crate::request::Outcome;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::answers;
+use crate::request::call::strip_connection_headers;
+use crate::request::mark::AnswerMark;
+use crate::request::mark::FORWARD;
+use crate::request::mark::ForwardMark;
+use crate::request::mark::LoadMark;
+use crate::request::outbound::MAX_BODY;
+use crate::request::trail::Trail;
+use crate::upstream;
+
+/// Takes what other daemons send.
+pub(crate) struct Inbound(pub(crate) Rc<Shared>);
+
+impl Handler for Inbound {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let shared = &self.0;
+        if request.uri().path() == control::STATE_PATH && !request.headers().contains_key(FORWARD) {
+            return control::answer_pull(shared, request).await;
+        }
+        let _busy = shared.begin_request();
+        let Some(mark) = ForwardMark::read(request.headers()) else {
+            return answers::plain(StatusCode::BAD_REQUEST, "no forwarded request".to_owned());
+        };
+        let outcome = match read(shared, mark, request).await {
+            Some(call) => run(shared, &Rc::new(call)).await,
+            None => return answers::plain(StatusCode::BAD_REQUEST, "body cut short".to_owned()),
+        };
+        respond(shared, outcome)
+    }
+}
+
+async fn read(shared: &Shared, mark: ForwardMark, request: Request<Incoming>) -> Option<Call> {
+    let deadline = shared.now() + mark.left;
+    let (mut parts, body) = request.into_parts();
+    let body = Limited::new(body, MAX_BODY).collect().await.ok()?.to_bytes();
+    strip_connection_headers(&mut parts.headers);
+    parts.headers.remove(FORWARD);
+    let id = headers::attempt_id(&parts.headers).and_then(|id| id.to_str().ok());
+    Some(Call {
+        id: id.unwrap_or_default().to_owned(),
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        service: mark.service,
+        origin: mark.origin,
+        rank: mark.rank,
+        idempotent: mark.idempotent,
+        deadline,
+        key: mark.key,
+    })
+}
+
+async fn run(shared: &Rc<Shared>, call: &Rc<Call>) -> Outcome {
+    let trail = Trail::begin(shared, &call.id, "forwarded");
+    if call.service != shared.settings.service {
+        return Outcome::Refused(Refusal::new(Reason::NotOwner, Reason::NotOwner.pause()));
+    }
+    let outcome = upstream::run(shared, call).await;
+    trail.end(&outcome);
+    outcome
+}
+
+fn respond(shared: &Shared, outcome: Outcome) -> Response<AnswerBody> {
+    let (mut response, verdict, reason, arrived) = match outcome {
+        Outcome::Answered(response) => (response, Verdict::Done, String::new(), false),
+        Outcome::Refused(refusal) => {
+            let reason = refusal.reason.to_string();
+            (answers::refused(refusal), Verdict::NotRun, reason, refusal.arrived)
+        }
+        Outcome::Failed(failure) => {
+            (answers::failed(&failure), Verdict::MayHaveRun, failure.to_string(), false)
+        }
+    };
+    let mark = AnswerMark { verdict, reason, arrived, load: Some(load(shared)) };
+    mark.write(response.headers_mut());
+    response
+}
+
+fn load(shared: &Shared) -> LoadMark {
+    let now = shared.now();
+    let state = shared.upstream.state.borrow();
+    LoadMark {
+        running: state.gate.running(),
+        waiting: state.gate.waiting(),
+        slots: state.gate.slots(),
+        mean: state.gate.mean(),
+        cold: state.gate.is_cold(now),
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/mod.rs
@@ -0,0 +1,23 @@
+//! What lives as long as a request.
+
+mod answers;
+mod call;
+mod forward;
+mod inbound;
+mod mark;
+mod outbound;
+mod outcome;
+mod peers;
+mod reason;
+mod target;
+mod trail;
+
+pub(crate) use call::Call;
+pub(crate) use call::strip_connection_headers;
+pub(crate) use inbound::Inbound;
+pub(crate) use outbound::Outbound;
+pub(crate) use outcome::Failure;
+pub(crate) use outcome::Outcome;
+pub(crate) use outcome::Refusal;
+pub(crate) use peers::Peers;
+pub(crate) use reason::Reason;
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -0,0 +1,306 @@
+//! Requests of the callers on this machine.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use rattanarch_adapter::headers;
+use rattanarch_process::random;
+use rattanarch_routing::RetryBounds;
+use rattanarch_routing::RetryShare;
+use rattanarch_routing::RouteTable;
+use rattanarch_routing::Rule;
+use rattanarch_types::Moment;
+use rattanarch_types::ServiceName;
+
+use crate::connection::AnswerBody;
+use crate::connection::Handler;
+use crate::process::Shared;
+use crate::request::Call;
+use crate::request::Outcome;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::answers;
+use crate::request::call::strip_connection_headers;
+use crate::request::forward::forward;
+use crate::request::mark::FORWARD;
+use crate::request::target;
+use crate::request::target::Target;
+use crate::request::trail::Trail;
+use crate::upstream;
+
+/// Largest body that is taken, in bytes: bodies are held until they are whole, and a machine has a
+/// few hundred megabytes.
+pub(crate) const MAX_BODY: usize = 16 << 20;
+
+/// Refusals by instances after which a request is refused: a third one is no better informed.
+const MAX_REFUSALS: usize = 3;
+
+/// Longest wait for the record that names the owner of a key, when the known one is out of date.
+const RECORD_PATIENCE: Duration = Duration::from_millis(150);
+
+/// Takes the requests of the callers on this machine.
+pub(crate) struct Outbound {
+    shared: Rc<Shared>,
+    shares: RefCell<HashMap<ServiceName, RetryShare>>,
+}
+
+impl Outbound {
+    pub(crate) fn new(shared: Rc<Shared>) -> Self {
+        Self { shared, shares: RefCell::default() }
+    }
+}
+
+impl Handler for Outbound {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let _busy = self.shared.begin_request();
+        let came = self.shared.now();
+        let id = headers::attempt_id(request.headers()).and_then(|id| id.to_str().ok());
+        let trail = Trail::begin(&self.shared, id.unwrap_or_default(), "caller");
+        let routes = self.shared.knowledge.borrow().routes().cloned();
+        let Some(routes) = routes else {
+            let reason = Reason::NoConfiguration;
+            return end(&trail, Outcome::Refused(Refusal::new(reason, reason.pause())));
+        };
+        let rule = host(&request).and_then(|host| routes.find(&host, request.uri().path()));
+        let Some(rule) = rule else { return no_route(&trail, &request, &routes) };
+        let call = match self.read(request, &rule, came, &routes).await {
+            Ok(call) => Rc::new(call),
+            Err(answer) => return answer,
+        };
+        let outcome =
+            Attempts { outbound: &self, call: &call, rule: &rule, trail: &trail }.run().await;
+        end(&trail, outcome)
+    }
+}
+
+fn end(trail: &Trail, outcome: Outcome) -> Response<AnswerBody> {
+    trail.end(&outcome);
+    match outcome {
+        Outcome::Answered(response) => response,
+        Outcome::Refused(refusal) => answers::refused(refusal),
+        Outcome::Failed(failure) => answers::failed(&failure),
+    }
+}
+
+fn no_route(
+    trail: &Trail,
+    request: &Request<Incoming>,
+    routes: &RouteTable,
+) -> Response<AnswerBody> {
+    trail.note(format!("no route for {:?} in version {}", request.uri().path(), routes.version));
+    let answer = answers::plain(StatusCode::NOT_FOUND, "no route".to_owned());
+    trail.end(&Outcome::Answered(answer));
+    answers::plain(StatusCode::NOT_FOUND, "no route".to_owned())
+}
+
+fn host(request: &Request<Incoming>) -> Option<String> {
+    if let Some(host) = request.uri().host() {
+        return Some(host.to_owned());
+    }
+    request.headers().get(header::HOST)?.to_str().ok().map(str::to_owned)
+}
+
+impl Outbound {
+    /// Reads the whole request.
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        rule: &Rule,
+        came: Moment,
+        routes: &RouteTable,
+    ) -> Result<Call, Response<AnswerBody>> {
+        let (mut parts, body) = request.into_parts();
+        let body = read_body(body, routes.limits.body_bytes.min(MAX_BODY)).await?;
+        let patience = headers::deadline(&parts.headers).unwrap_or(rule.timeout);
+        strip_connection_headers(&mut parts.headers);
+        parts.headers.remove(FORWARD);
+        parts.headers.remove(header::CONTENT_LENGTH);
+        let id = headers::attempt_id(&parts.headers).and_then(|id| id.to_str().ok());
+        let id = id.unwrap_or_default().to_owned();
+        let key = headers::key(&parts.headers);
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let uri = path.parse().unwrap_or_else(|_| parts.uri.clone());
+        Ok(Call {
+            id,
+            method: parts.method,
+            uri,
+            headers: parts.headers,
+            body,
+            service: rule.target(random()).cloned().unwrap_or_default(),
+            origin: self.shared.settings.service.clone(),
+            rank: rule.rank,
+            idempotent: rule.repeat.is_idempotent(),
+            deadline: came + patience.min(rule.timeout),
+            key,
+        })
+    }
+
+    fn earn(&self, service: &str) {
+        self.with_share(service, |share, now, _| share.earn(now));
+    }
+
+    fn spend(&self, service: &str) -> bool {
+        self.with_share(service, |share, now, daemons| share.spend(now, daemons))
+    }
+
+    fn with_share<T>(
+        &self,
+        service: &str,
+        act: impl FnOnce(&mut RetryShare, Moment, usize) -> T,
+    ) -> T {
+        let bounds = self.shared.bounds.get();
+        let new = || {
+            RetryShare::new(RetryBounds {
+                ratio: bounds.retry_ratio,
+                window: bounds.retry_window,
+                slack: bounds.retry_slack,
+            })
+        };
+        let daemons = self.shared.knowledge.borrow().daemons();
+        let mut shares = self.shares.borrow_mut();
+        if !shares.contains_key(service) {
+            shares.insert(service.to_owned(), new());
+        }
+        let share = shares.get_mut(service).expect("it was just inserted");
+        act(share, self.shared.now(), daemons)
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Response<AnswerBody>> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(answers::plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large".to_owned()))
+        }
+        // The caller has gone in the middle of its body.
+        Err(_) => Err(answers::plain(StatusCode::BAD_REQUEST, "body cut short".to_owned())),
+    }
+}
+
+/// The tries of one request.
+struct Attempts<'a> {
+    outbound: &'a Outbound,
+    call: &'a Rc<Call>,
+    rule: &'a Rule,
+    trail: &'a Trail,
+}
+
+impl Attempts<'_> {
+    async fn run(&self) -> Outcome {
+        let shared = &self.outbound.shared;
+        let mut tried: Vec<SocketAddr> = Vec::new();
+        let mut arrivals = 0;
+        let mut refusals = 0;
+        self.outbound.earn(&self.call.service);
+        loop {
+            let target = match target::find(shared, self.call, &tried) {
+                Ok(target) => target,
+                Err(refusal) => return Outcome::Refused(refusal),
+            };
+            let outcome = self.send(target).await;
+            self.note(target, &outcome);
+            let again = match &outcome {
+                Outcome::Answered(response) => {
+                    arrivals += 1;
+                    response.status().is_server_error() && self.may_repeat(arrivals)
+                }
+                Outcome::Failed(_) => {
+                    arrivals += 1;
+                    self.may_repeat(arrivals)
+                }
+                Outcome::Refused(refusal) => {
+                    refusals += 1;
+                    arrivals += u32::from(refusal.arrived);
+                    refusals < MAX_REFUSALS && self.may_move(target, refusal, arrivals).await
+                }
+            };
+            if !again {
+                return outcome;
+            }
+            tried.push(target.address);
+            if self.call.key.is_some() {
+                // Only the owner can serve it.
+                tried.clear();
+            }
+        }
+    }
+
+    async fn send(&self, target: Target) -> Outcome {
+        let shared = &self.outbound.shared;
+        if target.own {
+            return upstream::run(shared, self.call).await;
+        }
+        forward(shared, &shared.peers.get(target.address), self.call).await
+    }
+
+    fn note(&self, target: Target, outcome: &Outcome) {
+        let text = match outcome {
+            Outcome::Answered(response) => format!("status {}", response.status().as_u16()),
+            Outcome::Refused(refusal) => format!("refused {}", refusal.reason),
+            Outcome::Failed(failure) => format!("failed {failure}"),
+        };
+        let version = target.version;
+        let service = &self.call.service;
+        self.trail.note(format!("{service} {} by record {version}: {text}", target.address));
+    }
+
+    /// Whether a request that may have run is sent once more.
+    fn may_repeat(&self, arrivals: u32) -> bool {
+        self.call.idempotent
+            && arrivals < self.rule.attempts
+            && self.has_time()
+            && self.outbound.spend(&self.call.service)
+    }
+
+    /// Whether enough time is left for another try.
+    fn has_time(&self) -> bool {
+        let left = self.call.deadline.saturating_sub(self.outbound.shared.now());
+        left > self.rule.objective / 4
+    }
+
+    /// Whether a request that was refused goes to another instance.
+    async fn may_move(&self, target: Target, refusal: &Refusal, arrivals: u32) -> bool {
+        if arrivals > 0
+            && (arrivals >= self.rule.attempts || !self.outbound.spend(&self.call.service))
+        {
+            return false;
+        }
+        if !self.has_time() || !refusal.reason.may_go_elsewhere() {
+            return false;
+        }
+        if self.call.key.is_none() {
+            return true;
+        }
+        refusal.reason == Reason::NotOwner && self.newer_record(target).await
+    }
+
+    /// Waits for a record that names another owner than `target`.
+    async fn newer_record(&self, target: Target) -> bool {
+        let shared = &self.outbound.shared;
+        let end = tokio::time::Instant::now() + RECORD_PATIENCE;
+        loop {
+            let changed = shared.changed.notified();
+            let moved = target::find(shared, self.call, &[]).is_ok_and(|found| {
+                found.version > target.version && found.address != target.address
+            });
+            if moved {
+                return true;
+            }
+            if tokio::time::timeout_at(end, changed).await.is_err() {
+                return false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/outcome.rs
@@ -0,0 +1,68 @@
+//! How a request ended at an upstream.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use hyper::Response;
+use hyper::StatusCode;
+
+use crate::connection::AnswerBody;
+use crate::request::Reason;
+
+/// How a request ended at an upstream.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// The upstream answered.
+    Answered(Response<AnswerBody>),
+    /// It has not run and will not.
+    Refused(Refusal),
+    /// It may have run.
+    Failed(Failure),
+}
+
+/// A refusal: the request has not run and will not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    /// After what time it is worth coming back.
+    pub(crate) pause: Duration,
+    /// Whether it reached the upstream, which refused it itself.
+    pub(crate) arrived: bool,
+}
+
+impl Refusal {
+    pub(crate) fn new(reason: Reason, pause: Duration) -> Self {
+        Self { reason, pause, arrived: false }
+    }
+
+    pub(crate) fn arrived(self) -> Self {
+        Self { arrived: true, ..self }
+    }
+}
+
+/// Why no answer of a request that may have run can be given.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub(crate) enum Failure {
+    /// The deadline passed.
+    #[display("timed-out")]
+    TimedOut,
+    /// The connection failed, or the answer ended early.
+    #[display("cut: {_0}")]
+    Cut(String),
+    /// The answer belongs to another request.
+    #[display("crossed")]
+    Crossed,
+    /// The answer is not the upstream's own.
+    #[display("spoilt")]
+    Spoilt,
+}
+
+impl Failure {
+    /// Status that a caller gets.
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Cut(_) | Self::Crossed | Self::Spoilt => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -0,0 +1,114 @@
+//! Other daemons, as far as this one has dealt with them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rattanarch_routing::Candidate;
+use rattanarch_types::Moment;
+
+use crate::connection::Pool;
+use crate::request::mark::LoadMark;
+
+/// Weight of a new outcome in the part of failed requests: some eight requests.
+const FAILING_WEIGHT: f64 = 0.12;
+
+/// How long a peer that could not be reached is taken to be away, unless it is heard earlier.
+const AWAY_TIME: Duration = Duration::from_millis(700);
+
+/// How long a report of load counts; after that, only what this daemon itself has sent.
+const REPORT_LIFE: Duration = Duration::from_millis(400);
+
+/// Other daemons by the address where they take requests.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    peers: RefCell<HashMap<SocketAddr, Rc<Peer>>>,
+}
+
+/// One other daemon.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) address: SocketAddr,
+    pub(crate) pool: Rc<Pool>,
+    /// Requests sent there and not answered.
+    pub(crate) sent: Cell<u32>,
+    load: Cell<Option<(Moment, LoadMark)>>,
+    /// Part of the last requests that failed or were refused, 0 to 1.
+    failing: Cell<f64>,
+    /// Until when it is taken to be away.
+    away: Cell<Moment>,
+}
+
+impl Peers {
+    /// The peer at `address`.
+    pub(crate) fn get(&self, address: SocketAddr) -> Rc<Peer> {
+        let mut peers = self.peers.borrow_mut();
+        Rc::clone(peers.entry(address).or_insert_with(|| Rc::new(Peer::new(address))))
+    }
+
+    /// Forgets peers that are not among `members`.
+    pub(crate) fn retain(&self, is_member: impl Fn(SocketAddr) -> bool) {
+        self.peers.borrow_mut().retain(|address, peer| is_member(*address) || peer.sent.get() > 0);
+    }
+
+    /// Connections opened to all peers.
+    pub(crate) fn opened(&self) -> u64 {
+        self.peers.borrow().values().map(|peer| peer.pool.opened()).sum()
+    }
+}
+
+impl Peer {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            pool: Rc::new(Pool::to_peer(address)),
+            sent: Cell::new(0),
+            load: Cell::new(None),
+            failing: Cell::new(0.0),
+            away: Cell::new(Moment::ZERO),
+        }
+    }
+
+    /// Notes how a request ended there.
+    pub(crate) fn note(&self, now: Moment, good: bool, load: Option<LoadMark>) {
+        let outcome = if good { 0.0 } else { 1.0 };
+        let failing = self.failing.get();
+        self.failing.set(failing + (outcome - failing) * FAILING_WEIGHT);
+        if let Some(load) = load {
+            self.load.set(Some((now, load)));
+        }
+        if good {
+            self.away.set(Moment::ZERO);
+        }
+    }
+
+    /// Notes that it could not be reached.
+    pub(crate) fn note_away(&self, now: Moment) {
+        self.away.set(now + AWAY_TIME);
+        self.pool.clear();
+    }
+
+    /// Until when it is taken to be away; `None` if it is not.
+    pub(crate) fn away(&self, now: Moment) -> Option<Duration> {
+        self.away.get().checked_sub(now).filter(|left| !left.is_zero())
+    }
+
+    /// What it offers to a request without a key.
+    pub(crate) fn candidate(&self, now: Moment, local: bool, slots: u32) -> Candidate {
+        let sent = self.sent.get();
+        let report = self.load.get();
+        let fresh = report.filter(|(at, _)| now.saturating_sub(*at) < REPORT_LIFE);
+        let reported = fresh.map(|(_, load)| load.running + load.waiting).unwrap_or_default();
+        Candidate {
+            local,
+            slots: report.map_or(slots, |(_, load)| load.slots),
+            busy: reported.max(sent),
+            mean: report.map(|(_, load)| load.mean).unwrap_or_default(),
+            failing: self.failing.get(),
+            cold: fresh.is_some_and(|(_, load)| load.cold),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -0,0 +1,103 @@
+//! Which daemon gets a request.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use rattanarch_process::random;
+use rattanarch_routing::Candidate;
+use rattanarch_routing::choose;
+use rattanarch_types::Member;
+use rattanarch_types::Record;
+use rattanarch_types::Version;
+
+use crate::process::Shared;
+use crate::request::Call;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::upstream::UpstreamState;
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Target {
+    /// Where the daemon takes forwarded requests.
+    pub(crate) address: SocketAddr,
+    /// Whether it is this process.
+    pub(crate) own: bool,
+    /// Version of the record that says so.
+    pub(crate) version: Version,
+}
+
+/// Finds the daemon for `call`: the owner of its key, or of a service without keys the best
+/// instance that is not among `tried`.
+///
+/// # Errors
+/// Why there is none; the request has not run.
+pub(crate) fn find(shared: &Shared, call: &Call, tried: &[SocketAddr]) -> Result<Target, Refusal> {
+    let record = shared.knowledge.borrow().record(&call.service).cloned();
+    let refuse = |reason: Reason| Err(Refusal::new(reason, reason.pause()));
+    let Some(record) = record else { return refuse(Reason::NoInstance) };
+    if record.slice_count() == 0 {
+        return free_choice(shared, &record, tried)
+            .map(|member| target(shared, &record, member))
+            .map_or_else(|| refuse(Reason::NoInstance), Ok);
+    }
+    let Some(key) = call.key else { return refuse(Reason::NoKey) };
+    let owner = record.owner_of(UpstreamState::hash(key));
+    let Some(member) = owner.and_then(|id| record.members.get(&id)) else {
+        return refuse(Reason::Unowned);
+    };
+    let target = target(shared, &record, member);
+    match shared.peers.get(target.address).away(shared.now()).filter(|_| !target.own) {
+        Some(left) => Err(Refusal::new(Reason::Silent, left)),
+        None => Ok(target),
+    }
+}
+
+fn target(shared: &Shared, record: &Record, member: &Member) -> Target {
+    let own = member.caller == shared.settings.listen.peers;
+    Target { address: member.caller, own, version: record.version }
+}
+
+/// The best instance of a service without keys.
+fn free_choice<'a>(
+    shared: &Shared,
+    record: &'a Rc<Record>,
+    tried: &[SocketAddr],
+) -> Option<&'a Member> {
+    let now = shared.now();
+    let evacuated = Rc::clone(shared.knowledge.borrow().evacuated());
+    let fit = |member: &&Member| {
+        !member.leaving
+            && !evacuated.contains(&member.data_centre)
+            && !tried.contains(&member.caller)
+    };
+    let members: Vec<&Member> = record.members.values().filter(fit).collect();
+    let is_near = |member: &&Member| {
+        let own = member.caller == shared.settings.listen.peers;
+        own || shared.peers.get(member.caller).away(now).is_none()
+    };
+    let near: Vec<&Member> = members.iter().copied().filter(is_near).collect();
+    let members = if near.is_empty() { members } else { near };
+    let candidates: Vec<Candidate> =
+        members.iter().map(|member| candidate(shared, member)).collect();
+    choose(&candidates, random()).map(|index| members[index])
+}
+
+fn candidate(shared: &Shared, member: &Member) -> Candidate {
+    let now = shared.now();
+    let slots = u32::from(member.slots);
+    if member.caller != shared.settings.listen.peers {
+        let local = member.data_centre == shared.settings.data_centre;
+        return shared.peers.get(member.caller).candidate(now, local, slots);
+    }
+    let state = shared.upstream.state.borrow();
+    let usable = state.life.as_ref().is_some_and(|life| life.refused.is_none());
+    Candidate {
+        local: true,
+        slots: state.gate.slots(),
+        busy: state.gate.running() + state.gate.waiting(),
+        mean: state.gate.mean(),
+        failing: if usable { 0.0 } else { 1.0 },
+        cold: state.gate.is_cold(now),
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -0,0 +1,167 @@
+//! Waiting for a slot of the upstream.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rattanarch_types::Moment;
+use tokio::sync::oneshot;
+
+use crate::process::Shared;
+use crate::request::Call;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::upstream::Standing;
+use crate::upstream::state::Waiter;
+
+/// Part of the time left that a request may wait for its key to arrive: what is left has to do for
+/// the work, and a caller that is refused needs time to come back.
+const KEY_PATIENCE: f64 = 0.4;
+
+/// Time after an expected change until it is seen here.
+const CHANGE_SLACK: Duration = Duration::from_millis(60);
+
+/// Leave to send one request; holds a slot until it is dropped.
+pub(crate) struct Permit {
+    shared: Rc<Shared>,
+    key: Option<u16>,
+    began: Moment,
+    /// Service time of a request that was answered.
+    took: Option<Duration>,
+}
+
+impl Permit {
+    /// Notes that the upstream has answered.
+    pub(crate) fn answered(&mut self) {
+        self.took = Some(self.shared.now().saturating_sub(self.began));
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut state = self.shared.upstream.state.borrow_mut();
+        state.gate.end(self.took);
+        state.end(self.key);
+        drop(state);
+        pump(&self.shared);
+    }
+}
+
+/// Waits until `call` may be sent to the upstream.
+///
+/// # Errors
+/// Why it may not, at once if that is certain; the request has not run then.
+pub(crate) async fn admit(shared: &Rc<Shared>, call: &Call) -> Result<Permit, Refusal> {
+    loop {
+        wait_for_key(shared, call).await?;
+        let permit = wait_for_slot(shared, call).await?;
+        // The key may have gone while the request waited for its slot.
+        if standing(shared, call.key) == Standing::Ready {
+            return Ok(permit);
+        }
+    }
+}
+
+fn standing(shared: &Shared, key: Option<u16>) -> Standing {
+    let centre = &shared.settings.data_centre;
+    let evacuated = shared.knowledge.borrow().evacuated().since(centre);
+    let bounds = shared.bounds.get();
+    let beat = shared.settings.heartbeat();
+    let state = shared.upstream.state.borrow();
+    state.standing(shared.now(), key, evacuated, (&bounds, beat))
+}
+
+async fn wait_for_key(shared: &Rc<Shared>, call: &Call) -> Result<(), Refusal> {
+    let came = shared.now();
+    let left = call.deadline.saturating_sub(came);
+    let patience = came + left.mul_f64(KEY_PATIENCE);
+    loop {
+        let changed = shared.changed.notified();
+        let (reason, next) = match standing(shared, call.key) {
+            Standing::Ready => return Ok(()),
+            Standing::Never(reason) => return Err(Refusal::new(reason, reason.pause())),
+            Standing::Later(reason, next) => (reason, next),
+        };
+        let now = shared.now();
+        let expected = next + CHANGE_SLACK;
+        if expected > patience {
+            return Err(Refusal::new(reason, expected.saturating_sub(now)));
+        }
+        tokio::select! {
+            () = changed => {}
+            () = tokio::time::sleep(expected.saturating_sub(now)) => {}
+        }
+    }
+}
+
+async fn wait_for_slot(shared: &Rc<Shared>, call: &Call) -> Result<Permit, Refusal> {
+    let (waiter, waiting) = oneshot::channel();
+    let now = shared.now();
+    let mut state = shared.upstream.state.borrow_mut();
+    state.gate.retain(|waiter| !waiter.is_closed());
+    let offered = state.gate.offer(now, call.rank, call.deadline, waiter);
+    drop(state);
+    if let Some(waiter) = offered.started {
+        start(shared, waiter);
+    }
+    refuse(offered.shed);
+    pump(shared);
+    match waiting.await {
+        Ok(Ok(mut permit)) => {
+            permit.take_key(call.key);
+            Ok(permit)
+        }
+        Ok(Err(refusal)) => Err(refusal),
+        Err(_) => Err(Refusal::new(Reason::Overloaded, Duration::from_millis(100))),
+    }
+}
+
+impl Permit {
+    fn take_key(&mut self, key: Option<u16>) {
+        self.key = key;
+        self.began = self.shared.now();
+        self.shared.upstream.state.borrow_mut().begin(key);
+    }
+}
+
+/// Starts what waits, as far as slots and pace allow.
+pub(crate) fn pump(shared: &Rc<Shared>) {
+    loop {
+        let popped = shared.upstream.state.borrow_mut().gate.start(shared.now());
+        refuse(popped.shed);
+        match popped.next {
+            Some(waiter) => start(shared, waiter),
+            None => break,
+        }
+    }
+    wake_later(shared);
+}
+
+/// Gives the slot that was taken for `waiter` to it, or back if its caller has gone.
+fn start(shared: &Rc<Shared>, waiter: Waiter) {
+    let began = shared.now();
+    let permit = Permit { shared: Rc::clone(shared), key: None, began, took: None };
+    // A permit that is not taken gives its slot back when it is dropped.
+    let _ = waiter.send(Ok(permit));
+}
+
+fn refuse(shed: Vec<rattanarch_admission::Shed<Waiter>>) {
+    for shed in shed {
+        // A caller that has gone needs no answer.
+        let _ = shed.item.send(Err(Refusal::new(Reason::Overloaded, shed.retry)));
+    }
+}
+
+/// Looks again when the pace of a cold upstream allows the next request.
+fn wake_later(shared: &Rc<Shared>) {
+    let now = shared.now();
+    let Some(wake) = shared.upstream.state.borrow().gate.wake(now) else { return };
+    if shared.upstream.timer.replace(true) {
+        return;
+    }
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(wake.saturating_sub(now)).await;
+        shared.upstream.timer.set(false);
+        pump(&shared);
+    });
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -0,0 +1,201 @@
+//! What the upstream says of itself.
+
+use std::rc::Rc;
+
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
+use rattanarch_adapter::Grant;
+use rattanarch_adapter::GrantAnswer;
+use rattanarch_adapter::Heartbeat;
+use rattanarch_adapter::UpstreamCall;
+use rattanarch_adapter::read_heartbeat;
+use rattanarch_adapter::upstream_call;
+use rattanarch_ownership::SliceGrant;
+use rattanarch_types::Moment;
+use rattanarch_types::SliceId;
+
+use crate::connection::AnswerBody;
+use crate::connection::Handler;
+use crate::control;
+use crate::process::Shared;
+use crate::upstream::Life;
+use crate::upstream::UpstreamState;
+use crate::upstream::life::Kinship;
+use crate::upstream::pump;
+
+/// Largest heartbeat that is read, in bytes: rows for every slice and more.
+const MAX_BEAT: usize = 256 << 10;
+
+/// Answers the upstream's heartbeats.
+pub(crate) struct HeartbeatHandler(pub(crate) Rc<Shared>);
+
+impl Handler for HeartbeatHandler {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let call = upstream_call(request.uri().path());
+        let body = Limited::new(request.into_body(), MAX_BEAT).collect().await;
+        let Ok(body) = body else { return answer(StatusCode::BAD_REQUEST, String::new()) };
+        let body = body.to_bytes();
+        match call {
+            Some(UpstreamCall::Heartbeat(id)) => beat(&self.0, &id, &body),
+            Some(UpstreamCall::Leave(id)) => leave(&self.0, &id),
+            None => answer(StatusCode::NOT_FOUND, String::new()),
+        }
+    }
+}
+
+fn answer(status: StatusCode, body: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::full(body));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn beat(shared: &Rc<Shared>, id: &str, body: &[u8]) -> Response<AnswerBody> {
+    let beat = match read_heartbeat(body) {
+        Ok(beat) => beat,
+        Err(error) => return reject(id, &error),
+    };
+    let settings = &shared.settings;
+    if beat.service != settings.service || beat.address != settings.upstream {
+        return reject(id, &"it speaks for another upstream");
+    }
+    let now = shared.now();
+    let known = shared.upstream.state.borrow().life.as_ref().map(|life| life.kinship(id, &beat));
+    match known {
+        Some(Kinship::Predecessor) => {
+            log::info!(life:% = id, born = beat.born; "heartbeat of an ended life");
+            return answer(StatusCode::CONFLICT, "{}".to_owned());
+        }
+        // What a later heartbeat said counts; this one renews nothing.
+        Some(Kinship::Overtaken) => return answer(StatusCode::OK, "{}".to_owned()),
+        Some(Kinship::Newer) => {}
+        Some(Kinship::Successor) | None => begin_life(shared, id, &beat, now),
+    }
+    take(shared, &beat, now);
+    control::heard(shared, &beat);
+    shared.changed.notify_waiters();
+    pump(shared);
+    let granted = grant(shared, beat.sequence);
+    answer(StatusCode::OK, granted)
+}
+
+fn reject(id: &str, reason: &dyn std::fmt::Display) -> Response<AnswerBody> {
+    log::warn!(life:% = id, reason:% = reason; "heartbeat rejected");
+    answer(StatusCode::BAD_REQUEST, "{}".to_owned())
+}
+
+fn begin_life(shared: &Rc<Shared>, id: &str, beat: &Heartbeat, now: Moment) {
+    let first = shared.upstream.state.borrow().life.is_none();
+    shared.upstream.state.borrow_mut().life = Some(Life::new(id, beat, now));
+    shared.upstream.pool.clear();
+    log::info!(life:% = id, born = beat.born, slots = beat.slots, first = first; "upstream started");
+    control::begin_life(shared, first, beat);
+}
+
+/// Takes what a heartbeat says of the upstream.
+fn take(shared: &Shared, beat: &Heartbeat, now: Moment) {
+    let rate = shared.knowledge.borrow().routes().and_then(|routes| {
+        routes.service(&shared.settings.service).map(|service| service.cold_rate)
+    });
+    let mut state = shared.upstream.state.borrow_mut();
+    let state = &mut *state;
+    state.gate.set_slots(u32::from(beat.slots));
+    if !beat.cold.is_zero() {
+        state.gate.cool(now, beat.cold, rate.unwrap_or(DEFAULT_COLD_RATE));
+    }
+    if let Some(life) = &mut state.life {
+        life.sequence = beat.sequence;
+        life.heard = now;
+        life.refused = None;
+        if beat.draining && life.leaving.is_none() {
+            life.leaving = Some(now);
+            log::info!(life:% = life.id; "upstream leaves");
+        }
+    }
+    let held = |slice: SliceId| holds(state.slices(), slice, beat);
+    let sequence = beat.sequence;
+    let confirmed: Vec<bool> = (0..state.slices()).map(held).collect();
+    state.grants.confirm(sequence, |slice| confirmed[usize::from(slice)]);
+}
+
+/// Requests a second that a cold upstream gets before the configuration is known.
+const DEFAULT_COLD_RATE: f64 = 10.0;
+
+/// Whether the upstream holds any key of `slice`.
+fn holds(slices: SliceId, slice: SliceId, beat: &Heartbeat) -> bool {
+    let (first, last) = keys_of(slices, slice);
+    beat.held.iter().any(|range| range.first <= last && first <= range.last)
+}
+
+/// First and last key of `slice`.
+pub(crate) fn keys_of(slices: SliceId, slice: SliceId) -> (u16, u16) {
+    let width = (u32::from(u16::MAX) + 1) / u32::from(slices.max(1));
+    let first = u32::from(slice) * width;
+    (first as u16, (first + width - 1) as u16)
+}
+
+impl UpstreamState {
+    /// Number of slices that keys fall into.
+    pub(crate) fn slices(&self) -> SliceId {
+        self.running.len() as SliceId
+    }
+}
+
+fn leave(shared: &Rc<Shared>, id: &str) -> Response<AnswerBody> {
+    let now = shared.now();
+    let mut state = shared.upstream.state.borrow_mut();
+    if let Some(life) = state.life.as_mut().filter(|life| life.id == id)
+        && life.leaving.is_none()
+    {
+        life.leaving = Some(now);
+        log::info!(life:% = id; "upstream deregistered");
+    }
+    drop(state);
+    control::maintain(shared);
+    answer(StatusCode::OK, "{}".to_owned())
+}
+
+/// The answer to the heartbeat `sequence`: what the upstream is to hold.
+fn grant(shared: &Shared, sequence: u64) -> String {
+    let most = shared.bounds.get().hold_max;
+    let mut state = shared.upstream.state.borrow_mut();
+    let state = &mut *state;
+    let renewed = state.grants.renew(shared.now(), sequence, &state.serving, most);
+    let Some((grants, time)) = renewed.filter(|_| state.keyed) else { return "{}".to_owned() };
+    let slices = state.slices();
+    let rows = merge(slices, &grants);
+    let (body, left_out) = GrantAnswer { grants: Some((rows.clone(), time)) }.encode();
+    if left_out > 0 {
+        let first = rows[rows.len() - left_out].first;
+        let lost = grants.iter().filter(|grant| keys_of(slices, grant.slice).0 >= first);
+        state.grants.withdraw(lost.map(|grant| grant.slice));
+        log::error!(rows = rows.len(), left_out = left_out; "grant too large for a heartbeat");
+    }
+    body
+}
+
+/// Ranges of keys, one for each run of slices with the same fence and state.
+fn merge(slices: SliceId, grants: &[SliceGrant]) -> Vec<Grant> {
+    let mut rows: Vec<Grant> = Vec::new();
+    for grant in grants {
+        let (first, last) = keys_of(slices, grant.slice);
+        let handover = grant.handover.clone().unwrap_or_default();
+        let joins = rows.last().is_some_and(|row| {
+            row.last.checked_add(1) == Some(first)
+                && row.fence == grant.fence
+                && row.handover == handover
+        });
+        match rows.last_mut().filter(|_| joins) {
+            Some(row) => row.last = last,
+            None => rows.push(Grant { first, last, fence: grant.fence, handover }),
+        }
+    }
+    rows
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -0,0 +1,18 @@
+//! What lives as long as one life of the upstream on this machine.
+
+mod admission;
+mod exchange;
+mod heartbeat;
+mod life;
+mod state;
+
+pub(crate) use admission::Permit;
+pub(crate) use admission::admit;
+pub(crate) use admission::pump;
+pub(crate) use exchange::run;
+pub(crate) use heartbeat::HeartbeatHandler;
+pub(crate) use heartbeat::keys_of;
+pub(crate) use life::Life;
+pub(crate) use state::Standing;
+pub(crate) use state::Upstream;
+pub(crate) use state::UpstreamState;
--- /dev/null
+++ b/crates/rattanarch_mesh/src/version/knowledge.rs
@@ -0,0 +1,126 @@
+//! The shared state as this process knows it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use rattanarch_adapter::DecodeError;
+use rattanarch_adapter::StoredRecord;
+use rattanarch_adapter::read_configuration;
+use rattanarch_routing::RouteTable;
+use rattanarch_types::Moment;
+use rattanarch_types::Record;
+use rattanarch_types::ServiceName;
+use serde_json::Value;
+
+use crate::version::Evacuated;
+use crate::version::Snapshot;
+use crate::version::Versions;
+
+/// A record and the store's revision of it.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownRecord {
+    pub(crate) record: Rc<Record>,
+    pub(crate) revision: u64,
+}
+
+/// Newest configuration, data centres taken out, and records. Versions only rise, wherever they are
+/// learned from.
+#[derive(Debug, Default)]
+pub(crate) struct Knowledge {
+    routes: Option<Rc<RouteTable>>,
+    /// The configuration in force, as the store holds it.
+    configuration: Rc<Value>,
+    evacuated: Rc<Evacuated>,
+    records: BTreeMap<ServiceName, KnownRecord>,
+    /// Whether the store has listed its records, so that a missing one does not exist.
+    pub(crate) listed: bool,
+}
+
+impl Knowledge {
+    /// Routes in force; `None` before the first configuration is known.
+    pub(crate) fn routes(&self) -> Option<&Rc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// Data centres that are out.
+    pub(crate) fn evacuated(&self) -> &Rc<Evacuated> {
+        &self.evacuated
+    }
+
+    /// Newest known record of `service`.
+    pub(crate) fn record(&self, service: &str) -> Option<&Rc<Record>> {
+        self.records.get(service).map(|known| &known.record)
+    }
+
+    /// Newest known record of `service` and its revision.
+    pub(crate) fn known_record(&self, service: &str) -> Option<&KnownRecord> {
+        self.records.get(service)
+    }
+
+    /// All records.
+    pub(crate) fn records(&self) -> impl Iterator<Item = &Rc<Record>> {
+        self.records.values().map(|known| &known.record)
+    }
+
+    /// Number of daemons: members of all services.
+    pub(crate) fn daemons(&self) -> usize {
+        self.records().map(|record| record.members.len()).sum()
+    }
+
+    /// Takes a configuration; returns whether it is newer than the one in force.
+    ///
+    /// # Errors
+    /// If it can't be understood; then the one in force stays.
+    pub(crate) fn learn_configuration(&mut self, spec: Value) -> Result<bool, DecodeError> {
+        let routes = read_configuration(&spec)?;
+        if self.routes.as_ref().is_some_and(|known| known.version >= routes.version) {
+            return Ok(false);
+        }
+        self.routes = Some(Rc::new(routes));
+        self.configuration = Rc::new(spec);
+        Ok(true)
+    }
+
+    /// Takes the data centres that are out; returns whether they are newer.
+    pub(crate) fn learn_evacuated(&mut self, now: Moment, evacuated: Evacuated) -> bool {
+        if evacuated.revision <= self.evacuated.revision {
+            return false;
+        }
+        let evacuated = evacuated.learned(now, &self.evacuated);
+        self.evacuated = Rc::new(evacuated);
+        true
+    }
+
+    /// Takes a record; returns whether it is newer.
+    pub(crate) fn learn_record(&mut self, record: Record, revision: u64) -> bool {
+        let newer = self.record(&record.service).is_none_or(|old| old.version < record.version);
+        if newer {
+            let known = KnownRecord { record: Rc::new(record), revision };
+            self.records.insert(known.record.service.clone(), known);
+        }
+        newer
+    }
+
+    /// Versions of all that is known.
+    pub(crate) fn versions(&self) -> Versions {
+        let records = self.records().map(|record| (record.service.clone(), record.version));
+        Versions {
+            configuration: self.routes().map(|routes| routes.version).unwrap_or_default(),
+            evacuated: self.evacuated.revision,
+            records: records.collect(),
+        }
+    }
+
+    /// What is newer than `asked`.
+    pub(crate) fn newer(&self, asked: &Versions) -> Snapshot {
+        let own = self.versions();
+        let known = |service: &str| asked.records.get(service).copied().unwrap_or_default();
+        let records = self.records.values().filter(|k| k.record.version > known(&k.record.service));
+        Snapshot {
+            configuration: (own.configuration > asked.configuration)
+                .then(|| Value::clone(&self.configuration)),
+            evacuated: (own.evacuated > asked.evacuated).then(|| Evacuated::clone(&self.evacuated)),
+            records: records.map(|k| (k.revision, StoredRecord::write(&k.record))).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_mesh/src/version/snapshot.rs
@@ -0,0 +1,43 @@
+//! What daemons tell each other of the shared state.
+
+use std::collections::BTreeMap;
+
+use rattanarch_types::ServiceName;
+use rattanarch_types::Version;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::version::Evacuated;
+
+/// Versions that a daemon knows.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Versions {
+    /// Version of the configuration; 0 if none is known.
+    pub(crate) configuration: Version,
+    /// Revision of the data centres that are out.
+    pub(crate) evacuated: u64,
+    /// Versions of the ownership records.
+    pub(crate) records: BTreeMap<ServiceName, Version>,
+}
+
+impl Versions {
+    /// Whether `other` knows something newer.
+    pub(crate) fn is_behind(&self, other: &Self) -> bool {
+        let known = |service: &str| self.records.get(service).copied().unwrap_or_default();
+        self.configuration < other.configuration
+            || self.evacuated < other.evacuated
+            || other.records.iter().any(|(service, version)| known(service) < *version)
+    }
+}
+
+/// Parts of the shared state that are newer than what a peer asked with.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub(crate) struct Snapshot {
+    /// The configuration as the store holds it.
+    pub(crate) configuration: Option<Value>,
+    /// Data centres that are out.
+    pub(crate) evacuated: Option<Evacuated>,
+    /// Records as the store holds them, with their revisions there.
+    pub(crate) records: Vec<(u64, Value)>,
+}
--- a/crates/rattanarch_ownership/src/attempt.rs
+++ b/crates/rattanarch_ownership/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
+use rattanarch_types::SliceId;
 use rattanarch_types::WriteId;
 
 use crate::Action;
@@ -56,6 +57,10 @@
         let mut record = self.record.as_deref().cloned().unwrap_or_default();
         record.version += 1;
         record.write_id = self.draws.id();
+        // Its own daemon has taken note of what was left for this member's slices.
+        let owners = &record.owners;
+        let is_mine = |slice: SliceId| owners.get(usize::from(slice)) == Some(&Some(self.me));
+        record.handovers.retain(|slice, _| !is_mine(*slice));
         record
     }
 
--- a/crates/rattanarch_ownership/src/event.rs
+++ b/crates/rattanarch_ownership/src/event.rs
@@ -52,6 +52,8 @@
         slices: Vec<SliceId>,
         /// Hot keys that were to be quiet.
         hot: Vec<KeyHash>,
+        /// What the upstream left of some of the slices for their next owner.
+        handovers: BTreeMap<SliceId, String>,
     },
     /// What operators want of the members, by the configuration.
     Intent {
--- a/crates/rattanarch_ownership/src/lib.rs
+++ b/crates/rattanarch_ownership/src/lib.rs
@@ -70,6 +70,7 @@
 mod core;
 mod draws;
 mod event;
+mod grants;
 mod heat;
 mod joining;
 mod lease;
@@ -91,6 +92,8 @@
 pub use action::Action;
 pub use event::Event;
 pub use event::WriteOutcome;
+pub use grants::Grants;
+pub use grants::SliceGrant;
 pub use message::Message;
 pub use node::Node;
 #[doc(hidden)]
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -1,5 +1,6 @@
 //! The part of one daemon that takes part in the ownership of one service.
 
+use std::collections::BTreeMap;
 use std::mem;
 use std::sync::Arc;
 
@@ -119,7 +120,7 @@
             Event::Fenced { fence } => self.fence(fence),
             Event::Message { from, message } => self.receive(now, from, message),
             Event::Written { write_id, outcome } => self.core.written(now, write_id, outcome),
-            Event::Quiet { slices, hot } => self.quiet(&slices, &hot),
+            Event::Quiet { slices, hot, handovers } => self.quiet(&slices, &hot, handovers),
             Event::Intent { barred, lost } => self.core.intend(now, barred, lost),
             Event::Load { slices, keys } => self.core.load(&slices, keys),
             Event::Stop => self.core.stopping = true,
@@ -134,10 +135,10 @@
         }
     }
 
-    fn quiet(&mut self, slices: &[SliceId], hot: &[KeyHash]) {
+    fn quiet(&mut self, slices: &[SliceId], hot: &[KeyHash], handovers: BTreeMap<SliceId, String>) {
         let member = self.life.member_mut();
         if let Some(release) = member.and_then(|member| member.release.as_mut()) {
-            release.quiet(slices, hot);
+            release.quiet(slices, hot, handovers);
         }
     }
 
--- a/crates/rattanarch_ownership/src/release.rs
+++ b/crates/rattanarch_ownership/src/release.rs
@@ -24,6 +24,8 @@
     pub(crate) keys: BTreeMap<KeyHash, Option<BootId>>,
     loud_slices: BTreeSet<SliceId>,
     loud_keys: BTreeSet<KeyHash>,
+    /// What the upstream left of slices that are quiet.
+    handovers: BTreeMap<SliceId, String>,
     /// Update that hands them over.
     write: Option<WriteId>,
 }
@@ -50,11 +52,18 @@
         if !new_slices.is_empty() || !new_keys.is_empty() {
             core.out.push(Action::Quiesce { slices: new_slices, hot: new_keys });
         }
-        Self { slices, keys, loud_slices, loud_keys, write: None }
+        let handovers = before.handovers.clone();
+        Self { slices, keys, loud_slices, loud_keys, handovers, write: None }
     }
 
     /// Takes word that nothing runs any more for `slices` and `keys`.
-    pub(crate) fn quiet(&mut self, slices: &[SliceId], keys: &[KeyHash]) {
+    pub(crate) fn quiet(
+        &mut self,
+        slices: &[SliceId],
+        keys: &[KeyHash],
+        handovers: BTreeMap<SliceId, String>,
+    ) {
+        self.handovers.extend(handovers);
         for slice in slices {
             self.loud_slices.remove(slice);
         }
@@ -106,6 +115,13 @@
             }
         }
         fill(draft, &core.barred);
+        for slice in &self.slices {
+            let stays = draft.owners.get(usize::from(*slice)).is_none_or(|o| *o == Some(core.me));
+            match self.handovers.get(slice).filter(|_| !stays) {
+                Some(handover) => drop(draft.handovers.insert(*slice, handover.clone())),
+                None => drop(draft.handovers.remove(slice)),
+            }
+        }
     }
 }
 
--- a/crates/rattanarch_ownership/src/takeovers.rs
+++ b/crates/rattanarch_ownership/src/takeovers.rs
@@ -10,6 +10,7 @@
 use rattanarch_types::Member;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
+use rattanarch_types::SliceId;
 use rattanarch_types::Version;
 
 use crate::Message;
@@ -163,8 +164,12 @@
 pub(crate) fn remove(record: &mut Record, owner: BootId) {
     record.members.remove(&owner);
     record.hot.retain(|_, id| *id != owner);
-    for slot in record.owners.iter_mut().filter(|slot| **slot == Some(owner)) {
-        *slot = None;
+    for (slice, slot) in record.owners.iter_mut().enumerate() {
+        if *slot == Some(owner) {
+            *slot = None;
+            // What its upstream was to take over is old once it may have served the slice.
+            record.handovers.remove(&(slice as SliceId));
+        }
     }
 }
 
--- a/crates/rattanarch_ownership/tests/harness/world.rs
+++ b/crates/rattanarch_ownership/tests/harness/world.rs
@@ -252,7 +252,13 @@
                 Action::Quiesce { slices, hot } => {
                     self.quiesced += slices.len() as u64;
                     let delay = 5 * MILLI + self.below(100 * MILLI);
-                    self.plan(delay, Due::Deliver(index, Event::Quiet { slices, hot }));
+                    self.plan(
+                        delay,
+                        Due::Deliver(
+                            index,
+                            Event::Quiet { slices, hot, handovers: BTreeMap::new() },
+                        ),
+                    );
                 }
                 Action::Fence { above } => {
                     let fence = self.take_fence(index, self.processes[index].slot, above);
--- a/crates/rattanarch_ownership/tests/thin_path.rs
+++ b/crates/rattanarch_ownership/tests/thin_path.rs
@@ -1,5 +1,6 @@
 //! Two nodes join over a shared record and serve.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -56,7 +57,9 @@
                         };
                         (to, Event::Message { from: me, message })
                     }
-                    Action::Quiesce { slices, hot } => (index, Event::Quiet { slices, hot }),
+                    Action::Quiesce { slices, hot } => {
+                        (index, Event::Quiet { slices, hot, handovers: BTreeMap::new() })
+                    }
                     Action::Fence { .. } | Action::Rejoin | Action::Left => {
                         panic!("member {me} is out")
                     }
--- a/crates/rattanarchd/src/process/clock.rs
+++ b/crates/rattanarch_process/src/clock.rs
@@ -22,7 +22,7 @@
 }
 
 /// Wall clock, in milliseconds since the Unix epoch; 0 if it stands before that.
-pub(crate) fn unix_ms() -> u64 {
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_millis() as u64
 }
--- /dev/null
+++ b/crates/rattanarch_process/src/logs.rs
@@ -0,0 +1,100 @@
+//! Log lines in JSON.
+
+use std::io;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use log::LevelFilter;
+use log::Log;
+use log::Metadata;
+use log::Record;
+use log::SetLoggerError;
+
+use crate::Clock;
+use crate::budget::Budget;
+use crate::line::line;
+use crate::writer::LineWriter;
+
+/// Lines that were not written: over their event's budget, or not taken by the reader in time.
+pub(crate) static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that were not written since the process started.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// How to log.
+pub struct LogOptions {
+    /// Least level that is written.
+    pub level: LevelFilter,
+    /// Fields that every line has.
+    pub common: Vec<(&'static str, String)>,
+    /// Where lines go; standard output as a rule.
+    pub out: Box<dyn io::Write + Send>,
+}
+
+/// Why logging can't be started.
+#[derive(Debug, thiserror::Error)]
+pub enum LogError {
+    /// The thread that writes lines can't be started.
+    #[error("the log's thread cannot be started: {0}")]
+    Thread(#[from] io::Error),
+    /// Logging was started before.
+    #[error("logging was started before: {0}")]
+    Twice(#[from] SetLoggerError),
+}
+
+/// Starts logging; called once by a binary.
+///
+/// Each line is one JSON object: `time` (milliseconds since 1970), `level`, `event`, the common
+/// fields and the event's own.
+///
+/// # Errors
+/// See [`LogError`].
+pub fn start_logs(options: LogOptions) -> Result<(), LogError> {
+    let out: Box<dyn io::Write + Send> = Box::new(LineWriter::start(options.out)?);
+    let common = options.common;
+    let (level, inner) = fern::Dispatch::new()
+        .level(options.level)
+        .level_for("rouille", LevelFilter::Off)
+        .level_for("tungstenite", LevelFilter::Warn)
+        .level_for("hyper", LevelFilter::Warn)
+        .format(move |out, message, record| {
+            out.finish(format_args!("{}", line(&common, message, record)));
+        })
+        .chain(out)
+        .into_log();
+    log::set_boxed_logger(Box::new(Limited { budget: Mutex::default(), inner }))?;
+    log::set_max_level(level);
+    Ok(())
+}
+
+/// Keeps each event within its budget.
+struct Limited {
+    budget: Mutex<Budget>,
+    inner: Box<dyn Log>,
+}
+
+impl Log for Limited {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let event = record.args().as_str().unwrap_or_else(|| record.target());
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let granted = budget.take(Clock.now(), event, record.level());
+        drop(budget);
+        if granted {
+            self.inner.log(record);
+        } else {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn flush(&self) {
+        self.inner.flush();
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_process/src/metrics.rs
@@ -0,0 +1,99 @@
+//! Counters and histograms, served as text.
+
+use std::cell::RefCell;
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Labels of one series: names and values. Values come from settings and the configuration, never
+/// from keys or requests, so that their number is bounded.
+pub type Labels = Vec<(&'static str, String)>;
+
+/// Upper ends of the histograms' buckets, in seconds: from a local answer to the longest deadline.
+const BUCKETS: [f64; 13] =
+    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
+
+/// Metrics of one process, registered by name when they are first used.
+#[derive(Default)]
+pub struct Metrics {
+    inner: RefCell<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    registry: Registry,
+    counters: Vec<(&'static str, Family<Labels, Counter>)>,
+    gauges: Vec<(&'static str, Family<Labels, Gauge<i64>>)>,
+    histograms: Vec<(&'static str, Histograms)>,
+}
+
+impl std::fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Metrics {
+    /// Adds `count` to a counter.
+    pub fn add(&self, name: &'static str, help: &str, labels: &Labels, count: u64) {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        let family = match inner.counters.iter().find(|(known, _)| *known == name) {
+            Some((_, family)) => family,
+            None => {
+                let family = Family::<Labels, Counter<u64, AtomicU64>>::default();
+                inner.registry.register(name, help, family.clone());
+                inner.counters.push((name, family));
+                &inner.counters[inner.counters.len() - 1].1
+            }
+        };
+        family.get_or_create(labels).inc_by(count);
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, name: &'static str, help: &str, labels: &Labels, value: i64) {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        let family = match inner.gauges.iter().find(|(known, _)| *known == name) {
+            Some((_, family)) => family,
+            None => {
+                let family = Family::<Labels, Gauge<i64>>::default();
+                inner.registry.register(name, help, family.clone());
+                inner.gauges.push((name, family));
+                &inner.gauges[inner.gauges.len() - 1].1
+            }
+        };
+        family.get_or_create(labels).set(value);
+    }
+
+    /// Notes a duration in seconds in a histogram.
+    pub fn observe(&self, name: &'static str, help: &str, labels: &Labels, seconds: f64) {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        let family = match inner.histograms.iter().find(|(known, _)| *known == name) {
+            Some((_, family)) => family,
+            None => {
+                let family: Histograms = Family::new_with_constructor(|| Histogram::new(BUCKETS));
+                inner.registry.register(name, help, family.clone());
+                inner.histograms.push((name, family));
+                &inner.histograms[inner.histograms.len() - 1].1
+            }
+        };
+        family.get_or_create(labels).observe(seconds);
+    }
+
+    /// All metrics in the usual text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.inner.borrow().registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_routing/src/candidate.rs
@@ -0,0 +1,37 @@
+//! An instance that could serve a request.
+
+use std::time::Duration;
+
+/// What a daemon knows of one instance of a service without keys.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Whether it stands in the sender's data centre.
+    pub local: bool,
+    /// Requests that it runs at once; at least 1.
+    pub slots: u32,
+    /// Requests running and waiting there, as far as the sender knows.
+    pub busy: u32,
+    /// Mean service time there; zero if nothing is known.
+    pub mean: Duration,
+    /// Part of the last requests sent there that failed, 0 to 1.
+    pub failing: f64,
+    /// Whether it is cold, or expected to refuse for some other reason.
+    pub cold: bool,
+}
+
+impl Candidate {
+    /// Expected time until a request sent now is answered: its own service time and its share of
+    /// the work ahead of it.
+    pub(crate) fn expected(&self, usual: Duration) -> f64 {
+        let mean = if self.mean.is_zero() { usual } else { self.mean }.as_secs_f64();
+        let slots = f64::from(self.slots.max(1));
+        let load = (f64::from(self.busy) + 1.0) / slots;
+        // Neighbours slow a nearly full upstream before its queue grows.
+        let ahead = (load - 1.0).max(0.0) + load.min(1.0).powi(2) * FULL_SLOWDOWN;
+        mean * (1.0 + ahead)
+    }
+}
+
+/// How much longer work is expected to take on an upstream whose slots are all taken, as a part of
+/// its mean: enough to spread work before the slots run out.
+const FULL_SLOWDOWN: f64 = 0.5;
--- /dev/null
+++ b/crates/rattanarch_routing/src/lib.rs
@@ -0,0 +1,44 @@
+//! Pure routing decisions: which route a request takes, which service and which instance serve it.
+//!
+//! Nothing here does I/O, reads a clock or draws a random number. A [`RouteTable`] is one version of
+//! what operators want; [`choose`] picks an instance of a service without keys; [`RetryShare`]
+//! bounds what one daemon sends more than once.
+//!
+//! ```
+//! use std::time::Duration;
+//! use rattanarch_routing::{Limits, Repeat, RouteTable, Rule, Target};
+//!
+//! let rule = Rule {
+//!     name: "stock".to_owned(),
+//!     host: "pound.example".to_owned(),
+//!     prefix: "/stock/".to_owned(),
+//!     repeat: Repeat::Safe,
+//!     targets: vec![Target { service: "trade-desk".to_owned(), weight: 1 }],
+//!     timeout: Duration::from_millis(1_200),
+//!     objective: Duration::from_millis(500),
+//!     attempts: 2,
+//!     rank: 2,
+//! };
+//! let table = RouteTable::new(7, vec![rule], [], Limits::default());
+//! assert_eq!(table.find("pound.example", "/stock/crayfish").map(|rule| rule.rank), Some(2));
+//! assert!(table.find("pound.example", "/stocks").is_none());
+//! ```
+
+mod candidate;
+mod choice;
+mod limits;
+mod retry_share;
+mod rule;
+mod service;
+mod table;
+
+pub use candidate::Candidate;
+pub use choice::choose;
+pub use limits::Limits;
+pub use retry_share::RetryBounds;
+pub use retry_share::RetryShare;
+pub use rule::Repeat;
+pub use rule::Rule;
+pub use rule::Target;
+pub use service::ServiceSpec;
+pub use table::RouteTable;
--- a/crates/rattanarch_types/src/lib.rs
+++ b/crates/rattanarch_types/src/lib.rs
@@ -44,6 +44,7 @@
 pub use record::RecordError;
 pub use route::KeySource;
 pub use route::Priority;
+pub use route::Rank;
 pub use route::Route;
 pub use trail::Entry;
 pub use trail::Serial;
--- a/crates/rattanarch_types/src/record.rs
+++ b/crates/rattanarch_types/src/record.rs
@@ -33,6 +33,10 @@
     /// Owners of hot keys, which override the owner of the key's slice. Each owner is a key of
     /// `members`.
     pub hot: BTreeMap<KeyHash, BootId>,
+    /// What the last owner's upstream left for the next owner of a slice, so that the next one
+    /// starts with the state of its keys; empty for upstreams that leave nothing.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub handovers: BTreeMap<SliceId, String>,
 }
 
 /// A record that breaks one of its invariants.
--- a/crates/rattanarch_types/src/route.rs
+++ b/crates/rattanarch_types/src/route.rs
@@ -30,6 +30,19 @@
     Urgent,
 }
 
+/// Urgency of a request, 0 the most urgent.
+pub type Rank = u8;
+
+impl From<Priority> for Rank {
+    fn from(priority: Priority) -> Self {
+        match priority {
+            Priority::Urgent => 0,
+            Priority::Normal => 1,
+            Priority::Deferrable => 2,
+        }
+    }
+}
+
 /// Rule for the requests of a service whose path starts with `prefix`; the longest prefix wins.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/rattanarch_wire/src/lib.rs
+++ b/crates/rattanarch_wire/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod bulk;
 mod codec;
+mod digest;
 mod error;
 mod message;
 mod packet;
@@ -20,6 +21,7 @@
 pub use bulk::Pull;
 pub use bulk::Pushed;
 pub use codec::Codec;
+pub use digest::Digest;
 pub use error::WireError;
 pub use message::WireMessage;
 pub use packet::Knowledge;
--- a/crates/rattanarch_wire/src/record.rs
+++ b/crates/rattanarch_wire/src/record.rs
@@ -11,6 +11,7 @@
 use rattanarch_types::Member;
 use rattanarch_types::Record;
 use rattanarch_types::ServiceName;
+use rattanarch_types::SliceId;
 use rattanarch_types::Version;
 use rattanarch_types::WriteId;
 use serde::Deserialize;
@@ -74,6 +75,8 @@
     members: BTreeMap<BootId, WireMember>,
     owners: Vec<Option<BootId>>,
     hot: BTreeMap<KeyHash, BootId>,
+    #[serde(default)]
+    handovers: BTreeMap<SliceId, String>,
 }
 
 impl From<Record> for WireRecord {
@@ -86,6 +89,7 @@
             members: members.collect(),
             owners: record.owners,
             hot: record.hot,
+            handovers: record.handovers,
         }
     }
 }
@@ -102,6 +106,7 @@
             members: members.collect(),
             owners: record.owners,
             hot: record.hot,
+            handovers: record.handovers,
         };
         record.check()?;
         Ok(record)
--- a/crates/rattanarchd/src/main.rs
+++ b/crates/rattanarchd/src/main.rs
@@ -23,10 +23,19 @@
     /// Only checks the settings.
     #[options(no_short, help = "check the settings and start nothing")]
     check: bool,
+    /// Runs on the users' platform.
+    #[options(no_short, help = "run on the users' platform, with the settings that it provides")]
+    platform: bool,
 }
 
+/// Names the settings file where the users' platform starts the daemon.
+const PLATFORM_SETTINGS: &str = "RATTANARCH_SETTINGS";
+
 fn main() -> ExitCode {
     let line = CommandLine::parse_args_default_or_exit();
+    if line.platform {
+        return start_on_platform(line.config);
+    }
     let Some(file) = line.config else {
         eprintln!("rattanarchd: option \"--config FILE\" is missing");
         return ExitCode::from(BAD_SETTINGS);
@@ -45,6 +54,21 @@
     start(settings)
 }
 
+fn start_on_platform(config: Option<PathBuf>) -> ExitCode {
+    let Some(file) = config.or_else(|| std::env::var_os(PLATFORM_SETTINGS).map(PathBuf::from))
+    else {
+        eprintln!("rattanarchd: neither \"--config FILE\" nor {PLATFORM_SETTINGS} is set");
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    match rattanarch_mesh::run(file) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("rattanarchd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn start(settings: Settings) -> ExitCode {
     let process = &settings.process;
     if let Err(error) = start_logs(&settings.log, &process.instance, &process.service) {
--- a/crates/rattanarchd/src/process/mod.rs
+++ b/crates/rattanarchd/src/process/mod.rs
@@ -1,6 +1,5 @@
 //! What lives as long as the process.
 
-mod clock;
 mod control;
 mod control_start;
 mod granter;
@@ -12,7 +11,6 @@
 mod platform_worker;
 mod publisher;
 mod quiescence;
-mod random;
 mod reports;
 mod run;
 mod settings;
@@ -22,8 +20,6 @@
 mod upstream_control;
 mod upstream_health;
 
-pub use clock::Clock;
-pub(crate) use clock::unix_ms;
 pub(crate) use control::Control;
 pub(crate) use control::ControlEnd;
 pub(crate) use control::ControlParts;
@@ -42,7 +38,9 @@
 pub(crate) use publisher::Publisher;
 pub(crate) use publisher::Snapshot;
 pub(crate) use quiescence::Quiescence;
-pub(crate) use random::random;
+pub use rattanarch_process::Clock;
+pub(crate) use rattanarch_process::random;
+pub(crate) use rattanarch_process::unix_ms;
 pub(crate) use reports::Reports;
 pub use run::RunError;
 pub(crate) use run::UpstreamState;
--- a/crates/rattanarchd/src/process/quiescence.rs
+++ b/crates/rattanarchd/src/process/quiescence.rs
@@ -1,5 +1,7 @@
 //! Waits until slices that are to be released are quiet.
 
+use std::collections::BTreeMap;
+
 use rattanarch_ownership::Event;
 use rattanarch_types::Fence;
 use rattanarch_types::KeyHash;
@@ -70,7 +72,7 @@
             return None;
         }
         let Pending { slices, hot } = self.pending.take()?;
-        Some(Event::Quiet { slices, hot })
+        Some(Event::Quiet { slices, hot, handovers: BTreeMap::new() })
     }
 
     /// Every grant has ended: what has no known end yet is refused when it takes effect.
