Move slices by load; settle the first handing over before traffic

The first handing over took 5 s since each new version of the record began the turns anew, and slices moved at the start of traffic are slow for 2 s.

Ruled out: the queue's own order (refusals fell on one owner only). Relief first never began in the node, which was not sure of the store; it now counts only once it has begun.

--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -45,6 +45,7 @@
 mod report;
 mod retry_budget;
 mod selector;
+mod slice_meter;
 mod tokens;
 
 pub use cold_pace::ColdPace;
@@ -66,3 +67,4 @@
 pub use retry_budget::RetryBudget;
 pub use selector::Selector;
 pub use selector::UpstreamKey;
+pub use slice_meter::SliceMeter;
--- a/crates/rattanarch_mesh/src/control/mod.rs
+++ b/crates/rattanarch_mesh/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod gossip;
 mod node;
 mod quiescence;
+mod relief;
 mod socket;
 mod state;
 mod timing;
@@ -17,6 +18,7 @@
 pub(crate) use node::maintain;
 pub(crate) use node::run;
 pub(crate) use node::step;
+pub(crate) use relief::window;
 pub(crate) use socket::PeerSocket;
 pub(crate) use socket::receive;
 pub(crate) use state::Control;
--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -1,5 +1,6 @@
 //! Drives the ownership protocol.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 use rattanarch_ownership::Event;
 use rattanarch_ownership::Node;
 use rattanarch_ownership::Serving;
+use rattanarch_placement::Spread;
 use rattanarch_process::random;
 use rattanarch_types::BootId;
 use rattanarch_types::Fence;
@@ -22,11 +24,11 @@
 use crate::process::Shared;
 use crate::process::read_record;
 use crate::process::write_record;
-use crate::upstream::keys_of;
+use crate::upstream::slices_in;
 
-/// Slices of a service that is divided by key: few enough that any set of them fits the answer to a
-/// heartbeat, many enough that neighbouring busy keys spread over all owners.
-const SLICES: SliceId = 256;
+/// Slices of a service that is divided by key: 16 neighbouring keys each, so that busy keys close to
+/// one another can have different owners.
+const SLICES: SliceId = 4_096;
 
 /// First fence of a process; each process of a slot takes one above that of the one before.
 const FIRST_FENCE: Fence = 1;
@@ -49,19 +51,15 @@
 pub(crate) fn begin_life(shared: &Rc<Shared>, first: bool, beat: &Heartbeat) {
     let mut control = shared.control.borrow_mut();
     control.reset();
-    let slices = SLICES;
-    for slice in 0..slices {
-        let (low, high) = keys_of(slices, slice);
-        let held = beat.held.iter().find(|range| range.first <= low && high <= range.last);
-        if let Some(range) = held.filter(|_| first) {
-            control.kept.insert(slice, range.fence);
-        }
+    for range in beat.held.iter().filter(|_| first) {
+        let kept = slices_in(SLICES, range.first, range.last);
+        control.kept.extend(kept.map(|slice| (slice, range.fence)));
     }
     let lease = control.timing.lease;
     let until = if first { control.started + lease + lease / 20 } else { Moment::ZERO };
     drop(control);
     let mut state = shared.upstream.state.borrow_mut();
-    state.reset_grants(slices, until);
+    state.reset_grants(shared.now(), SLICES, until);
 }
 
 /// Takes what a heartbeat says of released keys.
@@ -75,6 +73,10 @@
 pub(crate) fn maintain(shared: &Rc<Shared>) {
     start(shared);
     intend(shared);
+    if is_silent(shared) {
+        // No heartbeat will come that slices could wait for.
+        step(shared, Event::Window { relief: BTreeMap::new() });
+    }
     if let Some(event) = quiescence::check(shared) {
         step(shared, event);
     }
@@ -102,6 +104,7 @@
     let record = known.map_or_else(|| Record::new(service.clone(), slices), |r| Record::clone(&r));
     let mut control = shared.control.borrow_mut();
     let node = Node::new(random(), member(shared), control.timing, random());
+    let node = node.with_spread(Spread::ByLoad);
     log::info!(boot:% = format!("{:x}", node.me()), record = record.version; "joining");
     control.node = Some(node);
     drop(control);
@@ -152,6 +155,12 @@
     step(shared, Event::Intent { barred: barred.into_iter().collect(), lost: Vec::new() });
 }
 
+/// Whether the upstream is gone or not heard any more.
+fn is_silent(shared: &Shared) -> bool {
+    let beat = shared.settings.heartbeat();
+    shared.upstream.state.borrow().is_lost(shared.now(), beat)
+}
+
 fn is_upstream_out(shared: &Shared) -> bool {
     let now = shared.now();
     let mut state = shared.upstream.state.borrow_mut();
--- a/crates/rattanarch_mesh/src/control/quiescence.rs
+++ b/crates/rattanarch_mesh/src/control/quiescence.rs
@@ -8,17 +8,14 @@
 use rattanarch_types::SliceId;
 
 use crate::process::Shared;
-use crate::upstream::keys_of;
+use crate::upstream::slices_in;
 
 /// Notes what the upstream has left for the next owners of released slices.
 pub(crate) fn take_released(shared: &Shared, beat: &Heartbeat) {
     let slices = shared.upstream.state.borrow().slices();
     let mut control = shared.control.borrow_mut();
     for range in beat.released.iter().filter(|range| !range.handover.is_empty()) {
-        let covered = (0..slices).filter(|slice| {
-            let (first, last) = keys_of(slices, *slice);
-            range.first <= first && last <= range.last
-        });
+        let covered = slices_in(slices, range.first, range.last);
         control.handovers.extend(covered.map(|slice| (slice, range.handover.clone())));
     }
 }
--- /dev/null
+++ b/crates/rattanarch_mesh/src/control/relief.rs
@@ -0,0 +1,70 @@
+//! Giving slices away for their load.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rattanarch_ownership::Event;
+use rattanarch_placement::MemberLoad;
+use rattanarch_placement::SliceLoad;
+use rattanarch_placement::relieve_slices;
+use rattanarch_types::BootId;
+use rattanarch_types::Moment;
+use rattanarch_types::SliceId;
+
+use crate::control::step;
+use crate::process::Shared;
+
+/// Time between two moves, in which loads settle: a slice is served by its new owner after about
+/// one heartbeat, and rates are known after another.
+const PAUSE_BEATS: u32 = 2;
+
+/// How long what another owner said of its load counts.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+
+/// Lets the node give slices up: the upstream can be told so in the answer to the heartbeat that has
+/// just come.
+pub(crate) fn window(shared: &Rc<Shared>) {
+    let now = shared.now();
+    shared.upstream.state.borrow_mut().meter.roll(now);
+    let relief = relief(shared, now);
+    log::debug!(used_percent = (shared.upstream.state.borrow().used() * 100.0) as u64,
+        mean_ms = shared.upstream.state.borrow().gate.mean().as_millis() as u64,
+        running = shared.upstream.state.borrow().gate.running(),
+        waiting = shared.upstream.state.borrow().gate.waiting(),
+        served = shared.upstream.state.borrow().grants.served(now); "load");
+    let slices = relief.len();
+    step(shared, Event::Window { relief });
+    // The node does not begin while it is not sure of the store; the next heartbeat tries again.
+    if slices > 0 && !shared.control.borrow().quiescing.is_empty() {
+        let used = shared.upstream.state.borrow().used();
+        log::info!(slices = slices, used_percent = (used * 100.0) as u64; "relieved of slices");
+        shared.control.borrow_mut().relieved = now;
+    }
+}
+
+fn relief(shared: &Shared, now: Moment) -> BTreeMap<SliceId, BootId> {
+    let control = shared.control.borrow();
+    let pause = shared.settings.heartbeat() * PAUSE_BEATS;
+    let Some(me) = control.node.as_ref().map(|node| node.me()) else { return BTreeMap::new() };
+    if now < control.relieved + pause || !control.quiescing.is_empty() {
+        return BTreeMap::new();
+    }
+    let state = shared.upstream.state.borrow();
+    let record = &state.serving.record;
+    let others = record.members.iter().filter(|(id, member)| {
+        **id != me && !member.leaving && !control.barred.contains(id)
+    });
+    let others: Vec<MemberLoad> = others
+        .filter_map(|(id, member)| {
+            let used = shared.peers.get(member.caller).used(now, REPORT_LIFE)?;
+            Some(MemberLoad { member: *id, used })
+        })
+        .collect();
+    let share = state.request_share();
+    let slices: Vec<SliceLoad> = record
+        .slices_of(me)
+        .map(|slice| SliceLoad { slice, used: state.meter.rate(slice) * share })
+        .collect();
+    relieve_slices(state.used(), &slices, &others).into_iter().collect()
+}
--- a/crates/rattanarch_mesh/src/control/state.rs
+++ b/crates/rattanarch_mesh/src/control/state.rs
@@ -32,6 +32,8 @@
     pub(crate) before: Option<Rc<Record>>,
     /// Fences under which the upstream held slices when its life was first heard of.
     pub(crate) kept: BTreeMap<SliceId, Fence>,
+    /// When slices were last given away for their load.
+    pub(crate) relieved: Moment,
     /// Version of the record that grants follow.
     pub(crate) followed: u64,
 }
@@ -49,6 +51,7 @@
             leaving: false,
             before: None,
             kept: BTreeMap::new(),
+            relieved: Moment::ZERO,
             followed: 0,
         }
     }
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -107,5 +107,6 @@
         slots: state.gate.slots(),
         mean: state.gate.mean(),
         cold: state.gate.is_cold(now),
+        used: (state.used() * 100.0) as u32,
     }
 }
--- a/crates/rattanarch_mesh/src/request/mark.rs
+++ b/crates/rattanarch_mesh/src/request/mark.rs
@@ -61,7 +61,7 @@
 
 /// Load of an upstream, told with each answer.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-#[display("{running} {waiting} {slots} {} {}", mean.as_millis(), u8::from(*cold))]
+#[display("{running} {waiting} {slots} {} {} {used}", mean.as_millis(), u8::from(*cold))]
 pub(crate) struct LoadMark {
     pub(crate) running: u32,
     pub(crate) waiting: u32,
@@ -69,6 +69,8 @@
     /// Mean service time.
     pub(crate) mean: Duration,
     pub(crate) cold: bool,
+    /// Work that is offered to it, in percent of what its slots can do.
+    pub(crate) used: u32,
 }
 
 impl LoadMark {
@@ -81,6 +83,7 @@
             slots: next()?,
             mean: Duration::from_millis(u64::from(next()?)),
             cold: next()? > 0,
+            used: next()?,
         })
     }
 }
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -96,6 +96,12 @@
         self.away.get().checked_sub(now).filter(|left| !left.is_zero())
     }
 
+    /// Part of its capacity in use, if it has said so within `life`.
+    pub(crate) fn used(&self, now: Moment, life: Duration) -> Option<f64> {
+        let (at, load) = self.load.get()?;
+        (now.saturating_sub(at) < life).then(|| f64::from(load.used) / 100.0)
+    }
+
     /// What it offers to a request without a key.
     pub(crate) fn candidate(&self, now: Moment, local: bool, slots: u32) -> Candidate {
         let sent = self.sent.get();
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -72,6 +72,11 @@
 
 async fn wait_for_key(shared: &Rc<Shared>, call: &Call) -> Result<(), Refusal> {
     let came = shared.now();
+    if let Some(key) = call.key {
+        let mut state = shared.upstream.state.borrow_mut();
+        let slice = state.slice(key);
+        state.meter.note(slice);
+    }
     let left = call.deadline.saturating_sub(came);
     let patience = came + left.mul_f64(KEY_PATIENCE);
     loop {
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -80,6 +80,7 @@
     }
     take(shared, &beat, now);
     control::heard(shared, &beat);
+    control::window(shared);
     shared.changed.notify_waiters();
     pump(shared);
     let granted = grant(shared, beat.sequence);
@@ -119,26 +120,42 @@
             log::info!(life:% = life.id; "upstream leaves");
         }
     }
-    let held = |slice: SliceId| holds(state.slices(), slice, beat);
-    let sequence = beat.sequence;
-    let confirmed: Vec<bool> = (0..state.slices()).map(held).collect();
-    state.grants.confirm(sequence, |slice| confirmed[usize::from(slice)]);
+    let slices = state.slices();
+    let mut held = vec![false; usize::from(slices)];
+    for range in &beat.held {
+        for slice in slices_touched(slices, range.first, range.last) {
+            held[usize::from(slice)] = true;
+        }
+    }
+    state.grants.confirm(beat.sequence, |slice| held[usize::from(slice)]);
 }
 
 /// Requests a second that a cold upstream gets before the configuration is known.
 const DEFAULT_COLD_RATE: f64 = 10.0;
 
-/// Whether the upstream holds any key of `slice`.
-fn holds(slices: SliceId, slice: SliceId, beat: &Heartbeat) -> bool {
-    let (first, last) = keys_of(slices, slice);
-    beat.held.iter().any(|range| range.first <= last && first <= range.last)
+/// Keys in a slice.
+fn width(slices: SliceId) -> u32 {
+    (u32::from(u16::MAX) + 1) / u32::from(slices.max(1))
 }
 
 /// First and last key of `slice`.
-pub(crate) fn keys_of(slices: SliceId, slice: SliceId) -> (u16, u16) {
-    let width = (u32::from(u16::MAX) + 1) / u32::from(slices.max(1));
-    let first = u32::from(slice) * width;
-    (first as u16, (first + width - 1) as u16)
+fn keys_of(slices: SliceId, slice: SliceId) -> (u16, u16) {
+    let first = u32::from(slice) * width(slices);
+    (first as u16, (first + width(slices) - 1) as u16)
+}
+
+/// Slices that lie within the keys `first` to `last`.
+pub(crate) fn slices_in(slices: SliceId, first: u16, last: u16) -> std::ops::Range<SliceId> {
+    let width = width(slices);
+    let (first, end) = (u32::from(first), u32::from(last) + 1);
+    (first.div_ceil(width) as SliceId)..((end / width).min(u32::from(slices)) as SliceId)
+}
+
+/// Slices with any key from `first` to `last`.
+fn slices_touched(slices: SliceId, first: u16, last: u16) -> std::ops::Range<SliceId> {
+    let width = width(slices);
+    let end = (u32::from(last) / width + 1).min(u32::from(slices));
+    ((u32::from(first) / width) as SliceId)..(end as SliceId)
 }
 
 impl UpstreamState {
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use admission::pump;
 pub(crate) use exchange::run;
 pub(crate) use heartbeat::HeartbeatHandler;
-pub(crate) use heartbeat::keys_of;
+pub(crate) use heartbeat::slices_in;
 pub(crate) use life::Life;
 pub(crate) use state::Standing;
 pub(crate) use state::Upstream;
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -8,6 +8,7 @@
 
 use rattanarch_adapter::Bounds;
 use rattanarch_admission::Gate;
+use rattanarch_admission::SliceMeter;
 use rattanarch_ownership::Grants;
 use rattanarch_ownership::Serving;
 use rattanarch_types::KeyHash;
@@ -47,6 +48,8 @@
     pub(crate) keyed: bool,
     /// Running requests by slice.
     pub(crate) running: Vec<u32>,
+    /// Load by slice.
+    pub(crate) meter: SliceMeter,
 }
 
 /// Whether a request may be sent to the upstream.
@@ -70,6 +73,7 @@
             serving: Serving::default(),
             keyed: false,
             running: Vec::new(),
+            meter: SliceMeter::default(),
         };
         let pool = Rc::new(Pool::to_upstream(address));
         Self { pool, state: RefCell::new(state), timer: Cell::new(false) }
@@ -79,7 +83,8 @@
 impl UpstreamState {
     /// Forgets what was granted to an earlier life. An earlier process may have granted anything
     /// until `until`.
-    pub(crate) fn reset_grants(&mut self, slices: SliceId, until: Moment) {
+    pub(crate) fn reset_grants(&mut self, now: Moment, slices: SliceId, until: Moment) {
+        self.meter = SliceMeter::new(slices, now);
         self.grants = Grants::new(slices, until);
         self.running.resize(usize::from(slices), 0);
         self.serving = Serving::default();
@@ -141,6 +146,16 @@
         }
     }
 
+    /// Part of the upstream's capacity that one request a second takes.
+    pub(crate) fn request_share(&self) -> f64 {
+        self.gate.mean().as_secs_f64() / f64::from(self.gate.slots())
+    }
+
+    /// Part of the upstream's capacity that is in use, or would be if it sufficed.
+    pub(crate) fn used(&self) -> f64 {
+        self.meter.total() * self.request_share()
+    }
+
     /// Counts a request that runs for `key`.
     pub(crate) fn begin(&mut self, key: Option<u16>) {
         if let Some(running) = self.running_of(key) {
--- a/crates/rattanarch_ownership/src/balance.rs
+++ b/crates/rattanarch_ownership/src/balance.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use rattanarch_placement::Move;
-use rattanarch_placement::plan;
+use rattanarch_placement::Spread;
 use rattanarch_types::BootId;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Moment;
@@ -19,18 +19,23 @@
 pub(crate) struct Balance {
     version: Version,
     barred: BTreeSet<BootId>,
+    moves: Vec<Move>,
     turn: Moment,
-    slices: BTreeSet<SliceId>,
+    slices: BTreeMap<SliceId, Option<BootId>>,
 }
 
 impl Balance {
-    /// Slices that this member is to release now.
-    pub(crate) fn due(&mut self, core: &Core, now: Moment) -> BTreeSet<SliceId> {
-        let Some(record) = core.record.as_deref() else { return BTreeSet::new() };
+    /// Slices that this member is to release now, and to whom if that is planned.
+    pub(crate) fn due(
+        &mut self,
+        core: &Core,
+        now: Moment,
+    ) -> BTreeMap<SliceId, Option<BootId>> {
+        let Some(record) = core.record.as_deref() else { return BTreeMap::new() };
         if self.version != record.version || self.barred != core.barred {
             self.schedule(core, record);
         }
-        if now < self.turn { BTreeSet::new() } else { self.slices.clone() }
+        if now < self.turn { BTreeMap::new() } else { self.slices.clone() }
     }
 
     /// Barred members act at once, the others in the order of the plan, a turn apart. The first
@@ -38,13 +43,22 @@
     fn schedule(&mut self, core: &Core, record: &Record) {
         self.version = record.version;
         self.barred.clone_from(&core.barred);
-        let moves = plan(record, &core.barred);
+        let moves = core.spread.plan(record, &core.barred);
+        if core.spread == Spread::ByLoad && moves == self.moves {
+            // The record has changed in other ways; the turns go on.
+            return;
+        }
         let mine = moves.iter().filter(|change| change.from == core.me);
-        self.slices = mine.map(|change| change.slice).collect();
+        // Even shares are dealt out anew when the update is made; a move to oneself names no one.
+        let planned = |change: &Move| {
+            (core.spread == Spread::ByLoad && change.to != core.me).then_some(change.to)
+        };
+        self.slices = mine.map(|change| (change.slice, planned(change))).collect();
         self.turn = core.applied + core.timing.heartbeat + core.timing.turn * index(&moves, core);
         if core.barred.contains(&core.me) {
             self.turn = core.applied;
         }
+        self.moves = moves;
     }
 }
 
--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rattanarch_placement::Spread;
 use rattanarch_types::BootId;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Member;
@@ -29,6 +30,8 @@
     pub(crate) member: Member,
     pub(crate) timing: Timing,
     pub(crate) rules: Rules,
+    /// How slices are spread over members.
+    pub(crate) spread: Spread,
     pub(crate) draws: Draws,
     /// Applied record; its version only rises. `None` until the first is known.
     pub(crate) record: Option<Arc<Record>>,
@@ -49,6 +52,10 @@
     pub(crate) keys: BTreeMap<KeyHash, u32>,
     /// Whether `keys` are new since they were last looked at.
     pub(crate) measured: bool,
+    /// Slices that the daemon wants to give to others for their load.
+    pub(crate) relief: BTreeMap<SliceId, BootId>,
+    /// Whether slices may be given up in this step; see [`Event::Window`](crate::Event::Window).
+    pub(crate) window: bool,
     /// Whether the process is to stop.
     pub(crate) stopping: bool,
     pub(crate) out: Vec<Action>,
@@ -61,6 +68,7 @@
             member,
             timing,
             rules: Rules::default(),
+            spread: Spread::default(),
             draws: Draws::new(seed),
             record: None,
             applied: Moment::ZERO,
@@ -73,6 +81,8 @@
             loads: BTreeMap::new(),
             keys: BTreeMap::new(),
             measured: false,
+            relief: BTreeMap::new(),
+            window: false,
             stopping: false,
             out: Vec::new(),
         }
@@ -134,6 +144,11 @@
         self.lost.get(&owner).is_some_and(|learned| now >= *learned + lease)
     }
 
+    /// Whether this step may begin to give up slices.
+    pub(crate) fn may_release(&self) -> bool {
+        self.window || self.spread == Spread::Even
+    }
+
     /// Takes this member's own load.
     pub(crate) fn load(&mut self, slices: &BTreeMap<SliceId, u32>, keys: BTreeMap<KeyHash, u32>) {
         let total = slices.values().fold(0, |total: u32, load| total.saturating_add(*load));
--- a/crates/rattanarch_ownership/src/event.rs
+++ b/crates/rattanarch_ownership/src/event.rs
@@ -70,6 +70,13 @@
         /// Requests a second of the hottest owned keys.
         keys: BTreeMap<KeyHash, u32>,
     },
+    /// The upstream can be told now to give up slices, or there is none; with
+    /// [`Spread::ByLoad`](rattanarch_placement::Spread::ByLoad) slices are given up at no other
+    /// time, so that they are served until then.
+    Window {
+        /// Slices to be given to other members for their load.
+        relief: BTreeMap<SliceId, BootId>,
+    },
     /// The process is to stop: release everything and leave.
     Stop,
 }
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -1,7 +1,6 @@
 //! Before a node is a member.
 
 use rattanarch_placement::choose_witnesses;
-use rattanarch_placement::fill;
 use rattanarch_types::BootId;
 use rattanarch_types::Fence;
 use rattanarch_types::Moment;
@@ -110,7 +109,7 @@
     if let Some(own) = record.members.get_mut(&core.me) {
         own.witnesses = witnesses;
     }
-    fill(&mut record, &core.barred);
+    core.spread.fill(&mut record, &core.barred);
     record
 }
 
--- a/crates/rattanarch_ownership/src/leaving.rs
+++ b/crates/rattanarch_ownership/src/leaving.rs
@@ -1,6 +1,5 @@
 //! A member on its way out.
 
-use rattanarch_placement::fill;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
 
@@ -57,7 +56,7 @@
         if pending || self.is_held(core, record) || !core.is_reachable(now) {
             return;
         }
-        let slices = record.slices_of(core.me).collect();
+        let slices = record.slices_of(core.me).map(|slice| (slice, None)).collect();
         let keys = all_keys(core, record);
         let before = self.member.release.take();
         self.member.begin_release(core, now, (slices, keys), before.as_ref());
@@ -85,14 +84,14 @@
         let Some(release) = &self.member.release else {
             return record.slices_of(core.me).next().is_none() && keys.is_empty();
         };
-        let slices = record.slices_of(core.me).all(|slice| release.slices.contains(&slice));
+        let slices = record.slices_of(core.me).all(|slice| release.slices.contains_key(&slice));
         slices && keys.keys().all(|key| release.keys.contains_key(key))
     }
 
     fn leave(core: &mut Core, now: Moment) {
         let mut draft = core.draft();
         remove(&mut draft, core.me);
-        fill(&mut draft, &core.barred);
+        core.spread.fill(&mut draft, &core.barred);
         core.write(now, draft);
     }
 
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use rattanarch_placement::fill;
 use rattanarch_placement::rank;
 use rattanarch_types::BootId;
 use rattanarch_types::KeyHash;
@@ -85,8 +84,10 @@
 
     fn give_away(&mut self, core: &mut Core, now: Moment) {
         let over = self.release.take_if(|release| release.is_over(core));
-        if self.release.is_none() {
-            let (slices, keys) = self.surplus(core, now);
+        let unsettled = over.as_ref().map(|over| over.unsettled(core)).unwrap_or_default();
+        if self.release.is_none() && (core.may_release() || !unsettled.is_empty()) {
+            let (mut slices, keys) = self.surplus(core, now);
+            slices.extend(unsettled);
             self.begin_release(core, now, (slices, keys), over.as_ref());
         }
         if let Some(release) = &mut self.release {
@@ -95,7 +96,10 @@
     }
 
     fn surplus(&mut self, core: &mut Core, now: Moment) -> Surplus {
-        let slices = self.balance.due(core, now);
+        let mut slices = self.balance.due(core, now);
+        for (slice, to) in std::mem::take(&mut core.relief) {
+            slices.entry(slice).or_insert(Some(to));
+        }
         let hot = self.heat.due(core, now);
         let record = core.record.as_deref().filter(|_| core.barred.contains(&core.me));
         let keys = record.map_or(hot, |record| all_keys(core, record));
@@ -147,12 +151,16 @@
         if !core.rules.hold_until_settled && release.is_written(core) {
             return Default::default();
         }
-        (release.slices.clone(), release.keys.keys().copied().collect())
+        let slices = release.slices.keys().copied().collect();
+        (slices, release.keys.keys().copied().collect())
     }
 }
 
 /// Slices and hot keys to be given away.
-pub(crate) type Surplus = (BTreeSet<SliceId>, BTreeMap<KeyHash, Option<BootId>>);
+///
+/// Slices without a receiver are spread over the others.
+pub(crate) type Surplus =
+    (BTreeMap<SliceId, Option<BootId>>, BTreeMap<KeyHash, Option<BootId>>);
 
 /// Gives slices without an owner to members, this node's turn among them drawn by rank.
 fn adopt(core: &mut Core, now: Moment) {
@@ -166,7 +174,7 @@
         return;
     }
     let mut draft = core.draft();
-    fill(&mut draft, &core.barred);
+    core.spread.fill(&mut draft, &core.barred);
     if draft.owners != record.owners && core.is_reachable(now) {
         core.write(now, draft);
     }
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -4,6 +4,7 @@
 use std::mem;
 use std::sync::Arc;
 
+use rattanarch_placement::Spread;
 use rattanarch_types::BootId;
 use rattanarch_types::Fence;
 use rattanarch_types::KeyHash;
@@ -61,6 +62,12 @@
         self
     }
 
+    /// Spreads slices another way; the same in every member of a service.
+    pub fn with_spread(mut self, spread: Spread) -> Self {
+        self.core.spread = spread;
+        self
+    }
+
     /// Boot id of this member.
     pub fn me(&self) -> BootId {
         self.core.me
@@ -78,6 +85,8 @@
             self.witness.apply(now, before.as_deref(), &record);
         }
         self.advance(now);
+        self.core.window = false;
+        self.core.relief.clear();
         self.publish();
         mem::take(&mut self.core.out)
     }
@@ -123,6 +132,10 @@
             Event::Quiet { slices, hot, handovers } => self.quiet(&slices, &hot, handovers),
             Event::Intent { barred, lost } => self.core.intend(now, barred, lost),
             Event::Load { slices, keys } => self.core.load(&slices, keys),
+            Event::Window { relief } => {
+                self.core.window = true;
+                self.core.relief = relief;
+            }
             Event::Stop => self.core.stopping = true,
             Event::Tick => {}
         }
--- a/crates/rattanarch_ownership/src/release.rs
+++ b/crates/rattanarch_ownership/src/release.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use rattanarch_placement::fill;
+use rattanarch_placement::Spread;
 use rattanarch_types::BootId;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Moment;
@@ -18,8 +18,8 @@
 /// owns them.
 #[derive(Debug, Default)]
 pub(crate) struct Release {
-    /// Slices given up.
-    pub(crate) slices: BTreeSet<SliceId>,
+    /// Slices given up, with the member that is to own each; `None` if any may.
+    pub(crate) slices: BTreeMap<SliceId, Option<BootId>>,
     /// Keys that move on their own, with the member that is to own them; `None` ends the split.
     pub(crate) keys: BTreeMap<KeyHash, Option<BootId>>,
     loud_slices: BTreeSet<SliceId>,
@@ -38,13 +38,14 @@
     /// release that is not quiet yet is never dropped.
     pub(crate) fn begin(
         core: &mut Core,
-        slices: BTreeSet<SliceId>,
+        slices: BTreeMap<SliceId, Option<BootId>>,
         keys: BTreeMap<KeyHash, Option<BootId>>,
         before: Option<&Self>,
     ) -> Self {
         let nothing = Self::default();
         let before = before.unwrap_or(&nothing);
-        let new_slices: Vec<_> = slices.difference(&before.slices).copied().collect();
+        let new_slices: Vec<_> =
+            slices.keys().copied().filter(|slice| !before.slices.contains_key(slice)).collect();
         let new_keys: Vec<_> =
             keys.keys().copied().filter(|key| !before.keys.contains_key(key)).collect();
         let loud_slices = before.loud_slices.iter().chain(&new_slices).copied().collect();
@@ -90,6 +91,18 @@
         self.write.is_some() && !self.is_written(core)
     }
 
+    /// Slices that an update that lost its race was to hand over, where slices are given up at
+    /// certain times only: the upstream has given them up already.
+    pub(crate) fn unsettled(&self, core: &Core) -> BTreeMap<SliceId, Option<BootId>> {
+        let Some(record) = core.record.as_ref().filter(|_| core.spread == Spread::ByLoad) else {
+            return BTreeMap::new();
+        };
+        let is_mine = |slice: &SliceId| {
+            record.owners.get(usize::from(*slice)) == Some(&Some(core.me))
+        };
+        self.slices.iter().filter(|(slice, _)| is_mine(slice)).map(|(s, to)| (*s, *to)).collect()
+    }
+
     /// Sends the update once all is quiet.
     pub(crate) fn write(&mut self, core: &mut Core, now: Moment) {
         if self.is_written(core) || !self.is_quiet() || !core.can_write(now) {
@@ -108,14 +121,18 @@
                 place(draft, key, *to);
             }
         }
-        for slice in &self.slices {
+        let able = |to: &BootId| {
+            let stays = draft.members.get(to).is_some_and(|member| !member.leaving);
+            stays && !core.barred.contains(to)
+        };
+        for (slice, to) in &self.slices {
             let owner = draft.owners.get_mut(usize::from(*slice));
             if let Some(owner) = owner.filter(|owner| **owner == Some(core.me)) {
-                *owner = None;
+                *owner = to.filter(able);
             }
         }
-        fill(draft, &core.barred);
-        for slice in &self.slices {
+        core.spread.fill(draft, &core.barred);
+        for slice in self.slices.keys() {
             let stays = draft.owners.get(usize::from(*slice)).is_none_or(|o| *o == Some(core.me));
             match self.handovers.get(slice).filter(|_| !stays) {
                 Some(handover) => drop(draft.handovers.insert(*slice, handover.clone())),
--- a/crates/rattanarch_ownership/src/takeovers.rs
+++ b/crates/rattanarch_ownership/src/takeovers.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rattanarch_placement::fill;
 use rattanarch_placement::rank;
 use rattanarch_types::BootId;
 use rattanarch_types::Member;
@@ -135,8 +134,8 @@
         }
         let suspects = self.suspects(core, witness, now);
         let barred = core.barred.union(&suspects).copied().collect();
-        fill(&mut draft, &barred);
-        fill(&mut draft, &core.barred);
+        core.spread.fill(&mut draft, &barred);
+        core.spread.fill(&mut draft, &core.barred);
         core.write(now, draft);
     }
 
--- a/crates/rattanarch_placement/src/lib.rs
+++ b/crates/rattanarch_placement/src/lib.rs
@@ -7,6 +7,8 @@
 //!   duty, keeping those that still serve.
 //! - [`fill`] hands slices without an owner to the members that have the most room.
 //! - [`plan`] lists the moves that bring every member to its share, in the order of turns.
+//! - [`Spread`] says whether slices count the same or are spread by load; [`relieve_slices`] then
+//!   finds the slices that a busy member gives away.
 //! - [`HotKeys`] finds the hottest keys of a member, and [`relieve`] gives some of them away when
 //!   the member is overloaded.
 //!
@@ -44,6 +46,8 @@
 mod rank;
 mod relief;
 mod share;
+mod slice_relief;
+mod spread;
 mod witness;
 
 pub use hot_keys::HotKeys;
@@ -55,5 +59,9 @@
 pub use share::fill;
 pub use share::plan;
 pub use share::targets;
+pub use slice_relief::MemberLoad;
+pub use slice_relief::SliceLoad;
+pub use slice_relief::relieve_slices;
+pub use spread::Spread;
 pub use witness::MAX_WITNESSES;
 pub use witness::choose_witnesses;
