Stop in phases: upstream first, callers last

Now it admits nothing to its upstream after 2.4 s, refuses callers a second later, and ends when idle.

--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -135,11 +135,17 @@
     stop.recv().await;
     let asked = shared.now();
     shared.phase.send_replace(Phase::Stopping(asked));
-    log::info!(busy = shared.busy.get(); "stopping");
     let grace = shared.bounds.get().grace;
-    while !stop::is_due(shared.now(), asked, grace, shared.busy.get()) {
+    loop {
+        let phase = stop::phase(shared.now(), asked, grace, shared.busy.get());
+        let before = shared.phase.send_replace(phase);
+        if before != phase {
+            log::info!(phase:? = phase, busy = shared.busy.get(); "stopping");
+        }
+        if phase == Phase::Closing {
+            break;
+        }
         tokio::time::sleep(STOP_LOOK).await;
     }
-    shared.phase.send_replace(Phase::Closing);
     tokio::time::sleep(CLOSE_TIME).await;
 }
--- a/crates/rattanarch_mesh/src/process/stop.rs
+++ b/crates/rattanarch_mesh/src/process/stop.rs
@@ -4,9 +4,12 @@
 
 use rattanarch_types::Moment;
 
-/// How long a stopping process goes on taking requests: callers ask once a second whether it is
-/// ready, and go elsewhere after two refusals.
-pub(crate) const LINGER: Duration = Duration::from_millis(2_400);
+/// How long a stopping process lets requests go to its upstream: callers ask once a second whether
+/// it is ready, and go elsewhere after two refusals.
+const LINGER: Duration = Duration::from_millis(2_400);
+
+/// How much longer it takes requests of callers: its upstream makes calls for requests that run.
+const CALL_LINGER: Duration = Duration::from_millis(1_000);
 
 /// Time before the end by force at which a process that is still busy ends itself.
 const RESERVE: Duration = Duration::from_millis(400);
@@ -18,6 +21,10 @@
     Open,
     /// It was asked to stop at the given time: it serves on, and says that it is not ready.
     Stopping(Moment),
+    /// It sends no new request to its upstream, and serves what runs and the calls that this needs.
+    Draining,
+    /// It refuses new requests.
+    Refusing,
     /// It takes no new request, and ends when the last one has.
     Closing,
 }
@@ -27,11 +34,28 @@
     pub(crate) fn is_open(self) -> bool {
         self == Self::Open
     }
+
+    /// Whether the upstream may get new requests.
+    pub(crate) fn admits(self) -> bool {
+        matches!(self, Self::Open | Self::Stopping(_))
+    }
+
+    /// Whether requests of callers are taken.
+    pub(crate) fn serves(self) -> bool {
+        self.admits() || self == Self::Draining
+    }
 }
 
-/// Whether a process that was asked to stop at `asked` is to end at `now`, with `busy` requests
-/// under way.
-pub(crate) fn is_due(now: Moment, asked: Moment, grace: Duration, busy: usize) -> bool {
+/// Where a process that was asked to stop at `asked` stands at `now`, with `busy` requests under way.
+pub(crate) fn phase(now: Moment, asked: Moment, grace: Duration, busy: usize) -> Phase {
     let waited = now.saturating_sub(asked);
-    waited >= grace.saturating_sub(RESERVE) || (waited >= LINGER && busy == 0)
+    if waited < LINGER {
+        Phase::Stopping(asked)
+    } else if busy == 0 || waited >= grace.saturating_sub(RESERVE) {
+        Phase::Closing
+    } else if waited < LINGER + CALL_LINGER {
+        Phase::Draining
+    } else {
+        Phase::Refusing
+    }
 }
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -68,6 +68,10 @@
         let came = self.shared.now();
         let id = headers::attempt_id(request.headers()).and_then(|id| id.to_str().ok());
         let trail = Trail::begin(&self.shared, id.unwrap_or_default(), "caller");
+        if !self.shared.phase.borrow().serves() {
+            let reason = Reason::Stopping;
+            return end(&trail, Outcome::Refused(Refusal::new(reason, reason.pause())));
+        }
         let routes = self.shared.knowledge.borrow().routes().cloned();
         let Some(routes) = routes else {
             let reason = Reason::NoConfiguration;
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -62,6 +62,9 @@
 }
 
 fn standing(shared: &Shared, key: Option<u16>) -> Standing {
+    if !shared.phase.borrow().admits() {
+        return Standing::Never(Reason::Stopping);
+    }
     let centre = &shared.settings.data_centre;
     let evacuated = shared.knowledge.borrow().evacuated().since(centre);
     let bounds = shared.bounds.get();
