Check the service of a request on the direct way to the own upstream too

Only forwarded requests were checked. Ruled out: the upstream's life (the request bore the right one of the wrong service).

--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -17,8 +17,6 @@
 use crate::process::Shared;
 use crate::request::Call;
 use crate::request::Outcome;
-use crate::request::Reason;
-use crate::request::Refusal;
 use crate::request::answers;
 use crate::request::call::strip_connection_headers;
 use crate::request::mark::AnswerMark;
@@ -74,9 +72,6 @@
 
 async fn run(shared: &Rc<Shared>, call: &Rc<Call>) -> Outcome {
     let trail = Trail::begin(shared, &call.id, "forwarded");
-    if call.service != shared.settings.service {
-        return Outcome::Refused(Refusal::new(Reason::NotOwner, Reason::NotOwner.pause()));
-    }
     let outcome = upstream::run(shared, call).await;
     trail.end(&outcome);
     outcome
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -44,6 +44,10 @@
 /// Dropping the future ends an idempotent request, whose caller has gone; any other goes on, so that
 /// what it does is done once and whole.
 pub(crate) async fn run(shared: &Rc<Shared>, call: &Rc<Call>) -> Outcome {
+    if call.service != shared.settings.service {
+        // A daemon of another service had this address, and may still stand in that one's record.
+        return Outcome::Refused(Refusal::new(Reason::NotOwner, Reason::NotOwner.pause()));
+    }
     let permit = match admit(shared, call).await {
         Ok(permit) => permit,
         Err(refusal) => return Outcome::Refused(refusal),
