Refuse by objective under saturation, relieve by speed, repeat refused arrivals

The gate now puts requests that will miss their objective behind the others, and refuses them at once while more is offered than the upstream can do. A caller that has less time than usual has been refused before; its objective counts from its first attempt.

--- a/crates/rattanarch_admission/src/gate.rs
+++ b/crates/rattanarch_admission/src/gate.rs
@@ -21,6 +21,32 @@
 /// Service time that is expected before the first answer.
 const FIRST_MEAN: Duration = Duration::from_millis(100);
 
+/// Interval in which arrivals are counted: some ten requests on a busy day.
+const RATE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Weight of the newest interval in the rate of arrivals: a burst shows within a second.
+const RATE_WEIGHT: f64 = 0.35;
+
+/// Offered work, in parts of what the slots can do, above which what comes too late for its
+/// objective is refused: its place would make others late, and it would only get in their way.
+const SATURATED: f64 = 0.92;
+
+/// Added to the rank of a request that will miss its objective.
+const LATE_RANK: Rank = 100;
+
+/// A request that asks to be sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Wish<T> {
+    /// Urgency.
+    pub rank: Rank,
+    /// When its answer should be there; after that it is worth less.
+    pub objective: Moment,
+    /// When its answer has to be there.
+    pub deadline: Moment,
+    /// The request.
+    pub item: T,
+}
+
 /// What became of an offer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Offered<T> {
@@ -31,7 +57,9 @@
 }
 
 /// Admits requests to one upstream: at most one for each slot, at its pace while it is cold, the
-/// most urgent first, and none that would be late.
+/// most urgent first, and none that would miss its deadline. Requests that will miss their objective
+/// wait behind those that can make it, or are refused at once while more work is offered than the
+/// upstream can do.
 ///
 /// Answers the load of the heaviest days: more requests than slots, of several ranks. All daemons
 /// send through the upstream's own, so that its count of running requests is exact and nothing ever
@@ -39,13 +67,14 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use rattanarch_admission::Gate;
+/// use rattanarch_admission::{Gate, Wish};
 ///
 /// let ms = Duration::from_millis;
+/// let wish = |rank, item| Wish { rank, objective: ms(800), deadline: ms(1_000), item };
 /// let mut gate = Gate::new(1);
-/// assert_eq!(gate.offer(ms(0), 1, ms(1_000), "first").started, Some("first"));
-/// assert_eq!(gate.offer(ms(1), 2, ms(1_000), "second").started, None);
-/// assert_eq!(gate.offer(ms(2), 0, ms(1_000), "urgent").started, None);
+/// assert_eq!(gate.offer(ms(0), wish(1, "first")).started, Some("first"));
+/// assert_eq!(gate.offer(ms(1), wish(2, "second")).started, None);
+/// assert_eq!(gate.offer(ms(2), wish(0, "urgent")).started, None);
 /// gate.end(Some(ms(50)));
 /// assert_eq!(gate.start(ms(50)).next, Some("urgent"));
 /// assert_eq!(gate.start(ms(50)).next, None);
@@ -59,6 +88,30 @@
     cold: ColdPace,
     /// Mean service time in seconds; 0 before the first answer.
     mean: f64,
+    arrivals: Arrivals,
+}
+
+/// Rate at which requests are offered.
+#[derive(Debug, Default)]
+struct Arrivals {
+    /// Requests a second.
+    rate: f64,
+    /// Requests since `since`.
+    count: u32,
+    since: Moment,
+}
+
+impl Arrivals {
+    fn note(&mut self, now: Moment) {
+        let time = now.saturating_sub(self.since);
+        if time >= RATE_INTERVAL {
+            let newest = f64::from(self.count) / time.as_secs_f64();
+            self.rate += (newest - self.rate) * RATE_WEIGHT;
+            self.count = 0;
+            self.since = now;
+        }
+        self.count += 1;
+    }
 }
 
 impl<T> Gate<T> {
@@ -66,7 +119,8 @@
     pub fn new(slots: u32) -> Self {
         let slots = slots.max(1);
         let queue = Queue::new(slots as usize * QUEUE_FACTOR);
-        Self { slots, running: 0, queue, cold: ColdPace::default(), mean: 0.0 }
+        let arrivals = Arrivals::default();
+        Self { slots, running: 0, queue, cold: ColdPace::default(), mean: 0.0, arrivals }
     }
 
     /// Sets the number of slots, which may differ in each life of the upstream.
@@ -84,17 +138,31 @@
         self.cold.is_cold(now)
     }
 
-    /// Offers a request that must be answered by `deadline`.
-    pub fn offer(&mut self, now: Moment, rank: Rank, deadline: Moment, item: T) -> Offered<T> {
+    /// Offers a request.
+    pub fn offer(&mut self, now: Moment, wish: Wish<T>) -> Offered<T> {
+        self.arrivals.note(now);
         self.set_pace(now);
-        if self.queue.ahead(rank) == 0 && self.running < self.slots && self.cold.take(now) {
+        if self.queue.ahead(wish.rank) == 0 && self.running < self.slots && self.cold.take(now) {
             self.running += 1;
-            return Offered { started: Some(item), shed: Vec::new() };
+            return Offered { started: Some(wish.item), shed: Vec::new() };
+        }
+        let late = now + self.queue.wait(wish.rank) + self.mean() > wish.objective;
+        if late && self.offered(now) > SATURATED {
+            let retry = self.queue.wait(LATE_RANK);
+            return Offered { started: None, shed: vec![Shed { item: wish.item, retry }] };
         }
-        let shed = self.queue.push(now, rank, deadline, item);
+        let rank = if late { wish.rank.saturating_add(LATE_RANK) } else { wish.rank };
+        let shed = self.queue.push(now, rank, wish.deadline, wish.item);
         Offered { started: None, shed }
     }
 
+    /// Work that is offered, in parts of what the upstream can do.
+    fn offered(&self, now: Moment) -> f64 {
+        let mean = self.mean().as_secs_f64();
+        let capacity = (f64::from(self.slots) / mean).min(self.cold.rate(now));
+        self.arrivals.rate / capacity
+    }
+
     /// Starts the next waiting request, if a slot and the pace allow one. To be called until it
     /// returns none after [`Gate::end`] and at [`Gate::wake`].
     pub fn start(&mut self, now: Moment) -> Popped<T> {
--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -53,6 +53,7 @@
 pub use ending::Ending;
 pub use gate::Gate;
 pub use gate::Offered;
+pub use gate::Wish;
 pub use hedge_budget::HedgeBudget;
 pub use idempotency_memory::Finish;
 pub use idempotency_memory::IdempotencyEntry;
--- a/crates/rattanarch_mesh/src/control/relief.rs
+++ b/crates/rattanarch_mesh/src/control/relief.rs
@@ -57,14 +57,12 @@
     });
     let others: Vec<MemberLoad> = others
         .filter_map(|(id, member)| {
-            let used = shared.peers.get(member.caller).used(now, REPORT_LIFE)?;
-            Some(MemberLoad { member: *id, used })
+            let (used, share) = shared.peers.get(member.caller).used(now, REPORT_LIFE)?;
+            Some(MemberLoad { member: *id, used, share })
         })
         .collect();
-    let share = state.request_share();
-    let slices: Vec<SliceLoad> = record
-        .slices_of(me)
-        .map(|slice| SliceLoad { slice, used: state.meter.rate(slice) * share })
-        .collect();
-    relieve_slices(state.used(), &slices, &others).into_iter().collect()
+    let rate = |slice| SliceLoad { slice, rate: state.meter.rate(slice) };
+    let slices: Vec<SliceLoad> = record.slices_of(me).map(rate).collect();
+    let own = MemberLoad { member: me, used: state.used(), share: state.request_share() };
+    relieve_slices(own, &slices, &others).into_iter().collect()
 }
--- a/crates/rattanarch_mesh/src/request/call.rs
+++ b/crates/rattanarch_mesh/src/request/call.rs
@@ -40,6 +40,8 @@
     pub(crate) rank: Rank,
     /// Whether it may run more than once.
     pub(crate) idempotent: bool,
+    /// When its answer should be there.
+    pub(crate) objective: Moment,
     /// When its caller is answered in any case.
     pub(crate) deadline: Moment,
     pub(crate) key: Option<u16>,
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -51,7 +51,7 @@
     let unreachable = || Outcome::Refused(Refusal::new(Reason::Unreachable, RETURN_PAUSE));
     let Ok(mut link) = peer.pool.checkout(Checkout::Reuse).await else { return unreachable() };
     let left = call.deadline.saturating_sub(shared.now());
-    let Some(request) = request(peer, call, left) else { return unreachable() };
+    let Some(request) = request(shared, peer, call, left) else { return unreachable() };
     let sent = tokio::time::timeout(left + WAY_BACK, link.send(request)).await;
     match sent {
         Err(_) => {
@@ -73,11 +73,17 @@
 /// When to come back if a daemon can't be reached: it may be starting.
 const RETURN_PAUSE: Duration = Duration::from_millis(400);
 
-fn request(peer: &Peer, call: &Call, left: Duration) -> Option<Request<Full<bytes::Bytes>>> {
+fn request(
+    shared: &Shared,
+    peer: &Peer,
+    call: &Call,
+    left: Duration,
+) -> Option<Request<Full<bytes::Bytes>>> {
     let mark = ForwardMark {
         service: call.service.clone(),
         origin: call.origin.clone(),
         rank: call.rank,
+        objective: call.objective.saturating_sub(shared.now()),
         left,
         idempotent: call.idempotent,
         key: call.key,
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -49,7 +49,7 @@
 }
 
 async fn read(shared: &Shared, mark: ForwardMark, request: Request<Incoming>) -> Option<Call> {
-    let deadline = shared.now() + mark.left;
+    let now = shared.now();
     let (mut parts, body) = request.into_parts();
     let body = Limited::new(body, MAX_BODY).collect().await.ok()?.to_bytes();
     strip_connection_headers(&mut parts.headers);
@@ -65,7 +65,8 @@
         origin: mark.origin,
         rank: mark.rank,
         idempotent: mark.idempotent,
-        deadline,
+        objective: now + mark.objective,
+        deadline: now + mark.left,
         key: mark.key,
     })
 }
--- a/crates/rattanarch_mesh/src/request/mark.rs
+++ b/crates/rattanarch_mesh/src/request/mark.rs
@@ -21,10 +21,12 @@
 /// Load of the upstream that answered.
 const LOAD: HeaderName = HeaderName::from_static("rattanarch-load");
 
-/// A forwarded request, beside what its own head says: `service origin rank left-ms once|safe key`.
+/// A forwarded request, beside what its own head says:
+/// `service origin rank objective-ms left-ms once|safe key`.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[display(
-    "{service} {origin} {rank} {} {} {}",
+    "{service} {origin} {rank} {} {} {} {}",
+    objective.as_millis(),
     left.as_millis(),
     if *idempotent { SAFE } else { ONCE },
     key.map(|key| key.to_string()).unwrap_or_default()
@@ -33,6 +35,8 @@
     pub(crate) service: String,
     pub(crate) origin: String,
     pub(crate) rank: Rank,
+    /// Time until its answer should be there, at the send.
+    pub(crate) objective: Duration,
     /// Time left to the caller at the send.
     pub(crate) left: Duration,
     pub(crate) idempotent: bool,
@@ -52,6 +56,7 @@
             service: next()?.to_owned(),
             origin: next()?.to_owned(),
             rank: next()?.parse().ok()?,
+            objective: Duration::from_millis(next()?.parse().ok()?),
             left: Duration::from_millis(next()?.parse().ok()?),
             idempotent: next()? == SAFE,
             key: next()?.parse().ok(),
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -17,6 +17,7 @@
 use hyper::header;
 use rattanarch_adapter::headers;
 use rattanarch_process::random;
+use rattanarch_routing::RepeatKind;
 use rattanarch_routing::RetryBounds;
 use rattanarch_routing::RetryShare;
 use rattanarch_routing::RouteTable;
@@ -47,6 +48,10 @@
 /// Refusals by instances after which a request is refused: a third one is no better informed.
 const MAX_REFUSALS: usize = 3;
 
+/// Times that a request may reach upstreams that refuse it. Those do not run it, and so do not count
+/// as attempts.
+const MAX_ARRIVALS: u32 = 3;
+
 /// Longest wait for the record that names the owner of a key, when the known one is out of date.
 const RECORD_PATIENCE: Duration = Duration::from_millis(150);
 
@@ -54,11 +59,13 @@
 pub(crate) struct Outbound {
     shared: Rc<Shared>,
     shares: RefCell<HashMap<ServiceName, RetryShare>>,
+    /// Longest time that callers of each route have had.
+    patience: RefCell<HashMap<String, Duration>>,
 }
 
 impl Outbound {
     pub(crate) fn new(shared: Rc<Shared>) -> Self {
-        Self { shared, shares: RefCell::default() }
+        Self { shared, shares: RefCell::default(), patience: RefCell::default() }
     }
 }
 
@@ -128,6 +135,7 @@
         let (mut parts, body) = request.into_parts();
         let body = read_body(body, routes.limits.body_bytes.min(MAX_BODY)).await?;
         let patience = headers::deadline(&parts.headers).unwrap_or(rule.timeout);
+        let spent = self.spent(rule, patience);
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(FORWARD);
         parts.headers.remove(header::CONTENT_LENGTH);
@@ -146,17 +154,34 @@
             origin: self.shared.settings.service.clone(),
             rank: rule.rank,
             idempotent: rule.repeat.is_idempotent(),
+            objective: came + rule.objective.saturating_sub(spent),
             deadline: came + patience.min(rule.timeout),
             key,
         })
     }
 
+    /// Time that a caller has spent on earlier attempts: what it has left is less than callers of the
+    /// route usually have.
+    fn spent(&self, rule: &Rule, patience: Duration) -> Duration {
+        let mut usual = self.patience.borrow_mut();
+        match usual.get_mut(&rule.name) {
+            Some(usual) => {
+                *usual = patience.max(*usual);
+                *usual - patience
+            }
+            None => {
+                usual.insert(rule.name.clone(), patience);
+                Duration::ZERO
+            }
+        }
+    }
+
     fn earn(&self, service: &str) {
         self.with_share(service, |share, now, _| share.earn(now));
     }
 
-    fn spend(&self, service: &str) -> bool {
-        self.with_share(service, |share, now, daemons| share.spend(now, daemons))
+    fn spend(&self, service: &str, repeat: RepeatKind) -> bool {
+        self.with_share(service, |share, now, daemons| share.spend(now, daemons, repeat))
     }
 
     fn with_share<T>(
@@ -265,7 +290,7 @@
         self.call.idempotent
             && arrivals < self.rule.attempts
             && self.has_time()
-            && self.outbound.spend(&self.call.service)
+            && self.outbound.spend(&self.call.service, RepeatKind::Run)
     }
 
     /// Whether enough time is left for another try.
@@ -276,18 +301,22 @@
 
     /// Whether a request that was refused goes to another instance.
     async fn may_move(&self, target: Target, refusal: &Refusal, arrivals: u32) -> bool {
-        if arrivals > 0
-            && (arrivals >= self.rule.attempts || !self.outbound.spend(&self.call.service))
-        {
+        if !self.has_time() || !refusal.reason.may_go_elsewhere() {
             return false;
         }
-        if !self.has_time() || !refusal.reason.may_go_elsewhere() {
+        let may_arrive = arrivals == 0
+            || arrivals < self.rule.attempts.max(MAX_ARRIVALS)
+                && self.outbound.spend(&self.call.service, RepeatKind::Refused);
+        if !may_arrive {
             return false;
         }
-        if self.call.key.is_none() {
-            return true;
+        match refusal.reason {
+            _ if self.call.key.is_none() => true,
+            Reason::NotOwner => self.newer_record(target).await,
+            // An upstream that refuses a part of what it gets may take the next one.
+            Reason::UpstreamRefused => true,
+            _ => false,
         }
-        refusal.reason == Reason::NotOwner && self.newer_record(target).await
     }
 
     /// Waits for a record that names another owner than `target`.
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -96,10 +96,12 @@
         self.away.get().checked_sub(now).filter(|left| !left.is_zero())
     }
 
-    /// Part of its capacity in use, if it has said so within `life`.
-    pub(crate) fn used(&self, now: Moment, life: Duration) -> Option<f64> {
-        let (at, load) = self.load.get()?;
-        (now.saturating_sub(at) < life).then(|| f64::from(load.used) / 100.0)
+    /// Part of its capacity in use, and the part that one request a second takes, if it has said so
+    /// within `life`.
+    pub(crate) fn used(&self, now: Moment, life: Duration) -> Option<(f64, f64)> {
+        let (at, load) = self.load.get().filter(|(at, _)| now.saturating_sub(*at) < life)?;
+        let share = load.mean.as_secs_f64() / f64::from(load.slots.max(1));
+        (at <= now).then(|| (f64::from(load.used) / 100.0, share))
     }
 
     /// What it offers to a request without a key.
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -85,7 +85,9 @@
             Self::NotOwner | Self::Draining | Self::Evacuated => Duration::from_millis(100),
             // As long as a heartbeat takes to come.
             Self::NoGrant | Self::Moving | Self::LeaseEnded => Duration::from_millis(300),
-            Self::Overloaded | Self::UpstreamRefused => Duration::from_millis(150),
+            Self::Overloaded => Duration::from_millis(150),
+            // It refuses some requests and takes others.
+            Self::UpstreamRefused => Duration::from_millis(50),
             // A process starts, or its keys move.
             Self::NoConfiguration
             | Self::NoInstance
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rattanarch_admission::Wish;
 use rattanarch_types::Moment;
 use tokio::sync::oneshot;
 
@@ -106,7 +107,8 @@
     let now = shared.now();
     let mut state = shared.upstream.state.borrow_mut();
     state.gate.retain(|waiter| !waiter.is_closed());
-    let offered = state.gate.offer(now, call.rank, call.deadline, waiter);
+    let (rank, objective, deadline) = (call.rank, call.objective, call.deadline);
+    let offered = state.gate.offer(now, Wish { rank, objective, deadline, item: waiter });
     drop(state);
     if let Some(waiter) = offered.started {
         start(shared, waiter);
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -168,8 +168,7 @@
 /// The upstream's own refusal.
 fn refusal(shared: &Shared, call: &Call, head: &AnswerHead) -> Refusal {
     if !head.misdirected {
-        let pause = shared.upstream.state.borrow().gate.mean();
-        return Refusal::new(Reason::UpstreamRefused, pause).arrived();
+        return Refusal::new(Reason::UpstreamRefused, Reason::UpstreamRefused.pause()).arrived();
     }
     let mut state = shared.upstream.state.borrow_mut();
     if let Some(key) = call.key {
--- a/crates/rattanarch_placement/src/slice_relief.rs
+++ b/crates/rattanarch_placement/src/slice_relief.rs
@@ -7,7 +7,7 @@
 
 /// Part of a member's capacity in use above which it may give slices away. Below it, requests hardly
 /// wait for each other, and a slice that moves is not served for about a heartbeat.
-const BUSY: f64 = 0.45;
+const BUSY: f64 = 0.5;
 
 /// How much busier than the mean a member has to be.
 const IMBALANCE: f64 = 1.2;
@@ -16,69 +16,85 @@
 const FILLED_PART: f64 = 0.6;
 
 /// Receivers of one move.
-const MAX_RECEIVERS: usize = 3;
+const MAX_RECEIVERS: usize = 4;
 
 /// Slices of one move: each makes a range of its own.
-const MAX_SLICES: usize = 16;
+const MAX_SLICES: usize = 32;
 
 /// Least part of a member's capacity that a slice has to use to be worth moving.
-const MIN_LOAD: f64 = 0.004;
+const MIN_LOAD: f64 = 0.003;
 
-/// Part of a member's capacity in use.
+/// Load of a member.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MemberLoad {
     /// The member.
     pub member: BootId,
     /// Offered work in parts of what its slots can do; above 1 if it is overloaded.
     pub used: f64,
+    /// Part of its capacity that one request a second takes: more on a slower machine.
+    pub share: f64,
 }
 
-/// Load of one slice, in parts of its owner's capacity.
+/// Load of one slice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SliceLoad {
     /// The slice.
     pub slice: SliceId,
-    /// Its load.
-    pub used: f64,
+    /// Requests a second.
+    pub rate: f64,
 }
 
-/// Slices that a member in use by `own` should give to others, and to whom.
+/// Slices that the member `own` should give to others, and to whom.
 ///
 /// Answers the load of few busy keys close to one another, and of one very busy key: its owner keeps
 /// it and gives other slices away. A member gives only if it is busy and well above the mean, only
 /// what is above the mean, and only to members that stay below the mean with it.
 pub fn relieve_slices(
-    own: f64,
+    own: MemberLoad,
     slices: &[SliceLoad],
     others: &[MemberLoad],
 ) -> Vec<(SliceId, BootId)> {
-    let total = own + others.iter().map(|other| other.used).sum::<f64>();
+    let total = own.used + others.iter().map(|other| other.used).sum::<f64>();
     let mean = total / (others.len() + 1) as f64;
-    if own < BUSY || own < mean * IMBALANCE {
+    if own.used < BUSY || own.used < mean * IMBALANCE {
         return Vec::new();
     }
-    let mut receivers: Vec<MemberLoad> = others
-        .iter()
-        .filter(|other| other.used < mean)
-        .map(|other| MemberLoad { used: (mean - other.used) * FILLED_PART, ..*other })
-        .collect();
-    receivers.sort_by(|a, b| b.used.total_cmp(&a.used).then(a.member.cmp(&b.member)));
-    receivers.truncate(MAX_RECEIVERS);
-    let mut surplus = own - mean;
-    let mut busiest: Vec<SliceLoad> =
-        slices.iter().copied().filter(|slice| slice.used >= MIN_LOAD).collect();
-    busiest.sort_by_key(|slice| (Reverse((slice.used * 1e6) as u64), slice.slice));
+    let mut receivers = receivers(mean, others);
+    let mut surplus = own.used - mean;
     let mut moves = Vec::new();
-    for slice in busiest {
+    for slice in busiest(own.share, slices) {
+        let used = slice.rate * own.share;
         if moves.len() == MAX_SLICES {
             break;
         }
-        let fit = receivers.iter_mut().find(|receiver| receiver.used >= slice.used);
-        if let Some(receiver) = fit.filter(|_| slice.used <= surplus) {
-            receiver.used -= slice.used;
-            surplus -= slice.used;
+        if used > surplus {
+            continue;
+        }
+        let fit = receivers.iter_mut().find(|receiver| receiver.used >= slice.rate * receiver.share);
+        if let Some(receiver) = fit {
+            receiver.used -= slice.rate * receiver.share;
+            surplus -= used;
             moves.push((slice.slice, receiver.member));
         }
     }
     moves
 }
+
+/// Members below `mean` with the most room first; `used` is then the room that may be filled.
+fn receivers(mean: f64, others: &[MemberLoad]) -> Vec<MemberLoad> {
+    let below = others.iter().filter(|other| other.used < mean);
+    let room = |other: &MemberLoad| (mean - other.used) * FILLED_PART;
+    let mut receivers: Vec<_> =
+        below.map(|other| MemberLoad { used: room(other), ..*other }).collect();
+    receivers.sort_by(|a, b| b.used.total_cmp(&a.used).then(a.member.cmp(&b.member)));
+    receivers.truncate(MAX_RECEIVERS);
+    receivers
+}
+
+/// Slices that are worth moving, the busiest first.
+fn busiest(share: f64, slices: &[SliceLoad]) -> Vec<SliceLoad> {
+    let worth = slices.iter().copied().filter(|slice| slice.rate * share >= MIN_LOAD);
+    let mut busiest: Vec<_> = worth.collect();
+    busiest.sort_by(|a, b| b.rate.total_cmp(&a.rate).then(Reverse(a.slice).cmp(&Reverse(b.slice))));
+    busiest
+}
--- a/crates/rattanarch_routing/src/lib.rs
+++ b/crates/rattanarch_routing/src/lib.rs
@@ -35,6 +35,7 @@
 pub use candidate::Candidate;
 pub use choice::choose;
 pub use limits::Limits;
+pub use retry_share::RepeatKind;
 pub use retry_share::RetryBounds;
 pub use retry_share::RetryShare;
 pub use rule::Repeat;
--- a/crates/rattanarch_routing/src/retry_share.rs
+++ b/crates/rattanarch_routing/src/retry_share.rs
@@ -16,13 +16,25 @@
     pub slack: u32,
 }
 
-/// Part of the ratio that is used: each repeated run repeats its own calls at other services, which
-/// count there as well.
-const USED_RATIO: f64 = 0.4;
+/// Part of the ratio that repeats of requests that may have run take at most: a repeated run repeats
+/// its own calls at other services, where they count as well.
+const RUN_RATIO: f64 = 0.4;
 
-/// Part of the slack that is used; the rest covers repeats that were not known as such.
+/// Part of the ratio that all repeats take at most; the rest covers repeats not known as such.
+const USED_RATIO: f64 = 0.75;
+
+/// Part of the slack that is used.
 const USED_SLACK: f64 = 0.5;
 
+/// What became of the request that is to be repeated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RepeatKind {
+    /// An upstream has refused it unrun.
+    Refused,
+    /// It may have run.
+    Run,
+}
+
 /// Intervals that a window is counted in.
 const STEPS: u32 = 10;
 
@@ -48,12 +60,16 @@
 
     /// Takes leave for one repeat; `daemons` is how many share the bounds.
     #[must_use]
-    pub fn spend(&mut self, now: Moment, daemons: usize) -> bool {
+    pub fn spend(&mut self, now: Moment, daemons: usize, repeat: RepeatKind) -> bool {
+        let part = match repeat {
+            RepeatKind::Refused => USED_RATIO,
+            RepeatKind::Run => RUN_RATIO,
+        };
         self.step(now);
         let requests: u32 = self.steps.iter().map(|step| step.1).sum();
         let repeats: u32 = self.steps.iter().map(|step| step.2).sum();
         let slack = f64::from(self.bounds.slack) * USED_SLACK / daemons.max(1) as f64;
-        let allowed = f64::from(requests) * self.bounds.ratio * USED_RATIO + slack;
+        let allowed = f64::from(requests) * self.bounds.ratio * part + slack;
         let granted = f64::from(repeats) + 1.0 <= allowed;
         if granted {
             self.step(now).2 += 1;
