Tell upstreams' calls from callers' requests; take usual differences in patience for what they are

Callers and upstream share an address; a call's id begins with the id of the request that makes it, which the gate knows. Such calls earn nothing and go first.

--- a/crates/rattanarch_mesh/src/control/relief.rs
+++ b/crates/rattanarch_mesh/src/control/relief.rs
@@ -52,9 +52,10 @@
     }
     let state = shared.upstream.state.borrow();
     let record = &state.serving.record;
-    let others = record.members.iter().filter(|(id, member)| {
-        **id != me && !member.leaving && !control.barred.contains(id)
-    });
+    let others = record
+        .members
+        .iter()
+        .filter(|(id, member)| **id != me && !member.leaving && !control.barred.contains(id));
     let others: Vec<MemberLoad> = others
         .filter_map(|(id, member)| {
             let (used, share) = shared.peers.get(member.caller).used(now, REPORT_LIFE)?;
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -23,6 +23,7 @@
 use rattanarch_routing::RouteTable;
 use rattanarch_routing::Rule;
 use rattanarch_types::Moment;
+use rattanarch_types::Rank;
 use rattanarch_types::ServiceName;
 
 use crate::connection::AnswerBody;
@@ -48,6 +49,13 @@
 /// Refusals by instances after which a request is refused: a third one is no better informed.
 const MAX_REFUSALS: usize = 3;
 
+/// Rank of a call that an upstream makes for a request that it runs: turned away, it would fail a
+/// request that holds a slot already.
+const CALL_RANK: Rank = 0;
+
+/// Part of the longest patience of a route's callers that each has at its first attempt.
+const LEAST_PATIENCE: f64 = 0.82;
+
 /// Times that a request may reach upstreams that refuse it. Those do not run it, and so do not count
 /// as attempts.
 const MAX_ARRIVALS: u32 = 3;
@@ -145,21 +153,26 @@
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = path.parse().unwrap_or_else(|_| parts.uri.clone());
         Ok(Call {
-            id,
             method: parts.method,
             uri,
             headers: parts.headers,
             body,
             service: rule.target(random()).cloned().unwrap_or_default(),
             origin: self.shared.settings.service.clone(),
-            rank: rule.rank,
+            rank: if self.is_call(&id) { CALL_RANK } else { rule.rank },
             idempotent: rule.repeat.is_idempotent(),
             objective: came + rule.objective.saturating_sub(spent),
             deadline: came + patience.min(rule.timeout),
             key,
+            id,
         })
     }
 
+    /// Whether the own upstream makes this call for a request that it runs.
+    fn is_call(&self, id: &str) -> bool {
+        self.shared.upstream.state.borrow().is_call(id)
+    }
+
     /// Time that a caller has spent on earlier attempts: what it has left is less than callers of the
     /// route usually have.
     fn spent(&self, rule: &Rule, patience: Duration) -> Duration {
@@ -167,7 +180,7 @@
         match usual.get_mut(&rule.name) {
             Some(usual) => {
                 *usual = patience.max(*usual);
-                *usual - patience
+                usual.mul_f64(LEAST_PATIENCE).saturating_sub(patience)
             }
             None => {
                 usual.insert(rule.name.clone(), patience);
@@ -232,7 +245,9 @@
         let mut tried: Vec<SocketAddr> = Vec::new();
         let mut arrivals = 0;
         let mut refusals = 0;
-        self.outbound.earn(&self.call.service);
+        if !self.outbound.is_call(&self.call.id) {
+            self.outbound.earn(&self.call.service);
+        }
         loop {
             let target = match target::find(shared, self.call, &tried) {
                 Ok(target) => target,
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -24,6 +24,7 @@
 /// Leave to send one request; holds a slot until it is dropped.
 pub(crate) struct Permit {
     shared: Rc<Shared>,
+    id: String,
     key: Option<u16>,
     began: Moment,
     /// Service time of a request that was answered.
@@ -41,7 +42,7 @@
     fn drop(&mut self) {
         let mut state = self.shared.upstream.state.borrow_mut();
         state.gate.end(self.took);
-        state.end(self.key);
+        state.end(&self.id, self.key);
         drop(state);
         pump(&self.shared);
     }
@@ -117,7 +118,7 @@
     pump(shared);
     match waiting.await {
         Ok(Ok(mut permit)) => {
-            permit.take_key(call.key);
+            permit.take(call);
             Ok(permit)
         }
         Ok(Err(refusal)) => Err(refusal),
@@ -126,10 +127,12 @@
 }
 
 impl Permit {
-    fn take_key(&mut self, key: Option<u16>) {
-        self.key = key;
+    /// Notes the request that the slot is for.
+    fn take(&mut self, call: &Call) {
+        self.id.clone_from(&call.id);
+        self.key = call.key;
         self.began = self.shared.now();
-        self.shared.upstream.state.borrow_mut().begin(key);
+        self.shared.upstream.state.borrow_mut().begin(&call.id, call.key);
     }
 }
 
@@ -149,7 +152,8 @@
 /// Gives the slot that was taken for `waiter` to it, or back if its caller has gone.
 fn start(shared: &Rc<Shared>, waiter: Waiter) {
     let began = shared.now();
-    let permit = Permit { shared: Rc::clone(shared), key: None, began, took: None };
+    let permit =
+        Permit { shared: Rc::clone(shared), id: String::new(), key: None, began, took: None };
     // A permit that is not taken gives its slot back when it is dropped.
     let _ = waiter.send(Ok(permit));
 }
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,6 +49,8 @@
     pub(crate) keyed: bool,
     /// Running requests by slice.
     pub(crate) running: Vec<u32>,
+    /// Ids of the requests that run.
+    ids: HashSet<String>,
     /// Load by slice.
     pub(crate) meter: SliceMeter,
 }
@@ -73,6 +76,7 @@
             serving: Serving::default(),
             keyed: false,
             running: Vec::new(),
+            ids: HashSet::new(),
             meter: SliceMeter::default(),
         };
         let pool = Rc::new(Pool::to_upstream(address));
@@ -156,15 +160,23 @@
         self.meter.total() * self.request_share()
     }
 
-    /// Counts a request that runs for `key`.
-    pub(crate) fn begin(&mut self, key: Option<u16>) {
+    /// Whether a request with `id` is a call that the upstream makes for one that it runs: its id
+    /// then begins with that one's. Calls that can't be told by it count as requests of callers.
+    pub(crate) fn is_call(&self, id: &str) -> bool {
+        id.split_once('.').is_some_and(|(parent, _)| self.ids.contains(parent))
+    }
+
+    /// Counts the request `id`, which runs for `key`.
+    pub(crate) fn begin(&mut self, id: &str, key: Option<u16>) {
+        self.ids.insert(id.to_owned());
         if let Some(running) = self.running_of(key) {
             *running += 1;
         }
     }
 
     /// Counts its end.
-    pub(crate) fn end(&mut self, key: Option<u16>) {
+    pub(crate) fn end(&mut self, id: &str, key: Option<u16>) {
+        self.ids.remove(id);
         if let Some(running) = self.running_of(key) {
             *running = running.saturating_sub(1);
         }
--- a/crates/rattanarch_ownership/src/balance.rs
+++ b/crates/rattanarch_ownership/src/balance.rs
@@ -26,11 +26,7 @@
 
 impl Balance {
     /// Slices that this member is to release now, and to whom if that is planned.
-    pub(crate) fn due(
-        &mut self,
-        core: &Core,
-        now: Moment,
-    ) -> BTreeMap<SliceId, Option<BootId>> {
+    pub(crate) fn due(&mut self, core: &Core, now: Moment) -> BTreeMap<SliceId, Option<BootId>> {
         let Some(record) = core.record.as_deref() else { return BTreeMap::new() };
         if self.version != record.version || self.barred != core.barred {
             self.schedule(core, record);
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -159,8 +159,7 @@
 /// Slices and hot keys to be given away.
 ///
 /// Slices without a receiver are spread over the others.
-pub(crate) type Surplus =
-    (BTreeMap<SliceId, Option<BootId>>, BTreeMap<KeyHash, Option<BootId>>);
+pub(crate) type Surplus = (BTreeMap<SliceId, Option<BootId>>, BTreeMap<KeyHash, Option<BootId>>);
 
 /// Gives slices without an owner to members, this node's turn among them drawn by rank.
 fn adopt(core: &mut Core, now: Moment) {
--- a/crates/rattanarch_ownership/src/release.rs
+++ b/crates/rattanarch_ownership/src/release.rs
@@ -97,9 +97,8 @@
         let Some(record) = core.record.as_ref().filter(|_| core.spread == Spread::ByLoad) else {
             return BTreeMap::new();
         };
-        let is_mine = |slice: &SliceId| {
-            record.owners.get(usize::from(*slice)) == Some(&Some(core.me))
-        };
+        let is_mine =
+            |slice: &SliceId| record.owners.get(usize::from(*slice)) == Some(&Some(core.me));
         self.slices.iter().filter(|(slice, _)| is_mine(slice)).map(|(s, to)| (*s, *to)).collect()
     }
 
--- a/crates/rattanarch_placement/src/slice_relief.rs
+++ b/crates/rattanarch_placement/src/slice_relief.rs
@@ -70,7 +70,8 @@
         if used > surplus {
             continue;
         }
-        let fit = receivers.iter_mut().find(|receiver| receiver.used >= slice.rate * receiver.share);
+        let fit =
+            receivers.iter_mut().find(|receiver| receiver.used >= slice.rate * receiver.share);
         if let Some(receiver) = fit {
             receiver.used -= slice.rate * receiver.share;
             surplus -= used;
--- a/crates/rattanarch_placement/src/spread.rs
+++ b/crates/rattanarch_placement/src/spread.rs
@@ -69,10 +69,11 @@
     for (index, slices) in record.owners.chunks_mut(block).enumerate() {
         let missing = slices.iter().filter(|owner| owner.is_none()).count();
         let slots = |id: &BootId| usize::from(record.members[id].slots.max(1));
-        let least = |id: &&BootId| {
-            (dealt[*id] * SLOT_SCALE / slots(id), Reverse(rank(index as u64, **id)))
+        let least =
+            |id: &&BootId| (dealt[*id] * SLOT_SCALE / slots(id), Reverse(rank(index as u64, **id)));
+        let Some(owner) = members.iter().min_by_key(least).filter(|_| missing > 0) else {
+            continue;
         };
-        let Some(owner) = members.iter().min_by_key(least).filter(|_| missing > 0) else { continue };
         dealt.entry(*owner).and_modify(|count| *count += missing);
         for slice in slices.iter_mut().filter(|slice| slice.is_none()) {
             *slice = Some(*owner);
