--- a/crates/rattanarch_admission/src/gate.rs
+++ b/crates/rattanarch_admission/src/gate.rs
@@ -31,6 +31,10 @@
 /// objective is refused: its place would make others late, and it would only get in their way.
 const SATURATED: f64 = 0.92;
 
+/// Multiple of the expected time that has to fit the objective: half of the answers take longer than
+/// expected.
+const CAUTION: f64 = 1.3;
+
 /// Added to the rank of a request that will miss its objective.
 const LATE_RANK: Rank = 100;
 
@@ -146,13 +150,13 @@
             self.running += 1;
             return Offered { started: Some(wish.item), shed: Vec::new() };
         }
-        let late = now + self.queue.wait(wish.rank) + self.mean() > wish.objective;
-        if late && self.offered(now) > SATURATED {
-            let retry = self.queue.wait(LATE_RANK);
-            return Offered { started: None, shed: vec![Shed { item: wish.item, retry }] };
-        }
+        let expected = self.queue.wait(wish.rank) + self.mean();
+        let late = now + expected.mul_f64(CAUTION) > wish.objective;
         let rank = if late { wish.rank.saturating_add(LATE_RANK) } else { wish.rank };
-        let shed = self.queue.push(now, rank, wish.deadline, wish.item);
+        let mut shed = self.queue.push(now, rank, wish.deadline, wish.item);
+        if self.offered(now) > SATURATED {
+            shed.extend(self.queue.shed_from(LATE_RANK));
+        }
         Offered { started: None, shed }
     }
 
--- a/crates/rattanarch_admission/src/queue.rs
+++ b/crates/rattanarch_admission/src/queue.rs
@@ -51,7 +51,7 @@
 /// ```
 /// use std::time::Duration;
 /// use rattanarch_admission::{Pace, Queue};
-/// use rattanarch_types::Rank;
+/// use rattanarch_types::Priority;
 ///
 /// let ms = Duration::from_millis;
 /// let mut queue = Queue::new(40);
@@ -130,6 +130,14 @@
         Popped { next, shed }
     }
 
+    /// Sheds everything of `rank` and less urgent.
+    pub fn shed_from(&mut self, rank: impl Into<Rank>) -> Vec<Shed<T>> {
+        let retry = self.retry();
+        let lanes = self.lanes.split_off(&rank.into());
+        let entries = lanes.into_values().flatten();
+        entries.map(|entry| Shed { item: entry.item, retry }).collect()
+    }
+
     /// Drops waiting requests that `keep` rejects, such as those of callers that have left.
     pub fn retain(&mut self, keep: impl Fn(&T) -> bool) {
         for lane in self.lanes.values_mut() {
--- /dev/null
+++ b/crates/rattanarch_admission/tests/gate.rs
@@ -0,0 +1,166 @@
+//! The gate under the load of heavy days.
+
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rattanarch_admission::Gate;
+use rattanarch_admission::Wish;
+use rattanarch_types::Moment;
+use rattanarch_types::Rank;
+
+/// Slots of the upstream.
+const SLOTS: u32 = 18;
+/// Mean work of a request: the slots do 90 a second.
+const WORK_MS: u64 = 200;
+/// Objective and deadline of each request, from its arrival.
+const OBJECTIVE: Duration = Duration::from_millis(500);
+const DEADLINE: Duration = Duration::from_millis(1_200);
+
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    came: Moment,
+    rank: Rank,
+}
+
+/// Work of the request `id`: between half and one and a half of the mean.
+fn work(id: u64) -> Duration {
+    let draw = id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+    Duration::from_millis(WORK_MS / 2 + draw % WORK_MS)
+}
+
+/// What callers of one rank got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Got {
+    asked: u32,
+    in_time: u32,
+    late: u32,
+    refused: u32,
+    /// Longest time that a refused request was held.
+    held: Duration,
+}
+
+/// Plays `rates` (requests a second by rank) for `seconds` against an upstream with `SLOTS`.
+fn play(rates: [u32; 3], seconds: u64) -> [Got; 3] {
+    let mut gate: Gate<Request> = Gate::new(SLOTS);
+    let mut got = [Got::default(); 3];
+    let mut ends: BinaryHeap<std::cmp::Reverse<(Moment, u64)>> = BinaryHeap::new();
+    let mut running = std::collections::BTreeMap::new();
+    let mut count = 0;
+    for ms in 0..seconds * 1_000 {
+        let now = Duration::from_millis(ms);
+        let mut started = Vec::new();
+        let mut shed = Vec::new();
+        while ends.peek().is_some_and(|end| end.0.0 <= now) {
+            let Some(std::cmp::Reverse((_, id))) = ends.pop() else { break };
+            let (request, began): (Request, Moment) = running.remove(&id).unwrap();
+            let answer = &mut got[usize::from(request.rank)];
+            if now <= request.came + OBJECTIVE {
+                answer.in_time += 1;
+            } else {
+                answer.late += 1;
+            }
+            gate.end(Some(now - began));
+        }
+        loop {
+            let popped = gate.start(now);
+            shed.extend(popped.shed);
+            let Some(request) = popped.next else { break };
+            started.push(request);
+        }
+        for (rank, rate) in rates.iter().enumerate() {
+            let due = |ms: u64| ms * u64::from(*rate) / 1_000;
+            for _ in due(ms)..due(ms + 1) {
+                let request = Request { came: now, rank: rank as Rank };
+                got[rank].asked += 1;
+                let (objective, deadline) = (now + OBJECTIVE, now + DEADLINE);
+                let wish = Wish { rank: request.rank, objective, deadline, item: request };
+                let offered = gate.offer(now, wish);
+                started.extend(offered.started);
+                shed.extend(offered.shed);
+            }
+        }
+        for request in started {
+            count += 1;
+            ends.push(std::cmp::Reverse((now + work(count), count)));
+            running.insert(count, (request, now));
+        }
+        assert!(running.len() <= SLOTS as usize);
+        for shed in shed {
+            let answer = &mut got[usize::from(shed.item.rank)];
+            answer.refused += 1;
+            answer.held = answer.held.max(now - shed.item.came);
+            assert!(shed.retry > Duration::ZERO);
+        }
+    }
+    got
+}
+
+/// Twice as much as the slots can do: those that are served are served in time, at the rate that the
+/// slots allow, and the others are told at once.
+#[test]
+fn double_load() {
+    let [_, got, _] = play([0, 180, 0], 20);
+    assert!(got.in_time >= 90 * 20 * 85 / 100, "{got:?}");
+    assert!(got.late * 10 <= got.in_time, "{got:?}");
+    assert!(got.refused >= got.asked * 40 / 100, "{got:?}");
+}
+
+/// A burst of half a second above what the slots can do is served whole, some of it late.
+#[test]
+fn short_burst() {
+    let calm = play([0, 60, 0], 10)[1];
+    assert_eq!(calm.refused, 0, "{calm:?}");
+    assert_eq!(calm.late, 0, "{calm:?}");
+}
+
+/// The most urgent go first, and the others get what is left.
+#[test]
+fn ranks_in_order() {
+    let [urgent, usual, rest] = play([30, 40, 60], 20);
+    assert_eq!(urgent.refused, 0, "{urgent:?}");
+    assert!(usual.refused * 20 <= usual.asked, "{usual:?}");
+    assert!(rest.refused > 0, "{rest:?}");
+    assert!(rest.in_time > 0, "{rest:?}");
+    let share = |got: Got| (got.in_time + got.late) * 100 / got.asked;
+    assert!(share(usual) >= share(rest), "{usual:?} {rest:?}");
+}
+
+/// What is refused under lasting overload is refused when it comes, not after it has waited.
+#[test]
+fn refused_at_once() {
+    let [_, got, _] = play([0, 270, 0], 10);
+    assert!(got.held <= OBJECTIVE, "{got:?}");
+}
+
+/// Upstreams that are cold get no more than their pace, whatever is offered.
+#[test]
+fn cold_pace_holds() {
+    let mut gate = Gate::new(SLOTS);
+    let start = Duration::from_secs(5);
+    gate.cool(start, Duration::from_secs(3), 28.0);
+    let mut sent = 0;
+    for ms in 0..1_000 {
+        let now = start + Duration::from_millis(ms);
+        let wish = Wish { rank: 1, objective: now + OBJECTIVE, deadline: now + DEADLINE, item: () };
+        sent += u32::from(gate.offer(now, wish).started.is_some());
+        while gate.start(now).next.is_some() {
+            sent += 1;
+        }
+        gate.end(None);
+    }
+    assert!((25..=36).contains(&sent), "{sent}");
+}
+
+/// A waiting request is started when the pace of a cold upstream allows it, without any other event.
+#[test]
+fn cold_wake() {
+    let mut gate = Gate::new(SLOTS);
+    let now = Duration::from_secs(5);
+    gate.cool(now, Duration::from_secs(3), 10.0);
+    let wish = || Wish { rank: 1, objective: now + OBJECTIVE, deadline: now + DEADLINE, item: () };
+    assert!(gate.offer(now, wish()).started.is_some());
+    assert!(gate.offer(now, wish()).started.is_none());
+    let wake = gate.wake(now).expect("a request waits for the pace");
+    assert!(wake > now && wake <= now + Duration::from_millis(100));
+    assert!(gate.start(wake + Duration::from_millis(1)).next.is_some());
+}
--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -72,6 +72,7 @@
 /// tells it what has become quiet.
 pub(crate) fn maintain(shared: &Rc<Shared>) {
     start(shared);
+    note_lease(shared);
     intend(shared);
     if is_silent(shared) {
         // No heartbeat will come that slices could wait for.
@@ -155,6 +156,20 @@
     step(shared, Event::Intent { barred: barred.into_iter().collect(), lost: Vec::new() });
 }
 
+/// Logs when the lease is lost or regained.
+fn note_lease(shared: &Shared) {
+    let now = shared.now();
+    let state = shared.upstream.state.borrow();
+    let leased = state.serving.until.is_some_and(|until| now < until);
+    let version = state.serving.record.version;
+    let before = std::mem::replace(&mut shared.control.borrow_mut().leased, leased);
+    if leased && !before {
+        log::info!(record = version; "lease held");
+    } else if before && !leased {
+        log::warn!(record = version; "lease lost");
+    }
+}
+
 /// Whether the upstream is gone or not heard any more.
 fn is_silent(shared: &Shared) -> bool {
     let beat = shared.settings.heartbeat();
@@ -238,6 +253,7 @@
         }
         Action::Quiesce { slices, .. } => {
             log::info!(slices = slices.len(); "releasing slices");
+            shared.meters.released(slices.len());
             shared.control.borrow_mut().quiescing.extend(slices);
             events.extend(quiescence::check(shared));
         }
--- a/crates/rattanarch_mesh/src/control/state.rs
+++ b/crates/rattanarch_mesh/src/control/state.rs
@@ -32,6 +32,8 @@
     pub(crate) before: Option<Rc<Record>>,
     /// Fences under which the upstream held slices when its life was first heard of.
     pub(crate) kept: BTreeMap<SliceId, Fence>,
+    /// Whether the lease was in force at the last look.
+    pub(crate) leased: bool,
     /// When slices were last given away for their load.
     pub(crate) relieved: Moment,
     /// Version of the record that grants follow.
@@ -51,6 +53,7 @@
             leaving: false,
             before: None,
             kept: BTreeMap::new(),
+            leased: false,
             relieved: Moment::ZERO,
             followed: 0,
         }
--- a/crates/rattanarch_mesh/src/process/listeners.rs
+++ b/crates/rattanarch_mesh/src/process/listeners.rs
@@ -96,6 +96,6 @@
 
 impl Handler for MetricsHandler {
     async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
-        Response::new(AnswerBody::full(self.0.metrics.text()))
+        Response::new(AnswerBody::full(self.0.meters.text(&self.0)))
     }
 }
--- /dev/null
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -0,0 +1,151 @@
+//! The daemon's counters, gauges and histograms; docs/OPERATIONS.md lists them.
+
+use std::time::Duration;
+
+use rattanarch_process::Labels;
+use rattanarch_process::Metrics;
+use rattanarch_process::dropped_lines;
+
+use crate::process::Shared;
+
+/// The daemon's metrics by name.
+#[derive(Debug, Default)]
+pub(crate) struct Meters {
+    metrics: Metrics,
+}
+
+/// What a request was, for its counters.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestLabels<'a> {
+    /// `caller` for requests of this machine, `forwarded` for those of other daemons.
+    pub(crate) side: &'static str,
+    pub(crate) service: &'a str,
+    /// Name of the route; empty for forwarded requests.
+    pub(crate) route: &'a str,
+    pub(crate) outcome: &'a str,
+    /// Status, or reason of a refusal or failure.
+    pub(crate) reason: &'a str,
+}
+
+fn labels(pairs: &[(&'static str, &str)]) -> Labels {
+    pairs.iter().map(|(name, value)| (*name, (*value).to_owned())).collect()
+}
+
+impl Meters {
+    /// Counts a request that has ended.
+    pub(crate) fn request(&self, request: &RequestLabels<'_>, took: Duration) {
+        let service = request.service;
+        let by_reason = labels(&[
+            ("side", request.side),
+            ("service", service),
+            ("route", request.route),
+            ("outcome", request.outcome),
+            ("reason", request.reason),
+        ]);
+        self.metrics.add("rattanarch_requests", "Requests that have ended", &by_reason, 1);
+        let by_side =
+            labels(&[("side", request.side), ("service", service), ("outcome", request.outcome)]);
+        let help = "Time from a request's arrival to its answer";
+        self.metrics.observe("rattanarch_request_seconds", help, &by_side, took.as_secs_f64());
+    }
+
+    /// Notes how long a request waited for its key and a slot.
+    pub(crate) fn queued(&self, service: &str, waited: Duration) {
+        let help = "Time that an admitted request waited for its key and a slot";
+        let service = labels(&[("service", service)]);
+        self.metrics.observe("rattanarch_queue_seconds", help, &service, waited.as_secs_f64());
+    }
+
+    /// Notes how long the upstream took for an answer.
+    pub(crate) fn served(&self, service: &str, took: Duration) {
+        let help = "Time that the upstream took for an answer";
+        let service = labels(&[("service", service)]);
+        self.metrics.observe("rattanarch_upstream_seconds", help, &service, took.as_secs_f64());
+    }
+
+    /// Counts a wish to send a request once more.
+    pub(crate) fn repeat(&self, service: &str, granted: bool) {
+        let granted = if granted { "yes" } else { "no" };
+        let labels = labels(&[("service", service), ("granted", granted)]);
+        self.metrics.add("rattanarch_repeats", "Repeats asked of the retry budget", &labels, 1);
+    }
+
+    /// Counts a heartbeat of the upstream.
+    pub(crate) fn heartbeat(&self, outcome: &str) {
+        let labels = labels(&[("outcome", outcome)]);
+        self.metrics.add("rattanarch_heartbeats", "Heartbeats of the upstream", &labels, 1);
+    }
+
+    /// Counts an update of the ownership record.
+    pub(crate) fn record_write(&self, outcome: &str) {
+        let labels = labels(&[("outcome", outcome)]);
+        self.metrics.add("rattanarch_record_writes", "Updates of the record", &labels, 1);
+    }
+
+    /// Counts slices that this member gives up.
+    pub(crate) fn released(&self, slices: usize) {
+        let help = "Slices that this member began to give up";
+        self.metrics.add("rattanarch_released_slices", help, &Labels::new(), slices as u64);
+    }
+
+    /// All metrics as text, with gauges as of now.
+    pub(crate) fn text(&self, shared: &Shared) -> String {
+        for (name, help, value) in gauges(shared) {
+            self.metrics.set(name, help, &Labels::new(), value);
+        }
+        self.metrics.text()
+    }
+}
+
+fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 16] {
+    let now = shared.now();
+    let state = shared.upstream.state.borrow();
+    let knowledge = shared.knowledge.borrow();
+    let record = &state.serving.record;
+    let margin = state.serving.until.and_then(|until| until.checked_sub(now));
+    let heard = state.life.as_ref().map(|life| now.saturating_sub(life.heard));
+    let configuration = knowledge.routes().map(|routes| routes.version).unwrap_or_default();
+    let millis = |time: Option<Duration>| time.map_or(-1, |time| time.as_millis() as i64);
+    [
+        ("rattanarch_lease_margin_ms", "Time until the lease ends; -1 without", millis(margin)),
+        ("rattanarch_heartbeat_age_ms", "Age of the last heartbeat; -1 without", millis(heard)),
+        (
+            "rattanarch_owned_slices",
+            "Slices that this member owns",
+            record.slices_of(state.serving.me).count() as i64,
+        ),
+        (
+            "rattanarch_served_slices",
+            "Slices that the upstream holds",
+            state.grants.served(now) as i64,
+        ),
+        ("rattanarch_members", "Members of the service", record.members.len() as i64),
+        ("rattanarch_record_version", "Version of the record", record.version as i64),
+        ("rattanarch_configuration_version", "Configuration in force", configuration as i64),
+        (
+            "rattanarch_evacuated_data_centres",
+            "Data centres taken out",
+            knowledge.evacuated().names().count() as i64,
+        ),
+        ("rattanarch_running_requests", "Requests in slots", i64::from(state.gate.running())),
+        ("rattanarch_waiting_requests", "Requests in the queue", i64::from(state.gate.waiting())),
+        ("rattanarch_used_percent", "Offered work", (state.used() * 100.0) as i64),
+        (
+            "rattanarch_upstream_connections",
+            "Connections opened to the upstream so far",
+            shared.upstream.pool.opened() as i64,
+        ),
+        (
+            "rattanarch_peer_connections",
+            "Connections opened to other daemons so far",
+            shared.peers.opened() as i64,
+        ),
+        ("rattanarch_store_calls", "Calls to the store so far", shared.store.calls() as i64),
+        (
+            "rattanarch_store_reachable",
+            "Whether the store answered the last call",
+            i64::from(shared.contact.get().reachable),
+        ),
+        ("rattanarch_dropped_log_lines", "Log lines not written", dropped_lines() as i64),
+    ]
+}
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -2,12 +2,14 @@
 
 mod follower;
 mod listeners;
+mod meters;
 mod records;
 mod run;
 mod settings;
 mod shared;
 mod stop;
 
+pub(crate) use meters::RequestLabels;
 pub(crate) use records::learn_configuration;
 pub(crate) use records::learn_evacuated;
 pub(crate) use records::learn_record;
--- a/crates/rattanarch_mesh/src/process/records.rs
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -111,6 +111,7 @@
         Err(newer) => WriteOutcome::Conflict(newer),
         Ok(revision) => put(&shared, &record, revision).await,
     };
+    shared.meters.record_write(name(&outcome));
     log::info!(version = record.version, members = record.members.len(),
         outcome:% = name(&outcome); "record written");
     control::step(&shared, Event::Written { write_id, outcome });
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -11,7 +11,6 @@
 use rattanarch_process::Clock;
 use rattanarch_process::LogError;
 use rattanarch_process::LogOptions;
-use rattanarch_process::Metrics;
 use rattanarch_process::start_logs;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -30,6 +29,7 @@
 use crate::process::follower::Followed;
 use crate::process::follower::follow;
 use crate::process::listeners::listen;
+use crate::process::meters::Meters;
 use crate::process::shared::StoreContact;
 use crate::process::stop;
 use crate::request::Peers;
@@ -102,7 +102,7 @@
     Ok(Rc::new(Shared {
         bounds: Cell::new(settings.bounds()),
         clock,
-        metrics: Metrics::default(),
+        meters: Meters::default(),
         store: Store::new(settings.store),
         contact: Cell::new(StoreContact::default()),
         knowledge: RefCell::new(Knowledge::default()),
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -7,7 +7,6 @@
 use rattanarch_adapter::Bounds;
 use rattanarch_adapter::Store;
 use rattanarch_process::Clock;
-use rattanarch_process::Metrics;
 use rattanarch_types::Moment;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -16,6 +15,7 @@
 use crate::control::PeerSocket;
 use crate::process::Phase;
 use crate::process::Settings;
+use crate::process::meters::Meters;
 use crate::request::Peers;
 use crate::upstream::Upstream;
 use crate::version::Knowledge;
@@ -25,7 +25,7 @@
     pub(crate) settings: Settings,
     pub(crate) bounds: Cell<Bounds>,
     pub(crate) clock: Clock,
-    pub(crate) metrics: Metrics,
+    pub(crate) meters: Meters,
     pub(crate) store: Store,
     /// Whether the store answered the last call, and since when.
     pub(crate) contact: Cell<StoreContact>,
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -94,10 +94,12 @@
         };
         let rule = host(&request).and_then(|host| routes.find(&host, request.uri().path()));
         let Some(rule) = rule else { return no_route(&trail, &request, &routes) };
+        trail.takes(&rule.name);
         let call = match self.read(request, &rule, came, &routes).await {
             Ok(call) => Rc::new(call),
             Err(answer) => return answer,
         };
+        trail.goes_to(&call.service);
         let outcome =
             Attempts { outbound: &self, call: &call, rule: &rule, trail: &trail }.run().await;
         end(&trail, outcome)
@@ -194,7 +196,10 @@
     }
 
     fn spend(&self, service: &str, repeat: RepeatKind) -> bool {
-        self.with_share(service, |share, now, daemons| share.spend(now, daemons, repeat))
+        let granted =
+            self.with_share(service, |share, now, daemons| share.spend(now, daemons, repeat));
+        self.shared.meters.repeat(service, granted);
+        granted
     }
 
     fn with_share<T>(
@@ -284,7 +289,11 @@
     async fn send(&self, target: Target) -> Outcome {
         let shared = &self.outbound.shared;
         if target.own {
-            return upstream::run(shared, self.call).await;
+            let outcome = upstream::run(shared, self.call).await;
+            if !matches!(outcome, Outcome::Answered(_)) {
+                self.trail.note(upstream::describe(shared));
+            }
+            return outcome;
         }
         forward(shared, &shared.peers.get(target.address), self.call).await
     }
--- a/crates/rattanarch_mesh/src/request/trail.rs
+++ b/crates/rattanarch_mesh/src/request/trail.rs
@@ -2,10 +2,12 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
-use rattanarch_process::random;
 use rattanarch_types::Moment;
+use rattanarch_types::hash_key;
 
+use crate::process::RequestLabels;
 use crate::process::Shared;
 use crate::request::Outcome;
 
@@ -17,15 +19,33 @@
     /// Where the request came from.
     side: &'static str,
     began: Moment,
+    route: RefCell<String>,
+    service: RefCell<String>,
     steps: RefCell<Vec<(Moment, String)>>,
 }
 
 impl Trail {
     /// Begins a trail.
     pub(crate) fn begin(shared: &Rc<Shared>, id: &str, side: &'static str) -> Self {
-        let began = shared.now();
-        let (shared, id) = (Rc::clone(shared), id.to_owned());
-        Self { shared, id, side, began, steps: RefCell::default() }
+        Self {
+            shared: Rc::clone(shared),
+            id: id.to_owned(),
+            side,
+            began: shared.now(),
+            route: RefCell::default(),
+            service: RefCell::default(),
+            steps: RefCell::default(),
+        }
+    }
+
+    /// Notes the route that the request takes.
+    pub(crate) fn takes(&self, route: &str) {
+        route.clone_into(&mut self.route.borrow_mut());
+    }
+
+    /// Notes the service that is to run it.
+    pub(crate) fn goes_to(&self, service: &str) {
+        service.clone_into(&mut self.service.borrow_mut());
     }
 
     /// Adds a decision and what decided it.
@@ -36,40 +56,51 @@
     /// Ends with what an upstream, or this daemon, made of the request.
     pub(crate) fn end(&self, outcome: &Outcome) {
         match outcome {
-            Outcome::Answered(response) if !response.status().is_server_error() => {
-                self.end_well(response.status().as_u16());
-            }
             Outcome::Answered(response) => {
-                self.write("answered", &response.status().as_u16(), true)
+                let status = response.status();
+                self.finish("answered", status.as_str(), status.is_server_error());
             }
-            Outcome::Refused(refusal) => self.write("refused", &refusal.reason, true),
-            Outcome::Failed(failure) => self.write("failed", failure, true),
+            Outcome::Refused(refusal) => self.finish("refused", &refusal.reason.to_string(), true),
+            Outcome::Failed(failure) => self.finish("failed", &failure.to_string(), true),
         }
     }
 
-    fn end_well(&self, status: u16) {
-        let sample = u64::from(self.shared.settings.log.sample);
-        if sample > 0 && random() % sample == 0 {
-            self.write("answered", &status, false);
+    fn finish(&self, outcome: &str, detail: &str, failed: bool) {
+        let took = self.shared.now().saturating_sub(self.began);
+        // What a failure says of its connection is no label: it has too many values.
+        let reason = detail.split(':').next().unwrap_or_default();
+        let (route, service) = (self.route.borrow(), self.service.borrow());
+        let request =
+            RequestLabels { side: self.side, service: &service, route: &route, outcome, reason };
+        self.shared.meters.request(&request, took);
+        if failed || self.is_sampled() {
+            self.write(outcome, detail, took, failed);
         }
     }
 
-    fn write(&self, outcome: &str, detail: &dyn std::fmt::Display, failed: bool) {
-        let took = self.shared.now().saturating_sub(self.began).as_millis() as u64;
-        let steps: Vec<String> = self
-            .steps
-            .borrow()
-            .iter()
-            .map(|(at, step)| format!("{}ms {step}", at.saturating_sub(self.began).as_millis()))
-            .collect();
-        let steps = steps.join("; ");
-        let (id, side) = (&self.id, self.side);
+    /// Whether the lines of a request that ended well are written.
+    fn is_sampled(&self) -> bool {
+        let sample = u64::from(self.shared.settings.log.sample);
+        // By the id, so that all daemons that a request passes choose the same requests.
+        sample > 0 && hash_key(&self.id) % sample == 0
+    }
+
+    fn write(&self, outcome: &str, detail: &str, took: Duration, failed: bool) {
+        let steps = self.steps.borrow();
+        let step = |(at, step): &(Moment, String)| {
+            format!("{}ms {step}", at.saturating_sub(self.began).as_millis())
+        };
+        let steps = steps.iter().map(step).collect::<Vec<_>>().join("; ");
+        let (id, side, took) = (&self.id, self.side, took.as_millis() as u64);
+        let (route, service) = (self.route.borrow(), self.service.borrow());
         if failed {
-            log::warn!(id:% = id, side:% = side, outcome:% = outcome, detail:% = detail,
-                took_ms = took, steps:% = steps; "request not served");
+            log::warn!(id:% = id, side:% = side, route:% = route, service:% = service,
+                outcome:% = outcome, detail:% = detail, took_ms = took, steps:% = steps;
+                "request not served");
         } else {
-            log::info!(id:% = id, side:% = side, outcome:% = outcome, detail:% = detail,
-                took_ms = took, steps:% = steps; "request served");
+            log::info!(id:% = id, side:% = side, route:% = route, service:% = service,
+                outcome:% = outcome, detail:% = detail, took_ms = took, steps:% = steps;
+                "request served");
         }
     }
 }
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -34,7 +34,9 @@
 impl Permit {
     /// Notes that the upstream has answered.
     pub(crate) fn answered(&mut self) {
-        self.took = Some(self.shared.now().saturating_sub(self.began));
+        let took = self.shared.now().saturating_sub(self.began);
+        self.shared.meters.served(&self.shared.settings.service, took);
+        self.took = Some(took);
     }
 }
 
@@ -53,11 +55,13 @@
 /// # Errors
 /// Why it may not, at once if that is certain; the request has not run then.
 pub(crate) async fn admit(shared: &Rc<Shared>, call: &Call) -> Result<Permit, Refusal> {
+    let came = shared.now();
     loop {
         wait_for_key(shared, call).await?;
         let permit = wait_for_slot(shared, call).await?;
         // The key may have gone while the request waited for its slot.
         if standing(shared, call.key) == Standing::Ready {
+            shared.meters.queued(&call.service, shared.now().saturating_sub(came));
             return Ok(permit);
         }
     }
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -60,24 +60,29 @@
 fn beat(shared: &Rc<Shared>, id: &str, body: &[u8]) -> Response<AnswerBody> {
     let beat = match read_heartbeat(body) {
         Ok(beat) => beat,
-        Err(error) => return reject(id, &error),
+        Err(error) => return reject(shared, id, &error),
     };
     let settings = &shared.settings;
     if beat.service != settings.service || beat.address != settings.upstream {
-        return reject(id, &"it speaks for another upstream");
+        return reject(shared, id, &"it speaks for another upstream");
     }
     let now = shared.now();
     let known = shared.upstream.state.borrow().life.as_ref().map(|life| life.kinship(id, &beat));
     match known {
         Some(Kinship::Predecessor) => {
+            shared.meters.heartbeat("ended life");
             log::info!(life:% = id, born = beat.born; "heartbeat of an ended life");
             return answer(StatusCode::CONFLICT, "{}".to_owned());
         }
         // What a later heartbeat said counts; this one renews nothing.
-        Some(Kinship::Overtaken) => return answer(StatusCode::OK, "{}".to_owned()),
+        Some(Kinship::Overtaken) => {
+            shared.meters.heartbeat("overtaken");
+            return answer(StatusCode::OK, "{}".to_owned());
+        }
         Some(Kinship::Newer) => {}
         Some(Kinship::Successor) | None => begin_life(shared, id, &beat, now),
     }
+    shared.meters.heartbeat("taken");
     take(shared, &beat, now);
     control::heard(shared, &beat);
     control::window(shared);
@@ -87,7 +92,8 @@
     answer(StatusCode::OK, granted)
 }
 
-fn reject(id: &str, reason: &dyn std::fmt::Display) -> Response<AnswerBody> {
+fn reject(shared: &Shared, id: &str, reason: &dyn std::fmt::Display) -> Response<AnswerBody> {
+    shared.meters.heartbeat("rejected");
     log::warn!(life:% = id, reason:% = reason; "heartbeat rejected");
     answer(StatusCode::BAD_REQUEST, "{}".to_owned())
 }
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -16,3 +16,4 @@
 pub(crate) use state::Standing;
 pub(crate) use state::Upstream;
 pub(crate) use state::UpstreamState;
+pub(crate) use state::describe;
--- a/crates/rattanarch_mesh/src/version/snapshot.rs
+++ b/crates/rattanarch_mesh/src/version/snapshot.rs
@@ -21,16 +21,6 @@
     pub(crate) records: BTreeMap<ServiceName, Version>,
 }
 
-impl Versions {
-    /// Whether `other` knows something newer.
-    pub(crate) fn is_behind(&self, other: &Self) -> bool {
-        let known = |service: &str| self.records.get(service).copied().unwrap_or_default();
-        self.configuration < other.configuration
-            || self.evacuated < other.evacuated
-            || other.records.iter().any(|(service, version)| known(service) < *version)
-    }
-}
-
 /// Parts of the shared state that are newer than what a peer asked with.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Snapshot {
--- /dev/null
+++ b/crates/rattanarch_placement/tests/slice_relief.rs
@@ -0,0 +1,64 @@
+//! Slices that a busy member gives away.
+
+use rattanarch_placement::MemberLoad;
+use rattanarch_placement::SliceLoad;
+use rattanarch_placement::relieve_slices;
+
+/// Part of a usual member's capacity that one request a second takes.
+const SHARE: f64 = 0.01;
+
+fn member(member: u64, used: f64) -> MemberLoad {
+    MemberLoad { member, used, share: SHARE }
+}
+
+fn slices(rates: &[f64]) -> Vec<SliceLoad> {
+    rates
+        .iter()
+        .enumerate()
+        .map(|(slice, rate)| SliceLoad { slice: slice as u16, rate: *rate })
+        .collect()
+}
+
+/// Members in balance, or idle ones, move nothing: each move costs the slice a heartbeat.
+#[test]
+fn calm_stays() {
+    let others = [member(2, 0.5), member(3, 0.6)];
+    assert!(relieve_slices(member(1, 0.6), &slices(&[20.0, 20.0, 20.0]), &others).is_empty());
+    let idle = [member(2, 0.0), member(3, 0.0)];
+    assert!(relieve_slices(member(1, 0.4), &slices(&[20.0, 20.0]), &idle).is_empty());
+}
+
+/// A member with many warm neighbours gives some of them to those with room, and ends near the mean.
+#[test]
+fn warm_neighbours() {
+    let others = [member(2, 0.2), member(3, 0.3), member(4, 0.5)];
+    let rates = [10.0; 10];
+    let moves = relieve_slices(member(1, 1.0), &slices(&rates), &others);
+    assert!(!moves.is_empty());
+    let given = moves.len() as f64 * 10.0 * SHARE;
+    assert!(given <= 0.5, "gives at most what is above the mean: {given}");
+    for (other, room) in [(2, 0.3), (3, 0.2)] {
+        let taken = moves.iter().filter(|(_, to)| *to == other).count() as f64 * 10.0 * SHARE;
+        assert!(taken <= room, "member {other} stays below the mean: {taken}");
+    }
+    assert!(moves.iter().all(|(_, to)| *to != 4));
+}
+
+/// One key hotter than any member's room stays; its neighbours go.
+#[test]
+fn hot_key_stays() {
+    let others = [member(2, 0.3), member(3, 0.3)];
+    let moves = relieve_slices(member(1, 1.2), &slices(&[100.0, 5.0, 5.0, 5.0, 5.0]), &others);
+    assert!(!moves.is_empty());
+    assert!(moves.iter().all(|(slice, _)| *slice != 0));
+}
+
+/// A slow machine takes less of the same slices.
+#[test]
+fn slow_receiver() {
+    let slow = MemberLoad { share: SHARE * 4.0, ..member(2, 0.3) };
+    let rates = [10.0; 10];
+    let to_slow = relieve_slices(member(1, 1.0), &slices(&rates), &[slow]).len();
+    let to_usual = relieve_slices(member(1, 1.0), &slices(&rates), &[member(2, 0.3)]).len();
+    assert!(to_slow < to_usual, "{to_slow} {to_usual}");
+}
--- /dev/null
+++ b/crates/rattanarch_process/tests/log_output.rs
@@ -0,0 +1,72 @@
+//! Log lines that never hold the process up. One test, since logging starts once in a process.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use std::time::Instant;
+
+use rattanarch_process::LogOptions;
+use rattanarch_process::dropped_lines;
+use rattanarch_process::start_logs;
+
+/// An output whose reader can be stuck.
+struct Output {
+    written: Arc<Mutex<Vec<u8>>>,
+    /// Each write waits for leave, until the sender is gone.
+    leave: Receiver<()>,
+}
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // A sender that is gone gives leave for good.
+        let _ = self.leave.recv();
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A reader that does not read costs lines, which are counted, and no time; each event keeps to its
+/// budget, and what tells of failures has the larger one.
+#[test]
+fn stuck_reader() {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let (leave, waits) = channel();
+    let out = Box::new(Output { written: Arc::clone(&written), leave: waits });
+    let common = vec![("instance", "slot-1".to_owned())];
+    start_logs(LogOptions { level: log::LevelFilter::Info, common, out }).unwrap();
+
+    let start = Instant::now();
+    for request in 0..5_000 {
+        log::warn!(id = request; "request not served");
+        log::info!(id = request; "request served");
+        log::debug!("never written");
+    }
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+    assert!(dropped_lines() > 9_000, "{}", dropped_lines());
+
+    drop(leave);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let count = |event: &str| {
+        let bytes = written.lock().unwrap();
+        String::from_utf8_lossy(&bytes).lines().filter(|line| line.contains(event)).count()
+    };
+    while count("not served") < 60 && Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(count("not served") > count("request served"), "failures go first");
+    let bytes = written.lock().unwrap();
+    let text = String::from_utf8_lossy(&bytes);
+    for line in text.lines() {
+        let fields: serde_json::Value = serde_json::from_str(line).expect("each line is JSON");
+        assert_eq!(fields["instance"], "slot-1");
+        assert!(fields["time"].is_u64() && fields["id"].is_u64());
+    }
+}
--- /dev/null
+++ b/crates/rattanarch_routing/tests/retry_share.rs
@@ -0,0 +1,49 @@
+//! What daemons repeat together.
+
+use std::time::Duration;
+
+use rattanarch_routing::RepeatKind;
+use rattanarch_routing::RetryBounds;
+use rattanarch_routing::RetryShare;
+
+const BOUNDS: RetryBounds = RetryBounds { ratio: 0.2, window: Duration::from_secs(10), slack: 60 };
+
+/// Plays `daemons` that each get `rate` requests a second and want to repeat every one of them;
+/// returns the most repeats in any window, and the requests in one.
+fn play(daemons: usize, rate: u64, kind: RepeatKind) -> (usize, u64) {
+    let mut shares = vec![RetryShare::new(BOUNDS); daemons];
+    let mut repeats = Vec::new();
+    for step in 0..rate * 30 {
+        let now = Duration::from_millis(step * 1_000 / rate);
+        for share in &mut shares {
+            share.earn(now);
+            if share.spend(now, daemons, kind) {
+                repeats.push(now);
+            }
+        }
+    }
+    let window = |start: &Duration| {
+        repeats.iter().filter(|at| *at >= start && **at < *start + BOUNDS.window).count()
+    };
+    let most = repeats.iter().map(window).max().unwrap_or_default();
+    (most, rate * daemons as u64 * 10)
+}
+
+/// Shares of any number of daemons add up to less than the bound.
+#[test]
+fn shares_add_up() {
+    for daemons in [1, 11, 60] {
+        let (most, requests) = play(daemons, 20, RepeatKind::Refused);
+        let allowed = requests as f64 * BOUNDS.ratio + f64::from(BOUNDS.slack);
+        assert!((most as f64) < allowed, "{daemons} daemons: {most} of {allowed}");
+        assert!(most as f64 > allowed / 4.0, "{daemons} daemons: {most} of {allowed}");
+    }
+}
+
+/// Repeats of what may have run leave room for those of their own calls.
+#[test]
+fn runs_take_less() {
+    let (runs, _) = play(11, 20, RepeatKind::Run);
+    let (refused, _) = play(11, 20, RepeatKind::Refused);
+    assert!(runs * 3 < refused * 2, "{runs} {refused}");
+}
--- /dev/null
+++ b/crates/rattanarch_routing/tests/routes.rs
@@ -0,0 +1,60 @@
+//! Which route and which service a request goes to.
+
+use std::time::Duration;
+
+use rattanarch_routing::Limits;
+use rattanarch_routing::Repeat;
+use rattanarch_routing::RouteTable;
+use rattanarch_routing::Rule;
+use rattanarch_routing::Target;
+
+fn rule(host: &str, prefix: &str, name: &str) -> Rule {
+    Rule {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Safe,
+        targets: vec![Target { service: name.to_owned(), weight: 1 }],
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        attempts: 2,
+        rank: 1,
+    }
+}
+
+fn found(table: &RouteTable, host: &str, path: &str) -> Option<String> {
+    table.find(host, path).map(|rule| rule.name.clone())
+}
+
+/// The longest prefix at the request's host wins; hosts are compared without port and case.
+#[test]
+fn longest_prefix() {
+    let rules = vec![
+        rule("a.example", "/maps/", "maps"),
+        rule("a.example", "/maps/north/", "north"),
+        rule("b.example", "/", "rest"),
+    ];
+    let table = RouteTable::new(3, rules, [], Limits::default());
+    assert_eq!(found(&table, "a.example", "/maps/south").as_deref(), Some("maps"));
+    assert_eq!(found(&table, "A.Example:8080", "/maps/north/1").as_deref(), Some("north"));
+    assert_eq!(found(&table, "a.example", "/maps/north").as_deref(), Some("maps"));
+    assert_eq!(found(&table, "a.example", "/mapsy/"), None);
+    assert_eq!(found(&table, "b.example", "/anything").as_deref(), Some("rest"));
+    assert_eq!(found(&table, "c.example", "/maps/"), None);
+}
+
+/// Each part of a split gets its share, and a part without weight gets nothing.
+#[test]
+fn split_shares() {
+    let mut split = rule("a.example", "/maps/", "maps");
+    let target = |service: &str, weight| Target { service: service.to_owned(), weight };
+    split.targets = vec![target("old", 90), target("none", 0), target("new", 10)];
+    let draws = (0..1_000_u64).map(|step| step * (u64::MAX / 1_000));
+    let services: Vec<_> = draws.filter_map(|draw| split.target(draw).cloned()).collect();
+    let count = |name: &str| services.iter().filter(|service| *service == name).count();
+    assert_eq!(services.len(), 1_000);
+    assert!((895..=905).contains(&count("old")), "{}", count("old"));
+    assert_eq!(count("none"), 0);
+    split.targets = vec![target("none", 0)];
+    assert_eq!(split.target(5), None);
+}
