--- /dev/null
+++ b/crates/rattanarchd/tests/mesh_losses.rs
@@ -0,0 +1,109 @@
+//! Losses on the platform: daemons, upstreams, the store.
+
+mod mesh_support;
+
+use std::thread;
+use std::time::Duration;
+
+use mesh_support::Site;
+use mesh_support::Upstream;
+use mesh_support::wait_until;
+
+/// No key is held by two upstreams at a time.
+fn assert_sole_holders(site: &Site) {
+    let mut held: Vec<_> = site.upstreams.iter().flat_map(Upstream::held).collect();
+    held.sort_unstable();
+    assert!(held.windows(2).all(|pair| pair[0].1 < pair[1].0), "{held:?}");
+}
+
+/// A machine that is lost without a word loses its keys to the others, never to two at a time.
+#[test]
+fn machine_lost() {
+    let mut site = Site::start(4, 0);
+    site.daemons[0].kill();
+    let mut lost = site.upstreams.remove(0);
+    lost.end();
+    wait_until("its keys are with others", || {
+        assert_sole_holders(&site);
+        site.held_keys() == 65_536
+    });
+}
+
+/// An upstream that crashes beside a living daemon is known to be gone, and its next life, cold and
+/// with no keys, is taken in.
+#[test]
+fn upstream_crash() {
+    let mut site = Site::start(3, 0);
+    let address = site.daemons[0].addresses;
+    site.upstreams[0].end();
+    wait_until("its keys are with others", || {
+        // Requests show that no one listens there any more.
+        site.ask(1, "/stock/crayfish", "x", 1);
+        site.ask(1, "/stock/crayfish", "x", 40_000);
+        site.upstreams[1].keys() + site.upstreams[2].keys() == 65_536
+    });
+    site.upstreams[0] =
+        Upstream::start("trade-desk", "i-desk-0-2", address.upstream, address.control);
+    wait_until("its next life holds keys", || site.upstreams[0].keys() > 0);
+    site.wait_served();
+    assert_sole_holders(&site);
+}
+
+/// While the store is away, daemons go on serving and renewing what is held; what changes meanwhile is
+/// taken up once it is back.
+#[test]
+fn store_away() {
+    let site = Site::start(3, 0);
+    site.store.set_down(true);
+    thread::sleep(Duration::from_secs(4));
+    assert_eq!(site.held_keys(), 65_536, "longer than a lease");
+    assert_eq!(site.ask(0, "/stock/crayfish", "s1", 9).status, 200);
+    site.store.set_down(false);
+    site.store.remove("config", "nothing");
+    site.store.put("evacuations", "centre-1", serde_json::json!({}));
+    wait_until("the data centre is empty", || {
+        site.upstreams[1].keys() == 0 && site.held_keys() == 65_536
+    });
+    site.store.remove("evacuations", "centre-1");
+    wait_until("it has keys again", || site.upstreams[1].keys() > 0);
+}
+
+/// A power loss of everything: new lives take up the record, and every fence is above those before.
+#[test]
+fn all_lost() {
+    let mut site = Site::start(3, 0);
+    let before = site.upstreams.iter().flat_map(Upstream::held).map(|held| held.2).max().unwrap();
+    for index in 0..3 {
+        site.daemons[index].kill();
+        site.upstreams[index].end();
+    }
+    for index in 0..3 {
+        site.daemons[index].restart();
+        let address = site.daemons[index].addresses;
+        let id = format!("i-desk-{index}-2");
+        site.upstreams[index] =
+            Upstream::start("trade-desk", &id, address.upstream, address.control);
+    }
+    site.wait_served();
+    assert_sole_holders(&site);
+    let fences = site.upstreams.iter().flat_map(Upstream::held).map(|held| held.2);
+    assert!(fences.min().unwrap() > before);
+}
+
+/// A daemon that the store turns away learns of a new configuration from its peers.
+#[test]
+fn history_forgotten() {
+    let site = Site::start(2, 0);
+    let mut configuration = site.store.get("config", "main").unwrap();
+    configuration["version"] = 9.into();
+    let rules = configuration["listeners"][0]["rules"].as_array_mut().unwrap();
+    rules[0]["match"]["path_prefix"] = "/prices/".into();
+    site.store.put("config", "main", configuration);
+    site.store.forget();
+    wait_until("the new route is in force everywhere", || {
+        (0..2).all(|daemon| {
+            site.ask(daemon, "/prices/crayfish", "p", 3).status == 200
+                && site.ask(daemon, "/stock/crayfish", "q", 3).status == 404
+        })
+    });
+}
--- /dev/null
+++ b/crates/rattanarchd/tests/mesh_serving.rs
@@ -0,0 +1,66 @@
+//! Requests through daemons on the platform.
+
+mod mesh_support;
+
+use mesh_support::Site;
+use mesh_support::wait_until;
+
+/// Any daemon serves any key, by the one upstream that holds it; the answer is the upstream's own.
+#[test]
+fn every_key_served() {
+    let site = Site::start(3, 1);
+    for (index, key) in (0..=u16::MAX).step_by(3_001).enumerate() {
+        let id = format!("a{index}");
+        let answer = site.ask(index % 4, "/stock/crayfish", &id, key);
+        assert_eq!((answer.status, answer.stamped), (200, true), "{answer:?}");
+        assert_eq!(answer.body, format!("answer to {id}"));
+    }
+    let runs: Vec<_> = site.upstreams.iter().flat_map(|upstream| upstream.runs()).collect();
+    assert_eq!(runs.len(), 22, "each ran once");
+    assert!(runs.iter().any(|run| run.caller == "pound-files"), "the caller's own service is told");
+}
+
+/// Requests that must not repeat arrive whole and once; services without keys serve anywhere.
+#[test]
+fn bodies_and_files() {
+    let site = Site::start(2, 2);
+    let answer = site.send(2, "/hold/batch", "b1", 77, "twelve crates");
+    assert_eq!((answer.status, answer.stamped), (200, true), "{answer:?}");
+    let runs: Vec<_> = site.upstreams.iter().flat_map(|upstream| upstream.runs()).collect();
+    assert_eq!((runs.len(), runs[0].body.as_slice()), (1, &b"twelve crates"[..]));
+    assert_eq!(site.ask(0, "/files/customs", "b2", 0).status, 200);
+    assert_eq!(site.ask(0, "/nowhere/", "b3", 0).status, 404);
+}
+
+/// An upstream that refuses a part of what it gets is asked again, within the budget; what it refused
+/// has not run.
+#[test]
+fn refusal_repeated() {
+    let site = Site::start(1, 0);
+    site.upstreams[0].refuse(1);
+    assert_eq!(site.ask(0, "/stock/crayfish", "c1", 5).status, 200);
+    site.upstreams[0].refuse(50);
+    let answer = site.send(0, "/hold/batch", "c2", 5, "one crate");
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.pause.is_some(), "it says when to come back");
+    assert_eq!(site.run_ids(), ["c1"]);
+}
+
+/// A failed request's lines and counters tell why.
+#[test]
+fn refusal_explained() {
+    let site = Site::start(1, 0);
+    site.upstreams[0].refuse(50);
+    site.ask(0, "/stock/crayfish", "d1", 5);
+    wait_until("the line is written", || {
+        let log = site.daemons[0].log();
+        log.lines().any(|line| {
+            line.contains("\"id\":\"d1\"")
+                && line.contains("upstream-refused")
+                && line.contains("life i-")
+        })
+    });
+    let metrics = site.metrics(0);
+    assert!(metrics.contains("reason=\"upstream-refused\""), "{metrics}");
+    assert!(metrics.contains("rattanarch_served_slices{} 4096"), "{metrics}");
+}
--- /dev/null
+++ b/crates/rattanarchd/tests/mesh_stop.rs
@@ -0,0 +1,80 @@
+//! Planned stops and departures on the platform.
+
+mod mesh_support;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mesh_support::Site;
+use mesh_support::wait_until;
+
+/// A daemon that is asked to stop says so at once, and gives every request that it has read its answer,
+/// also while others keep it busy.
+#[test]
+fn answers_before_end() {
+    let mut site = Site::start(2, 0);
+    for upstream in &site.upstreams {
+        upstream.set_work(Duration::from_millis(300));
+    }
+    site.daemons[0].stop();
+    let ready = site.daemons[0].addresses.ready;
+    wait_until("it is not ready", || !site.is_ready(ready));
+    let failures: Vec<_> = thread::scope(|scope| {
+        let site = &site;
+        let callers = (0..4).map(|caller| {
+            scope.spawn(move || {
+                let mut failures = Vec::new();
+                let end = Instant::now() + Duration::from_millis(6_500);
+                for step in 0_u16.. {
+                    if Instant::now() >= end {
+                        break;
+                    }
+                    // Through the other daemon, as peers do that have not heard of the stop.
+                    let id = format!("{caller}-{step}");
+                    let answer = site.ask(1, "/stock/crayfish", &id, step.wrapping_mul(4_099));
+                    let refused = answer.status == 503 && answer.pause.is_some();
+                    if !(answer.status == 200 && answer.stamped || refused) {
+                        failures.push(answer);
+                    }
+                }
+                failures
+            })
+        });
+        callers.collect::<Vec<_>>().into_iter().flat_map(|c| c.join().unwrap()).collect()
+    });
+    assert!(failures.is_empty(), "{failures:?}");
+    let status = site.daemons[0].wait(Duration::from_secs(4)).expect("it ends within its grace");
+    assert!(status.success());
+}
+
+/// A daemon that restarts beside a living upstream goes on where it was: keys stay where they are, under
+/// their fences.
+#[test]
+fn restart_keeps_keys() {
+    let mut site = Site::start(2, 0);
+    let before = site.upstreams[0].held();
+    site.daemons[0].kill();
+    site.daemons[0].restart();
+    let ready = site.daemons[0].addresses.ready;
+    wait_until("it is ready again", || site.is_ready(ready));
+    site.wait_served();
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(site.upstreams[0].held(), before);
+}
+
+/// An upstream that leaves gets nothing two seconds later, and its keys are served elsewhere.
+#[test]
+fn drained_upstream() {
+    let site = Site::start(3, 0);
+    site.upstreams[0].drain();
+    wait_until("its keys are with others", || {
+        site.upstreams[0].keys() == 0 && site.held_keys() == 65_536
+    });
+    let ran = site.upstreams[0].runs().len();
+    for key in (0..=u16::MAX).step_by(4_001) {
+        let answer = site.ask(0, "/stock/crayfish", &format!("k{key}"), key);
+        assert_eq!(answer.status, 200, "{key}: {answer:?}");
+    }
+    assert_eq!(site.upstreams[0].runs().len(), ran);
+}
--- /dev/null
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -0,0 +1,15 @@
+//! The platform in small: its store, upstreams that hold keys, and daemons as processes.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod daemon;
+mod site;
+mod store;
+mod upstream;
+
+pub use daemon::Daemon;
+
+pub use site::Site;
+pub use site::wait_until;
+pub use store::Store;
+
+pub use upstream::Upstream;
--- /dev/null
+++ b/crates/rattanarchd/tests/mesh_support/store.rs
@@ -0,0 +1,204 @@
+//! A stand-in for the platform's store.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use rouille::Request;
+use rouille::Response;
+use rouille::Server;
+use serde_json::Value;
+use serde_json::json;
+
+#[derive(Clone, Debug)]
+struct Change {
+    kind: String,
+    revision: u64,
+    object: Value,
+    removed: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+    history: Vec<Change>,
+    /// Whether every call is refused.
+    down: bool,
+    /// Calls whose path contains this text are refused.
+    refused: Option<String>,
+    calls: u64,
+}
+
+/// Objects by kind and name, with revisions and watches.
+pub struct Store {
+    pub address: SocketAddr,
+    shared: Arc<(Mutex<State>, Condvar)>,
+    stop: std::sync::mpsc::Sender<()>,
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let shared: Arc<(Mutex<State>, Condvar)> = Arc::default();
+        let served = Arc::clone(&shared);
+        let server = Server::new("127.0.0.1:0", move |request| serve(&served, request));
+        let server = server.expect("a port").pool_size(64);
+        let address = server.server_addr();
+        let (_, stop) = server.stoppable();
+        Self { address, shared, stop }
+    }
+
+    /// Writes an object as an operator does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.write(kind, name, spec);
+        self.shared.1.notify_all();
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.revision += 1;
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(object) = state.objects.remove(&key) {
+            let (kind, revision) = (kind.to_owned(), state.revision);
+            state.history.push(Change { kind, revision, object, removed: true });
+        }
+        self.shared.1.notify_all();
+    }
+
+    /// The spec of an object.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.shared.0.lock().unwrap();
+        let object = state.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        Some(object["spec"].clone())
+    }
+
+    /// Refuses every call, or answers again.
+    pub fn set_down(&self, down: bool) {
+        self.shared.0.lock().unwrap().down = down;
+        self.shared.1.notify_all();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.0.lock().unwrap().calls
+    }
+
+    /// Forgets the history, so that watches have to list again.
+    pub fn forget(&self) {
+        self.shared.0.lock().unwrap().history.clear();
+        self.shared.1.notify_all();
+    }
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        // A server that has ended needs no word.
+        let _ = self.stop.send(());
+    }
+}
+
+impl State {
+    fn write(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+        self.revision += 1;
+        let metadata = json!({ "name": name, "revision": self.revision });
+        let object = json!({ "metadata": metadata, "spec": spec, "status": null });
+        self.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
+        let change = Change {
+            kind: kind.to_owned(),
+            revision: self.revision,
+            object: object.clone(),
+            removed: false,
+        };
+        self.history.push(change);
+        object
+    }
+}
+
+fn serve(shared: &(Mutex<State>, Condvar), request: &Request) -> Response {
+    let mut state = shared.0.lock().unwrap();
+    state.calls += 1;
+    if state.down {
+        return Response::text("down").with_status_code(503);
+    }
+    let path: Vec<String> = request.url().split('/').skip(2).map(str::to_owned).collect();
+    let (kind, name) = (path[0].clone(), path.get(1).cloned());
+    match (request.method(), name) {
+        ("GET", Some(name)) => match state.objects.get(&(kind, name)) {
+            Some(object) => Response::json(object),
+            None => Response::empty_404(),
+        },
+        ("GET", None) => match request.get_param("watch") {
+            Some(from) => {
+                drop(state);
+                watch(shared, &kind, from.parse().unwrap(), request)
+            }
+            None => list(&state, &kind),
+        },
+        ("POST", None) => {
+            let object = body(request);
+            let name = object["metadata"]["name"].as_str().unwrap().to_owned();
+            if let Some(found) = state.objects.get(&(kind.clone(), name.clone())) {
+                return Response::json(found).with_status_code(409);
+            }
+            let object = state.write(&kind, &name, object["spec"].clone());
+            shared.1.notify_all();
+            Response::json(&object)
+        }
+        ("PUT", Some(name)) => {
+            let object = body(request);
+            let Some(found) = state.objects.get(&(kind.clone(), name.clone())) else {
+                return Response::empty_404();
+            };
+            let expected = &object["metadata"]["revision"];
+            if !expected.is_null() && *expected != found["metadata"]["revision"] {
+                return Response::json(found).with_status_code(409);
+            }
+            let object = state.write(&kind, &name, object["spec"].clone());
+            shared.1.notify_all();
+            Response::json(&object)
+        }
+        _ => Response::empty_400(),
+    }
+}
+
+fn body(request: &Request) -> Value {
+    let mut bytes = Vec::new();
+    request.data().unwrap().read_to_end(&mut bytes).unwrap();
+    serde_json::from_slice(&bytes).unwrap()
+}
+
+fn list(state: &State, kind: &str) -> Response {
+    let items: Vec<&Value> =
+        state.objects.iter().filter(|((k, _), _)| k == kind).map(|(_, object)| object).collect();
+    Response::json(&json!({ "items": items, "more": false, "as_of": state.revision }))
+}
+
+fn watch(shared: &(Mutex<State>, Condvar), kind: &str, from: u64, request: &Request) -> Response {
+    let wait = request.get_param("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+    let end = Instant::now() + Duration::from_millis(wait);
+    let mut state = shared.0.lock().unwrap();
+    loop {
+        if state.down {
+            return Response::text("down").with_status_code(503);
+        }
+        let first = state.history.first().map(|change| change.revision);
+        if first.is_none_or(|first| first > from + 1) && state.revision > from {
+            return Response::text("gone").with_status_code(410);
+        }
+        let fresh = state.history.iter().filter(|c| c.kind == kind && c.revision > from);
+        let events: Vec<Value> =
+            fresh.map(|c| json!({ "object": c.object, "removed": c.removed })).collect();
+        let left = end.saturating_duration_since(Instant::now());
+        if !events.is_empty() || left.is_zero() {
+            return Response::json(&json!({ "events": events, "as_of": state.revision }));
+        }
+        state = shared.1.wait_timeout(state, left).unwrap().0;
+    }
+}
