--- a/crates/rattanarchd/tests/mesh_stop.rs
+++ b/crates/rattanarchd/tests/mesh_stop.rs
@@ -22,7 +22,7 @@
     wait_until("it is not ready", || !site.is_ready(ready));
     let failures: Vec<_> = thread::scope(|scope| {
         let site = &site;
-        let callers = (0..4).map(|caller| {
+        let callers = (0..12).map(|caller| {
             scope.spawn(move || {
                 let mut failures = Vec::new();
                 let end = Instant::now() + Duration::from_millis(6_500);
