Never call a request refused that an earlier try may have run

Cause: after a try that may have run, a refused repeat was answered 503, which promises that the request has not run; and an upstream's own failure was replaced by a refusal. The outcome that says the most is now given: an answer, else the failure, else the refusal.

true_refusals fails without it (503 for 502).

--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -247,6 +247,8 @@
 impl Attempts<'_> {
     async fn run(&self) -> Outcome {
         let shared = &self.outbound.shared;
+        // What earlier tries came to: a request that one of them may have run was not refused.
+        let mut kept: Option<Outcome> = None;
         let mut tried: Vec<SocketAddr> = Vec::new();
         let mut arrivals = 0;
         let mut refusals = 0;
@@ -256,7 +258,7 @@
         loop {
             let target = match target::find(shared, self.call, &tried) {
                 Ok(target) => target,
-                Err(refusal) => return Outcome::Refused(refusal),
+                Err(refusal) => return Outcome::Refused(refusal).or_earlier(kept),
             };
             let outcome = self.send(target).await;
             self.note(target, &outcome);
@@ -276,8 +278,9 @@
                 }
             };
             if !again {
-                return outcome;
+                return outcome.or_earlier(kept);
             }
+            kept = Some(outcome.or_earlier(kept));
             tried.push(target.address);
             if self.call.key.is_some() {
                 // Only the owner can serve it.
--- a/crates/rattanarch_mesh/src/request/outcome.rs
+++ b/crates/rattanarch_mesh/src/request/outcome.rs
@@ -20,6 +20,27 @@
     Failed(Failure),
 }
 
+impl Outcome {
+    /// What a caller is told after several tries: this outcome of the last one, unless an earlier one
+    /// says more. An answer of an upstream says more than a failure, and a failure, after which the
+    /// request may have run, more than a refusal.
+    pub(crate) fn or_earlier(self, earlier: Option<Self>) -> Self {
+        match earlier {
+            Some(earlier) if earlier.weight() > self.weight() => earlier,
+            _ => self,
+        }
+    }
+
+    fn weight(&self) -> u8 {
+        match self {
+            Self::Refused(_) => 0,
+            Self::Failed(_) => 1,
+            Self::Answered(response) if response.status().is_server_error() => 2,
+            Self::Answered(_) => 3,
+        }
+    }
+}
+
 /// A refusal: the request has not run and will not.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Refusal {
--- a/crates/rattanarchd/tests/mesh_serving.rs
+++ b/crates/rattanarchd/tests/mesh_serving.rs
@@ -64,3 +64,20 @@
     assert!(metrics.contains("reason=\"upstream-refused\""), "{metrics}");
     assert!(metrics.contains("rattanarch_served_slices{} 4096"), "{metrics}");
 }
+
+/// A request that may have run is never said not to have run, whatever became of its repeat; and an
+/// answer that an upstream has given is delivered when its repeat is refused.
+#[test]
+fn true_refusals() {
+    let site = Site::start(1, 0);
+    site.upstreams[0].spoil(1);
+    site.upstreams[0].refuse_after(1, 50);
+    let answer = site.ask(0, "/stock/crayfish", "e1", 5);
+    assert_eq!(answer.status, 502, "{answer:?}");
+    site.upstreams[0].refuse(0);
+    site.upstreams[0].fail(1);
+    site.upstreams[0].refuse_after(1, 50);
+    let answer = site.ask(0, "/stock/crayfish", "e2", 5);
+    assert_eq!((answer.status, answer.stamped), (500, true), "{answer:?}");
+    assert_eq!(site.run_ids(), ["e1", "e2"]);
+}
--- a/crates/rattanarchd/tests/mesh_support/upstream.rs
+++ b/crates/rattanarchd/tests/mesh_support/upstream.rs
@@ -47,8 +47,12 @@
     work: Duration,
     /// Requests that are refused unrun, counted down.
     refusals: u32,
-    /// Answers that are broken off, counted down.
-    cuts: u32,
+    /// Requests that are taken before the refusals, counted down.
+    taken: u32,
+    /// Answers without a signature, counted down.
+    spoilt: u32,
+    /// Answers with status 500, counted down.
+    failures: u32,
     silent: bool,
 }
 
@@ -76,7 +80,9 @@
             runs: Vec::new(),
             work: Duration::from_millis(5),
             refusals: 0,
-            cuts: 0,
+            taken: 0,
+            spoilt: 0,
+            failures: 0,
             silent: false,
         }));
         let served = Arc::clone(&shared);
@@ -115,6 +121,22 @@
         self.state().refusals = count;
     }
 
+    /// Refuses `count` requests unrun after it has taken `taken`.
+    pub fn refuse_after(&self, taken: u32, count: u32) {
+        let mut state = self.state();
+        (state.taken, state.refusals) = (taken, count);
+    }
+
+    /// Gives the next `count` answers without a signature.
+    pub fn spoil(&self, count: u32) {
+        self.state().spoilt = count;
+    }
+
+    /// Answers the next `count` requests with status 500.
+    pub fn fail(&self, count: u32) {
+        self.state().failures = count;
+    }
+
     /// Says from now on that it leaves.
     pub fn drain(&self) {
         self.state().draining = true;
@@ -160,7 +182,7 @@
     let key = header("x-shard-key").parse().ok();
     let mut body = Vec::new();
     request.data().unwrap().read_to_end(&mut body).unwrap();
-    let (work, cut) = {
+    let (work, spoilt, failed) = {
         let mut state = shared.lock().unwrap();
         let now = Instant::now();
         let holds = |key: u16| state.held.iter().any(|h| h.0 <= key && key <= h.1 && now < h.3);
@@ -169,22 +191,27 @@
         if misdirected {
             return answer(&id, "misdirected").with_status_code(421);
         }
-        if state.refusals > 0 {
+        if state.taken > 0 {
+            state.taken -= 1;
+        } else if state.refusals > 0 {
             state.refusals -= 1;
             let refused = answer(&id, "full").with_status_code(503);
             return refused.with_additional_header("x-not-executed", "1");
         }
         let (method, caller) = (request.method().to_owned(), header("x-caller-service"));
         state.runs.push(Run { id: id.clone(), method, key, caller, body });
-        let cut = state.cuts > 0;
-        state.cuts = state.cuts.saturating_sub(1);
-        (state.work, cut)
+        let (spoilt, failed) = (state.spoilt > 0, state.failures > 0);
+        state.spoilt = state.spoilt.saturating_sub(1);
+        state.failures = state.failures.saturating_sub(1);
+        (state.work, spoilt, failed)
     };
     thread::sleep(work);
-    if cut {
+    if spoilt {
         return answer(&id, "unsigned");
     }
-    answer(&id, &format!("answer to {id}")).with_additional_header("x-response-stamp", "s.1")
+    let status = if failed { 500 } else { 200 };
+    let signed = answer(&id, &format!("answer to {id}")).with_status_code(status);
+    signed.with_additional_header("x-response-stamp", "s.1")
 }
 
 fn answer(id: &str, text: &str) -> Response {
