--- a/crates/rattanarch_admission/tests/gate.rs
+++ b/crates/rattanarch_admission/tests/gate.rs
@@ -52,7 +52,7 @@
         let mut shed = Vec::new();
         while ends.peek().is_some_and(|end| end.0.0 <= now) {
             let Some(std::cmp::Reverse((_, id))) = ends.pop() else { break };
-            let (request, began): (Request, Moment) = running.remove(&id).unwrap();
+            let (request, began): (Request, Moment) = running.remove(&id).expect("it runs");
             let answer = &mut got[usize::from(request.rank)];
             if now <= request.came + OBJECTIVE {
                 answer.in_time += 1;
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) use records::write_record;
 pub use run::StartError;
 pub use run::run;
+pub use run::settings_file;
 pub use settings::Settings;
 pub use settings::SettingsError;
 pub(crate) use shared::Shared;
--- a/crates/rattanarch_mesh/src/process/records.rs
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -108,7 +108,7 @@
 pub(crate) async fn write_record(shared: Rc<Shared>, record: Record) {
     let write_id = record.write_id;
     let outcome = match stored_revision(&shared, &record) {
-        Err(newer) => WriteOutcome::Conflict(newer),
+        Err(newer) => WriteOutcome::Conflict(Record::clone(&newer)),
         Ok(revision) => put(&shared, &record, revision).await,
     };
     shared.meters.record_write(name(&outcome));
@@ -131,11 +131,11 @@
 ///
 /// # Errors
 /// A newer record than that, if one is known.
-fn stored_revision(shared: &Shared, record: &Record) -> Result<u64, Record> {
+fn stored_revision(shared: &Shared, record: &Record) -> Result<u64, Rc<Record>> {
     let knowledge = shared.knowledge.borrow();
     let Some(known) = knowledge.known_record(&record.service) else { return Ok(0) };
     if known.record.version >= record.version {
-        return Err(Record::clone(&known.record));
+        return Err(Rc::clone(&known.record));
     }
     Ok(known.revision)
 }
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -3,9 +3,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
+use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use rattanarch_adapter::Store;
 use rattanarch_process::Clock;
@@ -56,6 +58,11 @@
     System(#[from] io::Error),
 }
 
+/// The settings file that the platform names; `None` where it has not started the process.
+pub fn settings_file() -> Option<PathBuf> {
+    std::env::var_os(rattanarch_adapter::SETTINGS_VARIABLE).map(PathBuf::from)
+}
+
 /// Runs the daemon with the settings file at `path` until it is asked to stop.
 ///
 /// # Errors
@@ -117,9 +124,20 @@
     }))
 }
 
-/// Reads the settings again when asked to. Addresses stay as they were at the start.
+/// Time between two looks at whether the settings file has changed: it may do so without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
+/// Reads the settings again when asked to, or when the file has changed. Addresses stay as they were
+/// at the start.
 async fn reload_settings(shared: Rc<Shared>, mut reload: Signal, path: PathBuf) {
-    while reload.recv().await.is_some() {
+    let mut seen = modified(&path);
+    loop {
+        let asked = tokio::time::timeout(SETTINGS_LOOK, reload.recv()).await.is_ok();
+        let now = modified(&path);
+        if !asked && now == seen {
+            continue;
+        }
+        seen = now;
         match Settings::read(&path) {
             Ok(settings) => {
                 shared.bounds.set(settings.bounds());
@@ -130,6 +148,11 @@
     }
 }
 
+/// When the file was last written; `None` if that can't be told.
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|file| file.modified()).ok()
+}
+
 /// Waits for the signal to stop, then until the process may end.
 async fn wait_for_stop(shared: &Rc<Shared>, mut stop: Signal) {
     stop.recv().await;
--- a/crates/rattanarch_mesh/src/request/call.rs
+++ b/crates/rattanarch_mesh/src/request/call.rs
@@ -6,6 +6,7 @@
 use hyper::Uri;
 use hyper::header;
 use hyper::header::HeaderName;
+use rattanarch_routing::AnswerSize;
 use rattanarch_types::Moment;
 use rattanarch_types::Rank;
 use rattanarch_types::ServiceName;
@@ -45,6 +46,8 @@
     /// When its caller is answered in any case.
     pub(crate) deadline: Moment,
     pub(crate) key: Option<u16>,
+    /// How large its answer is expected to be.
+    pub(crate) size: AnswerSize,
 }
 
 /// Removes the fields that concern one connection, and those that the `Connection` field names.
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use rattanarch_adapter::headers;
+use rattanarch_routing::AnswerSize;
 use rattanarch_types::Verdict;
 
 use crate::connection::AnswerBody;
@@ -68,6 +69,8 @@
         objective: now + mark.objective,
         deadline: now + mark.left,
         key: mark.key,
+        // It has found its instance.
+        size: AnswerSize::Small,
     })
 }
 
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -17,6 +17,8 @@
 use hyper::header;
 use rattanarch_adapter::headers;
 use rattanarch_process::random;
+use rattanarch_routing::AnswerSize;
+use rattanarch_routing::Repeat;
 use rattanarch_routing::RepeatKind;
 use rattanarch_routing::RetryBounds;
 use rattanarch_routing::RetryShare;
@@ -167,6 +169,10 @@
             objective: came + rule.objective.saturating_sub(spent),
             deadline: came + patience.min(rule.timeout),
             key,
+            size: match rule.repeat {
+                Repeat::Download => AnswerSize::Large,
+                Repeat::Safe | Repeat::Once => AnswerSize::Small,
+            },
             id,
         })
     }
--- a/crates/rattanarch_mesh/src/request/target.rs
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use rattanarch_process::random;
+use rattanarch_routing::AnswerSize;
 use rattanarch_routing::Candidate;
 use rattanarch_routing::choose;
 use rattanarch_types::BootId;
@@ -40,7 +41,7 @@
     let refuse = |reason: Reason| Err(Refusal::new(reason, reason.pause()));
     let Some(record) = record else { return refuse(Reason::NoInstance) };
     if record.slice_count() == 0 {
-        return free_choice(shared, &record, tried)
+        return free_choice(shared, &record, tried, call.size)
             .map(|(id, member)| target(shared, &record, id, member))
             .map_or_else(|| refuse(Reason::NoInstance), Ok);
     }
@@ -65,6 +66,7 @@
     shared: &Shared,
     record: &'a Rc<Record>,
     tried: &[SocketAddr],
+    size: AnswerSize,
 ) -> Option<(BootId, &'a Member)> {
     let now = shared.now();
     let evacuated = Rc::clone(shared.knowledge.borrow().evacuated());
@@ -83,7 +85,7 @@
     let members = if near.is_empty() { members } else { near };
     let candidates: Vec<Candidate> =
         members.iter().map(|(_, member)| candidate(shared, member)).collect();
-    choose(&candidates, random()).map(|index| members[index])
+    choose(&candidates, size, random()).map(|index| members[index])
 }
 
 fn candidate(shared: &Shared, member: &Member) -> Candidate {
--- a/crates/rattanarch_mesh/src/request/trail.rs
+++ b/crates/rattanarch_mesh/src/request/trail.rs
@@ -82,7 +82,7 @@
     fn is_sampled(&self) -> bool {
         let sample = u64::from(self.shared.settings.log.sample);
         // By the id, so that all daemons that a request passes choose the same requests.
-        sample > 0 && hash_key(&self.id) % sample == 0
+        sample > 0 && hash_key(&self.id).is_multiple_of(sample)
     }
 
     fn write(&self, outcome: &str, detail: &str, took: Duration, failed: bool) {
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -109,17 +109,7 @@
 
 async fn wait_for_slot(shared: &Rc<Shared>, call: &Call) -> Result<Permit, Refusal> {
     let (waiter, waiting) = oneshot::channel();
-    let now = shared.now();
-    let mut state = shared.upstream.state.borrow_mut();
-    state.gate.retain(|waiter| !waiter.is_closed());
-    let (rank, objective, deadline) = (call.rank, call.objective, call.deadline);
-    let offered = state.gate.offer(now, Wish { rank, objective, deadline, item: waiter });
-    drop(state);
-    if let Some(waiter) = offered.started {
-        start(shared, waiter);
-    }
-    refuse(offered.shed);
-    pump(shared);
+    offer(shared, call, waiter);
     match waiting.await {
         Ok(Ok(mut permit)) => {
             permit.take(call);
@@ -130,6 +120,21 @@
     }
 }
 
+/// Offers `call` to the gate, which starts or refuses it, or lets it wait.
+fn offer(shared: &Rc<Shared>, call: &Call, waiter: Waiter) {
+    let (rank, objective, deadline) = (call.rank, call.objective, call.deadline);
+    let wish = Wish { rank, objective, deadline, item: waiter };
+    let mut state = shared.upstream.state.borrow_mut();
+    state.gate.retain(|waiter| !waiter.is_closed());
+    let offered = state.gate.offer(shared.now(), wish);
+    drop(state);
+    if let Some(waiter) = offered.started {
+        start(shared, waiter);
+    }
+    refuse(offered.shed);
+    pump(shared);
+}
+
 impl Permit {
     /// Notes the request that the slot is for.
     fn take(&mut self, call: &Call) {
--- a/crates/rattanarch_process/tests/log_output.rs
+++ b/crates/rattanarch_process/tests/log_output.rs
@@ -24,7 +24,7 @@
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         // A sender that is gone gives leave for good.
         let _ = self.leave.recv();
-        self.written.lock().unwrap().extend_from_slice(bytes);
+        self.written.lock().expect("no writer panics").extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
--- a/crates/rattanarch_routing/src/lib.rs
+++ b/crates/rattanarch_routing/src/lib.rs
@@ -33,6 +33,7 @@
 mod table;
 
 pub use candidate::Candidate;
+pub use choice::AnswerSize;
 pub use choice::choose;
 pub use limits::Limits;
 pub use retry_share::RepeatKind;
--- a/crates/rattanarchd/src/main.rs
+++ b/crates/rattanarchd/src/main.rs
@@ -28,13 +28,10 @@
     platform: bool,
 }
 
-/// Names the settings file where the users' platform starts the daemon.
-const PLATFORM_SETTINGS: &str = "RATTANARCH_SETTINGS";
-
 fn main() -> ExitCode {
     let line = CommandLine::parse_args_default_or_exit();
     if line.platform {
-        return start_on_platform(line.config);
+        return start_on_platform(line.config, line.check);
     }
     let Some(file) = line.config else {
         eprintln!("rattanarchd: option \"--config FILE\" is missing");
@@ -54,14 +51,22 @@
     start(settings)
 }
 
-fn start_on_platform(config: Option<PathBuf>) -> ExitCode {
-    let Some(file) = config.or_else(|| std::env::var_os(PLATFORM_SETTINGS).map(PathBuf::from))
-    else {
-        eprintln!("rattanarchd: neither \"--config FILE\" nor {PLATFORM_SETTINGS} is set");
+fn start_on_platform(config: Option<PathBuf>, check: bool) -> ExitCode {
+    let Some(file) = config.or_else(rattanarch_mesh::settings_file) else {
+        eprintln!("rattanarchd: neither \"--config FILE\" nor the platform names settings");
         return ExitCode::from(BAD_SETTINGS);
     };
-    match rattanarch_mesh::run(file) {
+    let done = if check {
+        rattanarch_mesh::Settings::read(&file).map(|_| ()).map_err(Into::into)
+    } else {
+        rattanarch_mesh::run(file)
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
+        Err(rattanarch_mesh::StartError::Settings(error)) => {
+            eprintln!("rattanarchd: {error}");
+            ExitCode::from(BAD_SETTINGS)
+        }
         Err(error) => {
             eprintln!("rattanarchd: {error}");
             ExitCode::FAILURE
--- a/crates/rattanarchd/tests/mesh_input.rs
+++ b/crates/rattanarchd/tests/mesh_input.rs
@@ -13,14 +13,14 @@
 use serde_json::json;
 
 fn post(address: std::net::SocketAddr, path: &str, body: &str) -> String {
-    let mut stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+    stream.set_read_timeout(Some(Duration::from_secs(2))).expect("a valid time");
     write!(
         stream,
         "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     )
-    .unwrap();
+    .expect("the daemon reads");
     let mut answer = String::new();
     // A connection that ends early leaves what has come.
     let _ = stream.read_to_string(&mut answer);
@@ -66,10 +66,10 @@
 #[test]
 fn senseless_objects() {
     let site = Site::start(2, 0);
-    site.store.put("config", "main", json!({ "version": 99, "listeners": "none" }));
-    site.store.put("config", "other", json!({ "version": 100 }));
-    site.store.put("rattanarch-records", "elsewhere", json!({ "service": 5 }));
-    site.store.put("rattanarch-records", "nothing", json!(null));
+    site.store.put("config", "main", &json!({ "version": 99, "listeners": "none" }));
+    site.store.put("config", "other", &json!({ "version": 100 }));
+    site.store.put("rattanarch-records", "elsewhere", &json!({ "service": 5 }));
+    site.store.put("rattanarch-records", "nothing", &json!(null));
     wait_until("the daemon has said so", || {
         site.daemons.iter().all(|daemon| daemon.log().contains("configuration not understood"))
     });
@@ -85,7 +85,7 @@
     let mut record = site.store.get("rattanarch-records", "trade-desk").unwrap();
     record["service"] = "pound-files".into();
     record["owners"] = json!([]);
-    site.store.put("rattanarch-records", "pound-files", record);
+    site.store.put("rattanarch-records", "pound-files", &record);
     thread::sleep(Duration::from_millis(500));
     let answer = site.ask(0, "/files/customs", "r1", 3);
     assert_eq!(answer.status, 503, "{answer:?}");
--- a/crates/rattanarchd/tests/mesh_losses.rs
+++ b/crates/rattanarchd/tests/mesh_losses.rs
@@ -60,7 +60,7 @@
     assert_eq!(site.ask(0, "/stock/crayfish", "s1", 9).status, 200);
     site.store.set_down(false);
     site.store.remove("config", "nothing");
-    site.store.put("evacuations", "centre-1", serde_json::json!({}));
+    site.store.put("evacuations", "centre-1", &serde_json::json!({}));
     wait_until("the data centre is empty", || {
         site.upstreams[1].keys() == 0 && site.held_keys() == 65_536
     });
@@ -98,7 +98,7 @@
     configuration["version"] = 9.into();
     let rules = configuration["listeners"][0]["rules"].as_array_mut().unwrap();
     rules[0]["match"]["path_prefix"] = "/prices/".into();
-    site.store.put("config", "main", configuration);
+    site.store.put("config", "main", &configuration);
     site.store.forget();
     wait_until("the new route is in force everywhere", || {
         (0..2).all(|daemon| {
--- a/crates/rattanarchd/tests/mesh_support/site.rs
+++ b/crates/rattanarchd/tests/mesh_support/site.rs
@@ -66,7 +66,7 @@
     /// are held.
     pub fn start(desks: usize, files: usize) -> Self {
         let store = Store::start();
-        store.put("config", "main", configuration(5));
+        store.put("config", "main", &configuration(5));
         let mut site = Self::empty(store);
         for index in 0..desks {
             site.add("trade-desk", &format!("desk-{index}"), &format!("centre-{}", index % 3));
--- a/crates/rattanarchd/tests/mesh_support/store.rs
+++ b/crates/rattanarchd/tests/mesh_support/store.rs
@@ -54,7 +54,7 @@
     }
 
     /// Writes an object as an operator does.
-    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
         let mut state = self.shared.0.lock().unwrap();
         state.write(kind, name, spec);
         self.shared.1.notify_all();
@@ -105,7 +105,7 @@
 }
 
 impl State {
-    fn write(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+    fn write(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
         self.revision += 1;
         let metadata = json!({ "name": name, "revision": self.revision });
         let object = json!({ "metadata": metadata, "spec": spec, "status": null });
@@ -147,7 +147,7 @@
             if let Some(found) = state.objects.get(&(kind.clone(), name.clone())) {
                 return Response::json(found).with_status_code(409);
             }
-            let object = state.write(&kind, &name, object["spec"].clone());
+            let object = state.write(&kind, &name, &object["spec"]);
             shared.1.notify_all();
             Response::json(&object)
         }
@@ -160,7 +160,7 @@
             if !expected.is_null() && *expected != found["metadata"]["revision"] {
                 return Response::json(found).with_status_code(409);
             }
-            let object = state.write(&kind, &name, object["spec"].clone());
+            let object = state.write(&kind, &name, &object["spec"]);
             shared.1.notify_all();
             Response::json(&object)
         }
