Give up on peers that can't be reached any more

After 350 ms without an answer the daemon looks whether the peer can still be connected to; if not, idempotent requests are given up, and go elsewhere where they may. One that must not run twice waits on.

silent_machine fails first (504 after the deadline).

--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -1,5 +1,6 @@
 //! A request on its way to another daemon.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -52,15 +53,20 @@
     let Ok(mut link) = peer.pool.checkout(Checkout::Reuse).await else { return unreachable() };
     let left = call.deadline.saturating_sub(shared.now());
     let Some(request) = request(shared, peer, call, left) else { return unreachable() };
-    let sent = tokio::time::timeout(left + WAY_BACK, link.send(request)).await;
+    let sent = tokio::time::timeout(left + WAY_BACK, watched(peer, call, link.send(request))).await;
     match sent {
         Err(_) => {
             peer.note(shared.now(), false, None);
             Outcome::Failed(Failure::TimedOut)
         }
-        Ok(Ok(response)) => read(shared, peer, response, link),
-        Ok(Err(SendError::Unsent(_))) => unreachable(),
-        Ok(Err(SendError::Broken(reason))) => {
+        Ok(None) => {
+            peer.note(shared.now(), false, None);
+            peer.note_away(shared.now());
+            Outcome::Failed(Failure::Silent)
+        }
+        Ok(Some(Ok(response))) => read(shared, peer, response, link),
+        Ok(Some(Err(SendError::Unsent(_)))) => unreachable(),
+        Ok(Some(Err(SendError::Broken(reason)))) => {
             peer.note(shared.now(), false, None);
             if link.is_reused() {
                 peer.pool.clear();
@@ -70,6 +76,37 @@
     }
 }
 
+/// Waits for `sending`, and looks now and then whether the peer is still there; `None` once it is not.
+///
+/// A machine without power or behind a cut says nothing, and a request that waits for it until its
+/// deadline could have gone elsewhere. One that must not run twice waits: an answer may still come.
+async fn watched<T>(peer: &Peer, call: &Call, sending: impl Future<Output = T>) -> Option<T> {
+    let mut sending = std::pin::pin!(sending);
+    loop {
+        tokio::select! {
+            biased;
+            sent = &mut sending => return Some(sent),
+            () = tokio::time::sleep(SILENCE) => {}
+        }
+        tokio::select! {
+            biased;
+            sent = &mut sending => return Some(sent),
+            here = is_here(peer) => if !here && call.idempotent {
+                return None;
+            },
+        }
+    }
+}
+
+/// Whether a fresh connection to the peer can be opened.
+async fn is_here(peer: &Peer) -> bool {
+    let opened = peer.pool.checkout(Checkout::Fresh).await;
+    opened.map(|link| peer.pool.put_back(link)).is_ok()
+}
+
+/// Time without an answer after which a peer is looked at: longer than most requests take.
+const SILENCE: Duration = Duration::from_millis(350);
+
 /// When to come back if a daemon can't be reached: it may be starting.
 const RETURN_PAUSE: Duration = Duration::from_millis(400);
 
--- a/crates/rattanarch_mesh/src/request/outcome.rs
+++ b/crates/rattanarch_mesh/src/request/outcome.rs
@@ -67,6 +67,9 @@
     /// The deadline passed.
     #[display("timed-out")]
     TimedOut,
+    /// The daemon beside the upstream can't be reached any more.
+    #[display("silent")]
+    Silent,
     /// The connection failed, or the answer ended early.
     #[display("cut: {_0}")]
     Cut(String),
@@ -83,7 +86,7 @@
     pub(crate) fn status(&self) -> StatusCode {
         match self {
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::Cut(_) | Self::Crossed | Self::Spoilt => StatusCode::BAD_GATEWAY,
+            Self::Silent | Self::Cut(_) | Self::Crossed | Self::Spoilt => StatusCode::BAD_GATEWAY,
         }
     }
 }
--- a/crates/rattanarchd/tests/mesh_losses.rs
+++ b/crates/rattanarchd/tests/mesh_losses.rs
@@ -2,8 +2,13 @@
 
 mod mesh_support;
 
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use mesh_support::Site;
 use mesh_support::Upstream;
@@ -107,3 +112,54 @@
         })
     });
 }
+
+/// A listener whose machine falls silent after the first connection: its queue is full, so that further
+/// ones are not answered.
+fn falling_silent() -> SocketAddr {
+    use rustix::net::AddressFamily;
+    use rustix::net::SocketType;
+    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
+    let socket = socket.expect("a socket");
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    rustix::net::bind(&socket, &any).expect("a port");
+    rustix::net::listen(&socket, 0).expect("a listener");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("its address");
+    thread::spawn(move || {
+        let (first, _) = listener.accept().expect("a request");
+        let fill = |_| TcpStream::connect_timeout(&address, Duration::from_millis(100));
+        let filling: Vec<_> = (0..4).map(fill).collect();
+        thread::sleep(Duration::from_secs(10));
+        drop((first, filling, listener));
+    });
+    address
+}
+
+/// A request that waits for a machine which falls silent is not held until its deadline: it goes to
+/// another instance.
+#[test]
+fn silent_machine() {
+    let site = Site::start(1, 1);
+    let stored = || site.store.get("rattanarch-records", "pound-files");
+    wait_until("the instance is a member", || {
+        stored().is_some_and(|record| record["members"].as_array().is_some_and(|m| !m.is_empty()))
+    });
+    let mut record = stored().expect("a record");
+    let mut ghost = record["members"][0].clone();
+    ghost["boot"] = "5".into();
+    ghost["instance"] = "ghost".into();
+    ghost["data_centre"] = "centre-0".into();
+    ghost["caller"] = falling_silent().to_string().into();
+    ghost["witnesses"] = serde_json::json!([]);
+    record["version"] = (record["version"].as_u64().expect("a version") + 1).into();
+    record["members"].as_array_mut().expect("members").push(ghost);
+    // The instance that answers stands elsewhere, so that the silent one is tried first.
+    record["members"][0]["data_centre"] = "centre-9".into();
+    site.store.put("rattanarch-records", "pound-files", &record);
+    thread::sleep(Duration::from_millis(500));
+    let start = Instant::now();
+    let answer = site.ask(0, "/files/customs", "g1", 0);
+    assert_eq!((answer.status, answer.stamped), (200, true), "{answer:?}");
+    assert!(start.elapsed() < Duration::from_millis(1_200), "{:?}", start.elapsed());
+    assert!(start.elapsed() > Duration::from_millis(300), "the silent one was tried first");
+}
