--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -79,6 +79,7 @@
         // The caller has gone.
         return;
     }
+    let _open = shared.begin_connection();
     let mut phase = shared.phase.subscribe();
     let service = service_fn(|request| {
         let answer = Rc::clone(&handler).handle(request);
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -41,8 +41,11 @@
 /// Time between two looks at whether a stopping process may end.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
-/// Time in which connections end after the last request.
-const CLOSE_TIME: Duration = Duration::from_millis(150);
+/// Time between two looks at whether the last connections have ended.
+const CLOSE_LOOK: Duration = Duration::from_millis(10);
+
+/// Time before the end by force at which the process ends, whatever is still being written.
+const END_RESERVE: Duration = Duration::from_millis(150);
 
 /// Why the daemon could not start.
 #[derive(Debug, thiserror::Error)]
@@ -120,6 +123,7 @@
         peers: Peers::default(),
         phase,
         busy: Cell::new(0),
+        connections: Cell::new(0),
         settings,
     }))
 }
@@ -170,5 +174,9 @@
         }
         tokio::time::sleep(STOP_LOOK).await;
     }
-    tokio::time::sleep(CLOSE_TIME).await;
+    // Idle connections end at once, the others once their answers are written.
+    let end = asked + grace.saturating_sub(END_RESERVE);
+    while shared.connections.get() > 0 && shared.now() < end {
+        tokio::time::sleep(CLOSE_LOOK).await;
+    }
 }
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -39,6 +39,8 @@
     pub(crate) phase: watch::Sender<Phase>,
     /// Requests of callers and peers under way.
     pub(crate) busy: Cell<usize>,
+    /// Connections that others have opened. An answer is on its way until its connection ends.
+    pub(crate) connections: Cell<usize>,
 }
 
 /// Whether the store answers.
@@ -72,6 +74,12 @@
         }
     }
 
+    /// Counts a connection until the guard is dropped.
+    pub(crate) fn begin_connection(self: &Rc<Self>) -> ConnectionGuard {
+        self.connections.set(self.connections.get() + 1);
+        ConnectionGuard(Rc::clone(self))
+    }
+
     /// Counts a request until the guard is dropped.
     pub(crate) fn begin_request(self: &Rc<Self>) -> BusyGuard {
         self.busy.set(self.busy.get() + 1);
@@ -79,6 +87,15 @@
     }
 }
 
+/// An open connection.
+pub(crate) struct ConnectionGuard(Rc<Shared>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 /// A request under way.
 pub(crate) struct BusyGuard(Rc<Shared>);
 
