Answer connections that wait when a stopping daemon closes

Every answer of a stopping daemon ends its connection, so that peers open a new one for each request; those in the listener's queue at the end were reset, and their requests answered 502 though nobody had read them. Now what has connected is answered, and peers that are told of the stop send nothing there for a while. Counting connections until their end stays: the process needs it to know when the last answer is written.

--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -1,5 +1,6 @@
 //! Connections that others open.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
@@ -54,19 +55,30 @@
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let (shared, handler) = (Rc::clone(&shared), Rc::clone(&handler));
-                tokio::task::spawn_local(converse(shared, stream, options(), handler));
-            }
+            Ok((stream, _)) => begin(&shared, stream, options(), &handler),
             Err(error) => {
                 log::warn!(reason:% = error; "connection not accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    // Those that have connected already are answered too.
+    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        begin(&shared, stream, options(), &handler);
+    }
+}
+
+fn begin<H: Handler>(
+    shared: &Rc<Shared>,
+    stream: TcpStream,
+    options: ServerOptions,
+    handler: &Rc<H>,
+) {
+    let (shared, handler) = (Rc::clone(shared), Rc::clone(handler));
+    tokio::task::spawn_local(converse(shared, stream, options, handler));
 }
 
 async fn converse<H: Handler>(
@@ -81,7 +93,9 @@
     }
     let _open = shared.begin_connection();
     let mut phase = shared.phase.subscribe();
+    let called = Cell::new(false);
     let service = service_fn(|request| {
+        called.set(true);
         let answer = Rc::clone(&handler).handle(request);
         let shared = Rc::clone(&shared);
         async move {
@@ -103,9 +117,17 @@
         _ = &mut connection => return,
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
     }
+    if !called.get() {
+        // The first request may be on its way.
+        let _ = tokio::time::timeout(FIRST_LINGER, &mut connection).await;
+    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
 
+/// How long a connection without any request yet stays open when the process closes: a caller sends
+/// its request within a round trip.
+const FIRST_LINGER: Duration = Duration::from_millis(50);
+
 /// Smallest read buffer that the codec takes, in bytes.
 const MIN_BUFFER: usize = 8 << 10;
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -176,7 +176,11 @@
     }
     // Idle connections end at once, the others once their answers are written.
     let end = asked + grace.saturating_sub(END_RESERVE);
-    while shared.connections.get() > 0 && shared.now() < end {
+    loop {
+        // Listeners first take what has connected already.
         tokio::time::sleep(CLOSE_LOOK).await;
+        if shared.connections.get() == 0 || shared.now() >= end {
+            return;
+        }
     }
 }
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -40,6 +40,10 @@
             log::warn!(id:% = call.id, peer:% = peer.address; "peer not reached");
             peer.note_away(shared.now());
         }
+        // It ends within moments, and its successor needs some to start.
+        Outcome::Refused(refusal) if refusal.reason == Reason::Stopping => {
+            peer.note_away(shared.now());
+        }
         Outcome::Failed(failure) => {
             log::debug!(id:% = call.id, peer:% = peer.address, reason:% = failure; "peer failed");
         }
