Let refused requests of services without keys move; keep their key out of the forward mark

Cause: whether a request is bound to an owner was decided by the key header alone, but callers set one on requests to services without keys too. What an instance of such a service refused therefore went back to the same instance, up to three times, and was then refused although another one was free. Found by reading; a test then showed a second fault: the forward mark ended with an empty field for a request without a key, the space before it was lost on the way, and the next daemon answered 400, which the caller saw as 502. Requests without a key header to services without keys failed so at any instance but the local one.

Before: refusal_elsewhere fails with 503 (and, with the first part mended only, 502).

Also: a key's load was counted again for each wait for its slice; connections and requests are counted by one guard; the heartbeat's time is parsed once, with the settings; metric families are looked up by one function.

--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -91,7 +91,7 @@
         // The caller has gone.
         return;
     }
-    let _open = shared.begin_connection();
+    let _open = shared.connections.begin();
     let mut phase = shared.phase.subscribe();
     let called = Cell::new(false);
     let service = service_fn(|request| {
--- a/crates/rattanarch_mesh/src/control/relief.rs
+++ b/crates/rattanarch_mesh/src/control/relief.rs
@@ -45,7 +45,7 @@
 
 fn relief(shared: &Shared, now: Moment) -> BTreeMap<SliceId, BootId> {
     let control = shared.control.borrow();
-    let pause = shared.settings.heartbeat() * PAUSE_BEATS;
+    let pause = shared.settings.heartbeat * PAUSE_BEATS;
     let Some(me) = control.node.as_ref().map(|node| node.me()) else { return BTreeMap::new() };
     if now < control.relieved + pause || !control.quiescing.is_empty() {
         return BTreeMap::new();
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod settings;
 mod shared;
 mod stop;
+mod tally;
 
 pub(crate) use meters::RequestLabels;
 pub(crate) use records::learn_configuration;
@@ -22,3 +23,4 @@
 pub use settings::SettingsError;
 pub(crate) use shared::Shared;
 pub(crate) use stop::Phase;
+pub(crate) use tally::Tally;
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -28,6 +28,7 @@
 use crate::process::Settings;
 use crate::process::SettingsError;
 use crate::process::Shared;
+use crate::process::Tally;
 use crate::process::follower::Followed;
 use crate::process::follower::follow;
 use crate::process::listeners::listen;
@@ -107,7 +108,7 @@
 async fn share(settings: Settings) -> io::Result<Rc<Shared>> {
     let clock = Clock;
     let socket = PeerSocket::bind(settings.listen.datagrams).await?;
-    let timing = control::timing(settings.heartbeat());
+    let timing = control::timing(settings.heartbeat);
     let (phase, _) = watch::channel(Phase::Open);
     Ok(Rc::new(Shared {
         bounds: Cell::new(settings.bounds()),
@@ -122,8 +123,8 @@
         socket,
         peers: Peers::default(),
         phase,
-        busy: Cell::new(0),
-        connections: Cell::new(0),
+        busy: Tally::default(),
+        connections: Tally::default(),
         settings,
     }))
 }
--- a/crates/rattanarch_mesh/src/process/settings.rs
+++ b/crates/rattanarch_mesh/src/process/settings.rs
@@ -10,6 +10,8 @@
 use rattanarch_types::InstanceId;
 use rattanarch_types::ServiceName;
 use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::Error;
 
 /// Settings of a daemon, rendered by the platform from `deploy/settings.toml`. Unknown fields are
 /// ignored: the platform may add some.
@@ -24,7 +26,8 @@
     /// Address of the upstream.
     pub upstream: SocketAddr,
     /// Time between two heartbeats of the upstream, such as `870ms`.
-    pub heartbeat: String,
+    #[serde(deserialize_with = "duration")]
+    pub heartbeat: Duration,
     /// Where the daemon listens.
     pub listen: ListenSettings,
     /// Address of the platform's store.
@@ -115,12 +118,6 @@
         Ok(settings)
     }
 
-    /// Time between two heartbeats of the upstream.
-    pub fn heartbeat(&self) -> Duration {
-        // Checked when the settings were read.
-        parse_duration(&self.heartbeat).unwrap_or_default()
-    }
-
     /// Figures of the platform's rules.
     pub fn bounds(&self) -> Bounds {
         Bounds::read(&self.bounds)
@@ -128,12 +125,8 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         let value = |field, reason: String| Err(SettingsError::Value { field, reason });
-        match parse_duration(&self.heartbeat) {
-            Err(error) => return value("heartbeat", error.to_string()),
-            Ok(time) if time.is_zero() => {
-                return value("heartbeat", "must be longer than 0".to_owned());
-            }
-            Ok(_) => {}
+        if self.heartbeat.is_zero() {
+            return value("heartbeat", "must be longer than 0".to_owned());
         }
         if let Err(error) = self.log.level.parse::<log::LevelFilter>() {
             return value("log.level", error.to_string());
@@ -146,3 +139,8 @@
         Ok(())
     }
 }
+
+fn duration<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    parse_duration(&text).map_err(D::Error::custom)
+}
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::rc::Rc;
 
 use rattanarch_adapter::Bounds;
 use rattanarch_adapter::Store;
@@ -15,6 +14,7 @@
 use crate::control::PeerSocket;
 use crate::process::Phase;
 use crate::process::Settings;
+use crate::process::Tally;
 use crate::process::meters::Meters;
 use crate::request::Peers;
 use crate::upstream::Upstream;
@@ -38,9 +38,9 @@
     pub(crate) peers: Peers,
     pub(crate) phase: watch::Sender<Phase>,
     /// Requests of callers and peers under way.
-    pub(crate) busy: Cell<usize>,
+    pub(crate) busy: Tally,
     /// Connections that others have opened. An answer is on its way until its connection ends.
-    pub(crate) connections: Cell<usize>,
+    pub(crate) connections: Tally,
 }
 
 /// Whether the store answers.
@@ -73,34 +73,4 @@
             log::warn!(reason:% = reason, lasted_ms = lasted; "store lost");
         }
     }
-
-    /// Counts a connection until the guard is dropped.
-    pub(crate) fn begin_connection(self: &Rc<Self>) -> ConnectionGuard {
-        self.connections.set(self.connections.get() + 1);
-        ConnectionGuard(Rc::clone(self))
-    }
-
-    /// Counts a request until the guard is dropped.
-    pub(crate) fn begin_request(self: &Rc<Self>) -> BusyGuard {
-        self.busy.set(self.busy.get() + 1);
-        BusyGuard(Rc::clone(self))
-    }
-}
-
-/// An open connection.
-pub(crate) struct ConnectionGuard(Rc<Shared>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
-/// A request under way.
-pub(crate) struct BusyGuard(Rc<Shared>);
-
-impl Drop for BusyGuard {
-    fn drop(&mut self) {
-        self.0.busy.set(self.0.busy.get() - 1);
-    }
 }
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -37,7 +37,7 @@
         if request.uri().path() == control::STATE_PATH && !request.headers().contains_key(FORWARD) {
             return control::answer_pull(shared, request).await;
         }
-        let _busy = shared.begin_request();
+        let _busy = shared.busy.begin();
         let Some(mark) = ForwardMark::read(request.headers()) else {
             return answers::plain(StatusCode::BAD_REQUEST, "no forwarded request".to_owned());
         };
--- a/crates/rattanarch_mesh/src/request/mark.rs
+++ b/crates/rattanarch_mesh/src/request/mark.rs
@@ -22,14 +22,14 @@
 const LOAD: HeaderName = HeaderName::from_static("rattanarch-load");
 
 /// A forwarded request, beside what its own head says:
-/// `service origin rank objective-ms left-ms once|safe key`.
+/// `service origin rank objective-ms left-ms once|safe key|-`.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[display(
     "{service} {origin} {rank} {} {} {} {}",
     objective.as_millis(),
     left.as_millis(),
     if *idempotent { SAFE } else { ONCE },
-    key.map(|key| key.to_string()).unwrap_or_default()
+    key.map_or_else(|| NO_KEY.to_owned(), |key| key.to_string())
 )]
 pub(crate) struct ForwardMark {
     pub(crate) service: String,
@@ -46,6 +46,9 @@
 const SAFE: &str = "safe";
 const ONCE: &str = "once";
 
+/// Stands for a key: a space at the end of a header field would be lost on the way.
+const NO_KEY: &str = "-";
+
 impl ForwardMark {
     /// Reads the mark of a request; `None` if it has none that is whole.
     pub(crate) fn read(headers: &HeaderMap) -> Option<Self> {
@@ -59,7 +62,10 @@
             objective: Duration::from_millis(next()?.parse().ok()?),
             left: Duration::from_millis(next()?.parse().ok()?),
             idempotent: next()? == SAFE,
-            key: next()?.parse().ok(),
+            key: match next()? {
+                NO_KEY => None,
+                key => Some(key.parse().ok()?),
+            },
         })
     }
 }
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -82,7 +83,7 @@
 
 impl Handler for Outbound {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let _busy = self.shared.begin_request();
+        let _busy = self.shared.busy.begin();
         let came = self.shared.now();
         let id = headers::attempt_id(request.headers()).and_then(|id| id.to_str().ok());
         let trail = Trail::begin(&self.shared, id.unwrap_or_default(), "caller");
@@ -125,8 +126,7 @@
 ) -> Response<AnswerBody> {
     trail.note(format!("no route for {:?} in version {}", request.uri().path(), routes.version));
     let answer = answers::plain(StatusCode::NOT_FOUND, "no route".to_owned());
-    trail.end(&Outcome::Answered(answer));
-    answers::plain(StatusCode::NOT_FOUND, "no route".to_owned())
+    end(trail, Outcome::Answered(answer))
 }
 
 fn host(request: &Request<Incoming>) -> Option<String> {
@@ -154,7 +154,8 @@
         parts.headers.remove(header::CONTENT_LENGTH);
         let id = headers::attempt_id(&parts.headers).and_then(|id| id.to_str().ok());
         let id = id.unwrap_or_default().to_owned();
-        let key = headers::key(&parts.headers);
+        let service = rule.target(random()).cloned().unwrap_or_default();
+        let key = key_of(&parts.headers, &service, routes);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = path.parse().unwrap_or_else(|_| parts.uri.clone());
         Ok(Call {
@@ -162,7 +163,7 @@
             uri,
             headers: parts.headers,
             body,
-            service: rule.target(random()).cloned().unwrap_or_default(),
+            service,
             origin: self.shared.settings.service.clone(),
             rank: if self.is_call(&id) { CALL_RANK } else { rule.rank },
             idempotent: rule.repeat.is_idempotent(),
@@ -232,6 +233,13 @@
     }
 }
 
+/// The key that decides who serves a request of `service`; callers set one on requests to services
+/// without keys too.
+fn key_of(headers: &HeaderMap, service: &str, routes: &RouteTable) -> Option<u16> {
+    let keyed = routes.service(service).is_none_or(|service| service.keyed);
+    headers::key(headers).filter(|_| keyed)
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Response<AnswerBody>> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -56,6 +56,11 @@
 /// Why it may not, at once if that is certain; the request has not run then.
 pub(crate) async fn admit(shared: &Rc<Shared>, call: &Call) -> Result<Permit, Refusal> {
     let came = shared.now();
+    if let Some(key) = call.key {
+        let mut state = shared.upstream.state.borrow_mut();
+        let slice = state.slice(key);
+        state.meter.note(slice);
+    }
     loop {
         wait_for_key(shared, call).await?;
         let permit = wait_for_slot(shared, call).await?;
@@ -74,18 +79,13 @@
     let centre = &shared.settings.data_centre;
     let evacuated = shared.knowledge.borrow().evacuated().since(centre);
     let bounds = shared.bounds.get();
-    let beat = shared.settings.heartbeat();
+    let beat = shared.settings.heartbeat;
     let state = shared.upstream.state.borrow();
     state.standing(shared.now(), key, evacuated, (&bounds, beat))
 }
 
 async fn wait_for_key(shared: &Rc<Shared>, call: &Call) -> Result<(), Refusal> {
     let came = shared.now();
-    if let Some(key) = call.key {
-        let mut state = shared.upstream.state.borrow_mut();
-        let slice = state.slice(key);
-        state.meter.note(slice);
-    }
     let left = call.deadline.saturating_sub(came);
     let patience = came + left.mul_f64(KEY_PATIENCE);
     loop {
--- a/crates/rattanarch_mesh/tests/settings.rs
+++ b/crates/rattanarch_mesh/tests/settings.rs
@@ -27,7 +27,7 @@
 #[test]
 fn valid_settings() {
     let settings = Settings::parse(SETTINGS).expect("they are valid");
-    assert_eq!(settings.heartbeat(), Duration::from_millis(870));
+    assert_eq!(settings.heartbeat, Duration::from_millis(870));
     assert_eq!(settings.bounds().drain, Duration::from_millis(2_500));
     assert_eq!((settings.log.level.as_str(), settings.log.sample), ("info", 64));
 }
--- a/crates/rattanarch_process/src/metrics.rs
+++ b/crates/rattanarch_process/src/metrics.rs
@@ -1,13 +1,13 @@
 //! Counters and histograms, served as text.
 
 use std::cell::RefCell;
-use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Metric;
 use prometheus_client::registry::Registry;
 
 /// Labels of one series: names and values. Values come from settings and the configuration, never
@@ -43,50 +43,24 @@
 impl Metrics {
     /// Adds `count` to a counter.
     pub fn add(&self, name: &'static str, help: &str, labels: &Labels, count: u64) {
-        let mut inner = self.inner.borrow_mut();
-        let inner = &mut *inner;
-        let family = match inner.counters.iter().find(|(known, _)| *known == name) {
-            Some((_, family)) => family,
-            None => {
-                let family = Family::<Labels, Counter<u64, AtomicU64>>::default();
-                inner.registry.register(name, help, family.clone());
-                inner.counters.push((name, family));
-                &inner.counters[inner.counters.len() - 1].1
-            }
-        };
-        family.get_or_create(labels).inc_by(count);
+        let Inner { registry, counters, .. } = &mut *self.inner.borrow_mut();
+        let counter = family(counters, registry, name, help, Family::default);
+        counter.get_or_create(labels).inc_by(count);
     }
 
     /// Sets a gauge.
     pub fn set(&self, name: &'static str, help: &str, labels: &Labels, value: i64) {
-        let mut inner = self.inner.borrow_mut();
-        let inner = &mut *inner;
-        let family = match inner.gauges.iter().find(|(known, _)| *known == name) {
-            Some((_, family)) => family,
-            None => {
-                let family = Family::<Labels, Gauge<i64>>::default();
-                inner.registry.register(name, help, family.clone());
-                inner.gauges.push((name, family));
-                &inner.gauges[inner.gauges.len() - 1].1
-            }
-        };
-        family.get_or_create(labels).set(value);
+        let Inner { registry, gauges, .. } = &mut *self.inner.borrow_mut();
+        let gauge = family(gauges, registry, name, help, Family::default);
+        gauge.get_or_create(labels).set(value);
     }
 
     /// Notes a duration in seconds in a histogram.
     pub fn observe(&self, name: &'static str, help: &str, labels: &Labels, seconds: f64) {
-        let mut inner = self.inner.borrow_mut();
-        let inner = &mut *inner;
-        let family = match inner.histograms.iter().find(|(known, _)| *known == name) {
-            Some((_, family)) => family,
-            None => {
-                let family: Histograms = Family::new_with_constructor(|| Histogram::new(BUCKETS));
-                inner.registry.register(name, help, family.clone());
-                inner.histograms.push((name, family));
-                &inner.histograms[inner.histograms.len() - 1].1
-            }
-        };
-        family.get_or_create(labels).observe(seconds);
+        let Inner { registry, histograms, .. } = &mut *self.inner.borrow_mut();
+        let new = || Histograms::new_with_constructor(|| Histogram::new(BUCKETS));
+        let histogram = family(histograms, registry, name, help, new);
+        histogram.get_or_create(labels).observe(seconds);
     }
 
     /// All metrics in the usual text format.
@@ -97,3 +71,23 @@
         text
     }
 }
+
+/// The family called `name`, registered now if it was not used before.
+fn family<'a, F: Clone + Metric>(
+    families: &'a mut Vec<(&'static str, F)>,
+    registry: &mut Registry,
+    name: &'static str,
+    help: &str,
+    new: impl FnOnce() -> F,
+) -> &'a F {
+    let index = match families.iter().position(|(known, _)| *known == name) {
+        Some(index) => index,
+        None => {
+            let family = new();
+            registry.register(name, help, family.clone());
+            families.push((name, family));
+            families.len() - 1
+        }
+    };
+    &families[index].1
+}
--- a/crates/rattanarchd/tests/mesh_serving.rs
+++ b/crates/rattanarchd/tests/mesh_serving.rs
@@ -46,6 +46,24 @@
     assert_eq!(site.run_ids(), ["c1"]);
 }
 
+/// What an instance of a service without keys refuses goes to another one, though callers set the key
+/// on all their requests.
+#[test]
+fn refusal_elsewhere() {
+    let site = Site::start(1, 2);
+    for (daemon, refusing) in [(1, 1), (2, 2)] {
+        wait_until("both instances are known", || {
+            site.store.get("rattanarch-records", "pound-files").is_some_and(|record| {
+                record["members"].as_array().is_some_and(|members| members.len() == 2)
+            }) && site.ask(daemon, "/files/customs", "f0", 7).status == 200
+        });
+        site.upstreams[refusing].refuse(50);
+        let answer = site.ask(daemon, "/files/customs", &format!("f{daemon}"), 7);
+        assert_eq!((answer.status, answer.stamped), (200, true), "{answer:?}");
+        site.upstreams[refusing].refuse(0);
+    }
+}
+
 /// A failed request's lines and counters tell why.
 #[test]
 fn refusal_explained() {
