Move the stand-ins of the platform into platform/standins

Names of the platform's messages, headers and objects stood in the daemon's tests as well; they now stand under platform/ only, and the tests say what they mean (configure, take_out, put_record).

--- a/crates/rattanarchd/tests/mesh_input.rs
+++ b/crates/rattanarchd/tests/mesh_input.rs
@@ -2,45 +2,29 @@
 
 mod mesh_support;
 
-use std::io::Read;
-use std::io::Write;
-use std::net::TcpStream;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
 use mesh_support::Site;
 use mesh_support::wait_until;
+use rattanarch_adapter_standins::DESK;
+use rattanarch_adapter_standins::FILES;
+use rattanarch_adapter_standins::post;
+use rattanarch_adapter_standins::send_heartbeat;
+use rattanarch_adapter_standins::send_raw;
 use serde_json::json;
 
-fn post(address: std::net::SocketAddr, path: &str, body: &str) -> String {
-    let mut stream = TcpStream::connect(address).expect("the daemon listens");
-    stream.set_read_timeout(Some(Duration::from_secs(2))).expect("a valid time");
-    write!(
-        stream,
-        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-    .expect("the daemon reads");
-    let mut answer = String::new();
-    // A connection that ends early leaves what has come.
-    let _ = stream.read_to_string(&mut answer);
-    answer.lines().next().unwrap_or_default().to_owned()
-}
-
 /// Heartbeats of other writers are rejected, and the upstream's own go on counting.
 #[test]
 fn foreign_heartbeats() {
     let site = Site::start(1, 0);
     let control = site.daemons[0].addresses.control;
-    let path = "/Instances.Heartbeat/i-other";
     for body in ["", "{", "[]", "{\"address\":5}", "{\"address\":\"10.0.0.1:5\",\"info\":{}}"] {
-        assert!(post(control, path, body).contains(" 400 "), "{body:?}");
+        assert!(send_raw(control, "i-other", body).contains(" 400 "), "{body:?}");
     }
-    let other = json!({
-        "address": "10.0.0.1:5", "info": { "service": "trade-desk", "slots": 4 },
-        "status": { "state": "ready", "sequence": 1 }, "born": u64::MAX,
-    });
-    assert!(post(control, path, &other.to_string()).contains(" 400 "));
+    let elsewhere = SocketAddr::from(([10, 0, 0, 1], 5));
+    assert!(send_heartbeat(control, "i-other", elsewhere, u64::MAX).contains(" 400 "));
     assert!(post(control, "/elsewhere", "").contains(" 404 "));
     thread::sleep(Duration::from_millis(600));
     assert_eq!(site.held_keys(), 65_536);
@@ -51,11 +35,7 @@
 fn late_heartbeat() {
     let site = Site::start(1, 0);
     let addresses = site.daemons[0].addresses;
-    let old = json!({
-        "address": addresses.upstream, "info": { "service": "trade-desk", "slots": 4 },
-        "status": { "state": "draining", "sequence": 90 }, "born": 1000,
-    });
-    let answer = post(addresses.control, "/Instances.Heartbeat/i-desk-0-0", &old.to_string());
+    let answer = send_heartbeat(addresses.control, "i-desk-0-0", addresses.upstream, 1000);
     assert!(answer.contains(" 409 "), "{answer}");
     thread::sleep(Duration::from_millis(600));
     assert_eq!(site.held_keys(), 65_536);
@@ -66,10 +46,9 @@
 #[test]
 fn senseless_objects() {
     let site = Site::start(2, 0);
-    site.store.put("config", "main", &json!({ "version": 99, "listeners": "none" }));
-    site.store.put("config", "other", &json!({ "version": 100 }));
-    site.store.put("rattanarch-records", "elsewhere", &json!({ "service": 5 }));
-    site.store.put("rattanarch-records", "nothing", &json!(null));
+    site.store.misconfigure(99);
+    site.store.put_record("elsewhere", &json!({ "service": 5 }));
+    site.store.put_record("nothing", &json!(null));
     wait_until("the daemon has said so", || {
         site.daemons.iter().all(|daemon| daemon.log().contains("configuration not understood"))
     });
@@ -82,10 +61,10 @@
 #[test]
 fn reused_address() {
     let site = Site::start(1, 0);
-    let mut record = site.store.get("rattanarch-records", "trade-desk").unwrap();
-    record["service"] = "pound-files".into();
+    let mut record = site.store.record(DESK).unwrap();
+    record["service"] = FILES.into();
     record["owners"] = json!([]);
-    site.store.put("rattanarch-records", "pound-files", &record);
+    site.store.put_record(FILES, &record);
     thread::sleep(Duration::from_millis(500));
     let answer = site.ask(0, "/files/customs", "r1", 3);
     assert_eq!(answer.status, 503, "{answer:?}");
--- a/crates/rattanarchd/tests/mesh_losses.rs
+++ b/crates/rattanarchd/tests/mesh_losses.rs
@@ -11,8 +11,10 @@
 use std::time::Instant;
 
 use mesh_support::Site;
-use mesh_support::Upstream;
 use mesh_support::wait_until;
+use rattanarch_adapter_standins::DESK;
+use rattanarch_adapter_standins::FILES;
+use rattanarch_adapter_standins::Upstream;
 
 /// No key is held by two upstreams at a time.
 fn assert_sole_holders(site: &Site) {
@@ -47,8 +49,7 @@
         site.ask(1, "/stock/crayfish", "x", 40_000);
         site.upstreams[1].keys() + site.upstreams[2].keys() == 65_536
     });
-    site.upstreams[0] =
-        Upstream::start("trade-desk", "i-desk-0-2", address.upstream, address.control);
+    site.upstreams[0] = Upstream::start(DESK, "i-desk-0-2", address.upstream, address.control);
     wait_until("its next life holds keys", || site.upstreams[0].keys() > 0);
     site.wait_served();
     assert_sole_holders(&site);
@@ -64,12 +65,11 @@
     assert_eq!(site.held_keys(), 65_536, "longer than a lease");
     assert_eq!(site.ask(0, "/stock/crayfish", "s1", 9).status, 200);
     site.store.set_down(false);
-    site.store.remove("config", "nothing");
-    site.store.put("evacuations", "centre-1", &serde_json::json!({}));
+    site.store.take_out("centre-1");
     wait_until("the data centre is empty", || {
         site.upstreams[1].keys() == 0 && site.held_keys() == 65_536
     });
-    site.store.remove("evacuations", "centre-1");
+    site.store.take_in("centre-1");
     wait_until("it has keys again", || site.upstreams[1].keys() > 0);
 }
 
@@ -86,8 +86,7 @@
         site.daemons[index].restart();
         let address = site.daemons[index].addresses;
         let id = format!("i-desk-{index}-2");
-        site.upstreams[index] =
-            Upstream::start("trade-desk", &id, address.upstream, address.control);
+        site.upstreams[index] = Upstream::start(DESK, &id, address.upstream, address.control);
     }
     site.wait_served();
     assert_sole_holders(&site);
@@ -99,11 +98,7 @@
 #[test]
 fn history_forgotten() {
     let site = Site::start(2, 0);
-    let mut configuration = site.store.get("config", "main").unwrap();
-    configuration["version"] = 9.into();
-    let rules = configuration["listeners"][0]["rules"].as_array_mut().unwrap();
-    rules[0]["match"]["path_prefix"] = "/prices/".into();
-    site.store.put("config", "main", &configuration);
+    site.store.configure_prefix(9, "/prices/");
     site.store.forget();
     wait_until("the new route is in force everywhere", || {
         (0..2).all(|daemon| {
@@ -140,7 +135,7 @@
 #[test]
 fn silent_machine() {
     let site = Site::start(1, 1);
-    let stored = || site.store.get("rattanarch-records", "pound-files");
+    let stored = || site.store.record(FILES);
     wait_until("the instance is a member", || {
         stored().is_some_and(|record| record["members"].as_array().is_some_and(|m| !m.is_empty()))
     });
@@ -155,7 +150,7 @@
     record["members"].as_array_mut().expect("members").push(ghost);
     // The instance that answers stands elsewhere, so that the silent one is tried first.
     record["members"][0]["data_centre"] = "centre-9".into();
-    site.store.put("rattanarch-records", "pound-files", &record);
+    site.store.put_record(FILES, &record);
     thread::sleep(Duration::from_millis(500));
     let start = Instant::now();
     let answer = site.ask(0, "/files/customs", "g1", 0);
--- a/crates/rattanarchd/tests/mesh_serving.rs
+++ b/crates/rattanarchd/tests/mesh_serving.rs
@@ -4,6 +4,7 @@
 
 use mesh_support::Site;
 use mesh_support::wait_until;
+use rattanarch_adapter_standins::FILES;
 
 /// Any daemon serves any key, by the one upstream that holds it; the answer is the upstream's own.
 #[test]
@@ -17,7 +18,7 @@
     }
     let runs: Vec<_> = site.upstreams.iter().flat_map(|upstream| upstream.runs()).collect();
     assert_eq!(runs.len(), 22, "each ran once");
-    assert!(runs.iter().any(|run| run.caller == "pound-files"), "the caller's own service is told");
+    assert!(runs.iter().any(|run| run.caller == FILES), "the caller's own service is told");
 }
 
 /// Requests that must not repeat arrive whole and once; services without keys serve anywhere.
@@ -53,7 +54,7 @@
     let site = Site::start(1, 2);
     for (daemon, refusing) in [(1, 1), (2, 2)] {
         wait_until("both instances are known", || {
-            site.store.get("rattanarch-records", "pound-files").is_some_and(|record| {
+            site.store.record(FILES).is_some_and(|record| {
                 record["members"].as_array().is_some_and(|members| members.len() == 2)
             }) && site.ask(daemon, "/files/customs", "f0", 7).status == 200
         });
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -4,13 +4,6 @@
 
 mod daemon;
 mod site;
-mod store;
-mod upstream;
-
-pub use daemon::Daemon;
 
 pub use site::Site;
 pub use site::wait_until;
-pub use store::Store;
-
-pub use upstream::Upstream;
