--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -120,6 +120,7 @@
     let body = Limited::new(response.into_body(), MAX_STATE).collect().await;
     let body = body.map_err(|error| error.to_string())?.to_bytes();
     pool.put_back(link);
+    shared.meters.fetched(body.len());
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
 
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -70,6 +70,19 @@
         self.metrics.add("rattanarch_repeats", "Repeats asked of the retry budget", &labels, 1);
     }
 
+    /// Counts bytes of a request for `service` and its answer that went between data centres.
+    pub(crate) fn crossed(&self, service: &str, bytes: usize) {
+        let help = "Bytes of requests to, and answers of, daemons in other data centres";
+        let service = labels(&[("service", service)]);
+        self.metrics.add("rattanarch_crossed_bytes", help, &service, bytes as u64);
+    }
+
+    /// Counts bytes of state that were fetched from another daemon.
+    pub(crate) fn fetched(&self, bytes: usize) {
+        let help = "Bytes of state fetched from other daemons";
+        self.metrics.add("rattanarch_state_bytes", help, &Labels::new(), bytes as u64);
+    }
+
     /// Counts a heartbeat of the upstream.
     pub(crate) fn heartbeat(&self, outcome: &str) {
         let labels = labels(&[("outcome", outcome)]);
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -32,9 +34,17 @@
 const WAY_BACK: Duration = Duration::from_millis(60);
 
 /// Sends `call` to the daemon `peer`. Dropping the future ends the request there.
-pub(crate) async fn forward(shared: &Rc<Shared>, peer: &Rc<Peer>, call: &Call) -> Outcome {
+pub(crate) async fn forward(
+    shared: &Rc<Shared>,
+    peer: &Rc<Peer>,
+    call: &Call,
+    local: bool,
+) -> Outcome {
     let _sent = SentGuard::new(peer);
     let outcome = exchange(shared, peer, call).await;
+    if !local {
+        shared.meters.crossed(&call.service, bytes_of(call, &outcome));
+    }
     match &outcome {
         Outcome::Refused(refusal) if refusal.reason == Reason::Unreachable => {
             log::warn!(id:% = call.id, peer:% = peer.address; "peer not reached");
@@ -108,6 +118,25 @@
     opened.map(|link| peer.pool.put_back(link)).is_ok()
 }
 
+/// Bytes of a request and its answer, as far as their heads and bodies tell.
+fn bytes_of(call: &Call, outcome: &Outcome) -> usize {
+    let head = |headers: &HeaderMap| -> usize {
+        headers.iter().map(|(name, value)| name.as_str().len() + value.len() + FIELD_BYTES).sum()
+    };
+    let sent = call.uri.path().len() + head(&call.headers) + call.body.len();
+    let answer = match outcome {
+        Outcome::Answered(response) => {
+            let length = response.body().size_hint().exact().unwrap_or_default();
+            head(response.headers()) + length as usize
+        }
+        Outcome::Refused(_) | Outcome::Failed(_) => 0,
+    };
+    sent + answer
+}
+
+/// Bytes of a header field beside its name and value: a colon, a space and the line's end.
+const FIELD_BYTES: usize = 4;
+
 /// Time without an answer after which a peer is looked at: longer than most requests take.
 const SILENCE: Duration = Duration::from_millis(350);
 
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -313,7 +313,7 @@
             }
             return outcome;
         }
-        forward(shared, &shared.peers.get(target.address), self.call).await
+        forward(shared, &shared.peers.get(target.address), self.call, target.local).await
     }
 
     fn note(&self, target: Target, outcome: &Outcome) {
--- a/crates/rattanarch_mesh/src/request/target.rs
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -27,6 +27,8 @@
     pub(crate) member: BootId,
     /// Whether it is this process.
     pub(crate) own: bool,
+    /// Whether it stands in this data centre.
+    pub(crate) local: bool,
     /// Version of the record that says so.
     pub(crate) version: Version,
 }
@@ -58,7 +60,8 @@
 
 fn target(shared: &Shared, record: &Record, id: BootId, member: &Member) -> Target {
     let own = member.caller == shared.settings.listen.peers;
-    Target { address: member.caller, member: id, own, version: record.version }
+    let local = member.data_centre == shared.settings.data_centre;
+    Target { address: member.caller, member: id, own, local, version: record.version }
 }
 
 /// The best instance of a service without keys.
