Tell why the last instance refused; keep all lines of one in eight failed requests

At more than 60 refusals a second the lines of the daemons that a request passed were dropped each for itself; one in eight requests, chosen alike everywhere, has a budget of its own now (log_output could not be built before; its new check counts all 50 of them).

--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -273,7 +273,13 @@
         loop {
             let target = match target::find(shared, self.call, &tried) {
                 Ok(target) => target,
-                Err(refusal) => return Outcome::Refused(refusal).or_earlier(kept),
+                Err(refusal) => {
+                    return match kept {
+                        // No instance is left to try: what the last one said tells more.
+                        Some(kept) if refusal.reason == Reason::NoInstance => kept,
+                        kept => Outcome::Refused(refusal).or_earlier(kept),
+                    };
+                }
             };
             let outcome = self.send(target).await;
             self.note(target, &outcome);
--- a/crates/rattanarch_mesh/src/request/trail.rs
+++ b/crates/rattanarch_mesh/src/request/trail.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rattanarch_process::WHOLE;
 use rattanarch_types::Moment;
 use rattanarch_types::hash_key;
 
@@ -11,6 +12,10 @@
 use crate::process::Shared;
 use crate::request::Outcome;
 
+/// One in this many failed requests belongs to the sample whose lines have a budget of their own: at
+/// 500 refusals a second, the sample still fits it.
+const WHOLE_SAMPLE: u64 = 8;
+
 /// Decisions on one request. They are written together when it ends: all of them if it was refused
 /// or failed, or belongs to the sample of requests that ended well.
 pub(crate) struct Trail {
@@ -94,7 +99,10 @@
         let (id, side, took) = (&self.id, self.side, took.as_millis() as u64);
         let (route, service) = (self.route.borrow(), self.service.borrow());
         if failed {
-            log::warn!(id:% = id, side:% = side, route:% = route, service:% = service,
+            // By the id, so that every daemon that the request passes chooses alike.
+            let whole = hash_key(id).is_multiple_of(WHOLE_SAMPLE);
+            let target = if whole { WHOLE } else { module_path!() };
+            log::warn!(target: target, id:% = id, side:% = side, route:% = route, service:% = service,
                 outcome:% = outcome, detail:% = detail, took_ms = took, steps:% = steps;
                 "request not served");
         } else {
--- a/crates/rattanarch_process/src/budget.rs
+++ b/crates/rattanarch_process/src/budget.rs
@@ -20,24 +20,27 @@
 #[derive(Debug, Default)]
 pub(crate) struct Budget {
     began: Moment,
-    lines: HashMap<String, u32>,
+    /// By event: usual lines, and those about the sample of whole requests.
+    lines: [HashMap<String, u32>; 2],
 }
 
 impl Budget {
     /// Whether a line of `event` may be written at `now`.
-    pub(crate) fn take(&mut self, now: Moment, event: &str, level: Level) -> bool {
+    pub(crate) fn take(&mut self, now: Moment, line: (&str, bool), level: Level) -> bool {
         if now >= self.began + INTERVAL {
             self.began = now;
-            self.lines.clear();
+            self.lines.iter_mut().for_each(HashMap::clear);
         }
         let most = if level <= Level::Warn { FAILURE_LINES } else { USUAL_LINES };
-        match self.lines.get_mut(event) {
+        let (event, whole) = line;
+        let lines = &mut self.lines[usize::from(whole)];
+        match lines.get_mut(event) {
             Some(count) => {
                 *count += 1;
                 *count <= most
             }
             None => {
-                self.lines.insert(event.to_owned(), 1);
+                lines.insert(event.to_owned(), 1);
                 true
             }
         }
--- a/crates/rattanarch_process/src/lib.rs
+++ b/crates/rattanarch_process/src/lib.rs
@@ -17,6 +17,7 @@
 pub use clock::unix_ms;
 pub use logs::LogError;
 pub use logs::LogOptions;
+pub use logs::WHOLE;
 pub use logs::dropped_lines;
 pub use logs::start_logs;
 pub use metrics::Labels;
--- a/crates/rattanarch_process/src/logs.rs
+++ b/crates/rattanarch_process/src/logs.rs
@@ -25,6 +25,10 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Target of lines about a sample of requests that every process draws alike. They have a budget of
+/// their own, so that all lines of one such request are written while others are dropped.
+pub const WHOLE: &str = "rattanarch::whole";
+
 /// How to log.
 pub struct LogOptions {
     /// Least level that is written.
@@ -85,7 +89,8 @@
     fn log(&self, record: &Record<'_>) {
         let event = record.args().as_str().unwrap_or_else(|| record.target());
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        let granted = budget.take(Clock.now(), event, record.level());
+        let whole = record.target() == WHOLE;
+        let granted = budget.take(Clock.now(), (event, whole), record.level());
         drop(budget);
         if granted {
             self.inner.log(record);
--- a/crates/rattanarch_process/tests/log_output.rs
+++ b/crates/rattanarch_process/tests/log_output.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use rattanarch_process::LogOptions;
+use rattanarch_process::WHOLE;
 use rattanarch_process::dropped_lines;
 use rattanarch_process::start_logs;
 
@@ -47,6 +48,9 @@
     for request in 0..5_000 {
         log::warn!(id = request; "request not served");
         log::info!(id = request; "request served");
+        if request % 100 == 0 {
+            log::warn!(target: WHOLE, id = request, whole = true; "request not served");
+        }
         log::debug!("never written");
     }
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
@@ -58,10 +62,11 @@
         let bytes = written.lock().unwrap();
         String::from_utf8_lossy(&bytes).lines().filter(|line| line.contains(event)).count()
     };
-    while count("not served") < 60 && Instant::now() < deadline {
+    while count("not served") < 110 && Instant::now() < deadline {
         std::thread::sleep(Duration::from_millis(10));
     }
     assert!(count("not served") > count("request served"), "failures go first");
+    assert_eq!(count("\"whole\":true"), 50, "the sample of whole requests has a budget of its own");
     let bytes = written.lock().unwrap();
     let text = String::from_utf8_lossy(&bytes);
     for line in text.lines() {
--- a/crates/rattanarchd/tests/mesh_serving.rs
+++ b/crates/rattanarchd/tests/mesh_serving.rs
@@ -65,6 +65,22 @@
     }
 }
 
+/// When every instance of a service without keys has refused, the caller is told why, not that there is
+/// none.
+#[test]
+fn all_refuse() {
+    let site = Site::start(1, 2);
+    wait_until("both instances are known", || {
+        site.store.record(FILES).is_some_and(|record| {
+            record["members"].as_array().is_some_and(|members| members.len() == 2)
+        }) && site.ask(0, "/files/customs", "u0", 7).status == 200
+    });
+    site.upstreams[1].refuse(50);
+    site.upstreams[2].refuse(50);
+    let answer = site.ask(0, "/files/customs", "u1", 7);
+    assert_eq!((answer.status, answer.body.as_str()), (503, "upstream-refused"), "{answer:?}");
+}
+
 /// A failed request's lines and counters tell why.
 #[test]
 fn refusal_explained() {
