Test that calls of upstreams go before callers' requests

calls_first passes in three runs and fails when calls keep their route's rank (the call came last of eight). That was without a test since the mechanism came in.

--- a/crates/rattanarchd/tests/mesh_serving.rs
+++ b/crates/rattanarchd/tests/mesh_serving.rs
@@ -2,6 +2,9 @@
 
 mod mesh_support;
 
+use std::thread;
+use std::time::Duration;
+
 use mesh_support::Site;
 use mesh_support::wait_until;
 use rattanarch_adapter_standins::FILES;
@@ -81,6 +84,35 @@
     assert_eq!((answer.status, answer.body.as_str()), (503, "upstream-refused"), "{answer:?}");
 }
 
+/// A call that an upstream makes for a request that it runs goes before callers' requests: turned away,
+/// it would fail a request that holds a slot already.
+#[test]
+fn calls_first() {
+    let site = Site::start(1, 1);
+    wait_until("the instance is known", || site.ask(0, "/files/customs", "v0", 7).status == 200);
+    site.upstreams[0].set_work(Duration::from_millis(300));
+    site.upstreams[1].set_work(Duration::from_millis(1_500));
+    thread::scope(|scope| {
+        let ask = |daemon: usize, path: &'static str, id: String| {
+            scope.spawn({
+                let site = &site;
+                move || site.ask(daemon, path, &id, 7).status
+            });
+        };
+        ask(1, "/files/customs", "v1".to_owned());
+        thread::sleep(Duration::from_millis(50));
+        // Four run at once, the others wait.
+        for number in 0..7 {
+            ask(0, "/stock/crayfish", format!("w{number}"));
+        }
+        thread::sleep(Duration::from_millis(50));
+        ask(1, "/stock/crayfish", "v1.1".to_owned());
+    });
+    let ids: Vec<_> = site.upstreams[0].runs().into_iter().map(|run| run.id).collect();
+    let place = ids.iter().position(|id| id == "v1.1");
+    assert!(place.is_some_and(|place| place <= 4), "{ids:?}");
+}
+
 /// A failed request's lines and counters tell why.
 #[test]
 fn refusal_explained() {
