--- a/crates/rattanarchd/tests/mesh_support/site.rs
+++ b/crates/rattanarchd/tests/mesh_support/site.rs
@@ -23,7 +23,7 @@
     caller: Caller,
 }
 
-/// Waits until `holds`, and fails with `what` after ten seconds.
+/// Waits until `holds`, and fails with `what` after 15 s.
 pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + Duration::from_secs(15);
     while !holds() {
