--- a/crates/rattanarch_admission/src/gate.rs
+++ b/crates/rattanarch_admission/src/gate.rs
@@ -221,12 +221,6 @@
         if self.mean == 0.0 { FIRST_MEAN } else { Duration::from_secs_f64(self.mean) }
     }
 
-    /// Time until a request of `rank` that came now would start.
-    pub fn wait(&self, rank: Rank) -> Duration {
-        let free = self.running < self.slots && self.queue.is_empty();
-        if free { Duration::ZERO } else { self.queue.wait(rank) }
-    }
-
     /// Requests that end at once: the slots, or fewer while the pace of a cold upstream binds.
     fn set_pace(&mut self, now: Moment) {
         let mean = self.mean();
--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -13,7 +13,6 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header;
-use hyper::header::HeaderValue;
 use rattanarch_adapter::StoredRecord;
 use rattanarch_process::random;
 use rattanarch_types::Record;
@@ -26,6 +25,7 @@
 use crate::process::learn_configuration;
 use crate::process::learn_evacuated;
 use crate::process::learn_record;
+use crate::request::answers;
 use crate::version::Snapshot;
 use crate::version::Versions;
 
@@ -169,15 +169,10 @@
     let body = Limited::new(request.into_body(), MAX_STATE).collect().await;
     let versions = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
     let Some(versions): Option<Versions> = versions else {
-        let mut response = Response::new(AnswerBody::full(""));
-        *response.status_mut() = StatusCode::BAD_REQUEST;
-        return response;
+        return answers::plain(StatusCode::BAD_REQUEST, String::new());
     };
     let snapshot = shared.knowledge.borrow().newer(&versions);
     // Strings, numbers and lists always have a JSON form.
     let body = serde_json::to_vec(&snapshot).unwrap_or_default();
-    let mut response = Response::new(AnswerBody::full(body));
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response
+    answers::json(StatusCode::OK, body)
 }
--- a/crates/rattanarch_mesh/src/control/relief.rs
+++ b/crates/rattanarch_mesh/src/control/relief.rs
@@ -28,11 +28,7 @@
     let now = shared.now();
     shared.upstream.state.borrow_mut().meter.roll(now);
     let relief = relief(shared, now);
-    log::debug!(used_percent = (shared.upstream.state.borrow().used() * 100.0) as u64,
-        mean_ms = shared.upstream.state.borrow().gate.mean().as_millis() as u64,
-        running = shared.upstream.state.borrow().gate.running(),
-        waiting = shared.upstream.state.borrow().gate.waiting(),
-        served = shared.upstream.state.borrow().grants.served(now); "load");
+    log_load(shared, now);
     let slices = relief.len();
     step(shared, Event::Window { relief });
     // The node does not begin while it is not sure of the store; the next heartbeat tries again.
@@ -43,6 +39,13 @@
     }
 }
 
+fn log_load(shared: &Shared, now: Moment) {
+    let state = shared.upstream.state.borrow();
+    log::debug!(used_percent = (state.used() * 100.0) as u64,
+        mean_ms = state.gate.mean().as_millis() as u64, running = state.gate.running(),
+        waiting = state.gate.waiting(), served = state.grants.served(now); "load");
+}
+
 fn relief(shared: &Shared, now: Moment) -> BTreeMap<SliceId, BootId> {
     let control = shared.control.borrow();
     let pause = shared.settings.heartbeat * PAUSE_BEATS;
--- a/crates/rattanarch_mesh/src/process/listeners.rs
+++ b/crates/rattanarch_mesh/src/process/listeners.rs
@@ -19,6 +19,7 @@
 use crate::process::Shared;
 use crate::request::Inbound;
 use crate::request::Outbound;
+use crate::request::answers;
 use crate::upstream::HeartbeatHandler;
 
 /// Connections that may wait to be accepted: a burst of a second's requests.
@@ -83,11 +84,8 @@
     async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
         let shared = &self.0;
         let ready = shared.phase.borrow().is_open() && shared.knowledge.borrow().routes().is_some();
-        let mut response = Response::new(AnswerBody::full(""));
-        if !ready {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        }
-        response
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        answers::plain(status, String::new())
     }
 }
 
--- a/crates/rattanarch_mesh/src/request/answers.rs
+++ b/crates/rattanarch_mesh/src/request/answers.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header;
+use hyper::header::HeaderValue;
 use rattanarch_adapter::headers::set_retry_after;
 use rattanarch_process::random;
 
@@ -24,6 +27,15 @@
     response
 }
 
+/// An answer with `status` and a body in JSON.
+pub(crate) fn json(status: StatusCode, body: impl Into<Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::full(body));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
 /// The answer to a request that has not run.
 pub(crate) fn refused(refusal: Refusal) -> Response<AnswerBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.to_string());
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
+use rattanarch_adapter::headers;
 use rattanarch_types::Verdict;
 
 use crate::connection::AnswerBody;
@@ -178,7 +179,7 @@
     };
     let good = mark.verdict == Verdict::Done && !parts.status.is_server_error();
     peer.note(shared.now(), good, mark.load);
-    let pause = retry_after(&parts.headers);
+    let pause = headers::retry_after(&parts.headers);
     let body = AnswerBody::relayed(body, link, Rc::clone(&peer.pool));
     match mark.verdict {
         Verdict::Done => {
@@ -197,11 +198,6 @@
     }
 }
 
-fn retry_after(headers: &hyper::HeaderMap) -> Option<Duration> {
-    let seconds: f64 = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
-}
-
 /// Counts a request that was sent to a peer, until its answer has begun.
 struct SentGuard<'a>(&'a Peer);
 
--- a/crates/rattanarch_mesh/src/request/mod.rs
+++ b/crates/rattanarch_mesh/src/request/mod.rs
@@ -1,6 +1,6 @@
 //! What lives as long as a request.
 
-mod answers;
+pub(crate) mod answers;
 mod call;
 mod forward;
 mod inbound;
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -88,13 +88,11 @@
         let id = headers::attempt_id(request.headers()).and_then(|id| id.to_str().ok());
         let trail = Trail::begin(&self.shared, id.unwrap_or_default(), "caller");
         if !self.shared.phase.borrow().serves() {
-            let reason = Reason::Stopping;
-            return end(&trail, Outcome::Refused(Refusal::new(reason, reason.pause())));
+            return end(&trail, Outcome::Refused(Reason::Stopping.into()));
         }
         let routes = self.shared.knowledge.borrow().routes().cloned();
         let Some(routes) = routes else {
-            let reason = Reason::NoConfiguration;
-            return end(&trail, Outcome::Refused(Refusal::new(reason, reason.pause())));
+            return end(&trail, Outcome::Refused(Reason::NoConfiguration.into()));
         };
         let rule = host(&request).and_then(|host| routes.find(&host, request.uri().path()));
         let Some(rule) = rule else { return no_route(&trail, &request, &routes) };
--- a/crates/rattanarch_mesh/src/request/outcome.rs
+++ b/crates/rattanarch_mesh/src/request/outcome.rs
@@ -51,6 +51,13 @@
     pub(crate) arrived: bool,
 }
 
+impl From<Reason> for Refusal {
+    /// A refusal of which nothing more is known than its reason.
+    fn from(reason: Reason) -> Self {
+        Self::new(reason, reason.pause())
+    }
+}
+
 impl Refusal {
     pub(crate) fn new(reason: Reason, pause: Duration) -> Self {
         Self { reason, pause, arrived: false }
--- a/crates/rattanarch_mesh/src/request/target.rs
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -40,17 +40,16 @@
 /// Why there is none; the request has not run.
 pub(crate) fn find(shared: &Shared, call: &Call, tried: &[SocketAddr]) -> Result<Target, Refusal> {
     let record = shared.knowledge.borrow().record(&call.service).cloned();
-    let refuse = |reason: Reason| Err(Refusal::new(reason, reason.pause()));
-    let Some(record) = record else { return refuse(Reason::NoInstance) };
+    let Some(record) = record else { return Err(Reason::NoInstance.into()) };
     if record.slice_count() == 0 {
         return free_choice(shared, &record, tried, call.size)
             .map(|(id, member)| target(shared, &record, id, member))
-            .map_or_else(|| refuse(Reason::NoInstance), Ok);
+            .ok_or_else(|| Reason::NoInstance.into());
     }
-    let Some(key) = call.key else { return refuse(Reason::NoKey) };
+    let Some(key) = call.key else { return Err(Reason::NoKey.into()) };
     let owner = record.owner_of(UpstreamState::hash(key));
     let found = owner.and_then(|id| Some((id, record.members.get(&id)?)));
-    let Some((id, member)) = found else { return refuse(Reason::Unowned) };
+    let Some((id, member)) = found else { return Err(Reason::Unowned.into()) };
     let target = target(shared, &record, id, member);
     match shared.peers.get(target.address).away(shared.now()).filter(|_| !target.own) {
         Some(left) => Err(Refusal::new(Reason::Silent, left)),
@@ -59,9 +58,23 @@
 }
 
 fn target(shared: &Shared, record: &Record, id: BootId, member: &Member) -> Target {
-    let own = member.caller == shared.settings.listen.peers;
-    let local = member.data_centre == shared.settings.data_centre;
-    Target { address: member.caller, member: id, own, local, version: record.version }
+    Target {
+        address: member.caller,
+        member: id,
+        own: is_own(shared, member),
+        local: is_local(shared, member),
+        version: record.version,
+    }
+}
+
+/// Whether `member` is this process.
+fn is_own(shared: &Shared, member: &Member) -> bool {
+    member.caller == shared.settings.listen.peers
+}
+
+/// Whether `member` stands in this data centre.
+fn is_local(shared: &Shared, member: &Member) -> bool {
+    member.data_centre == shared.settings.data_centre
 }
 
 /// The best instance of a service without keys.
@@ -81,8 +94,7 @@
     let members = record.members.iter().map(|(id, member)| (*id, member));
     let members: Vec<(BootId, &Member)> = members.filter(fit).collect();
     let is_near = |(_, member): &(BootId, &Member)| {
-        let own = member.caller == shared.settings.listen.peers;
-        own || shared.peers.get(member.caller).away(now).is_none()
+        is_own(shared, member) || shared.peers.get(member.caller).away(now).is_none()
     };
     let near: Vec<(BootId, &Member)> = members.iter().copied().filter(is_near).collect();
     let members = if near.is_empty() { members } else { near };
@@ -94,8 +106,8 @@
 fn candidate(shared: &Shared, member: &Member) -> Candidate {
     let now = shared.now();
     let slots = u32::from(member.slots);
-    if member.caller != shared.settings.listen.peers {
-        let local = member.data_centre == shared.settings.data_centre;
+    if !is_own(shared, member) {
+        let local = is_local(shared, member);
         return shared.peers.get(member.caller).candidate(now, local, slots);
     }
     let state = shared.upstream.state.borrow();
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -92,7 +92,7 @@
         let changed = shared.changed.notified();
         let (reason, next) = match standing(shared, call.key) {
             Standing::Ready => return Ok(()),
-            Standing::Never(reason) => return Err(Refusal::new(reason, reason.pause())),
+            Standing::Never(reason) => return Err(reason.into()),
             Standing::Later(reason, next) => (reason, next),
         };
         let now = shared.now();
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -46,7 +46,7 @@
 pub(crate) async fn run(shared: &Rc<Shared>, call: &Rc<Call>) -> Outcome {
     if call.service != shared.settings.service {
         // A daemon of another service had this address, and may still stand in that one's record.
-        return Outcome::Refused(Refusal::new(Reason::OtherService, Reason::OtherService.pause()));
+        return Outcome::Refused(Reason::OtherService.into());
     }
     let permit = match admit(shared, call).await {
         Ok(permit) => permit,
@@ -72,7 +72,7 @@
         return Outcome::Refused(Refusal::new(Reason::Overloaded, Duration::ZERO));
     }
     let Some(request) = request(&shared, &call, left) else {
-        return Outcome::Refused(Refusal::new(Reason::NoUpstream, Reason::NoUpstream.pause()));
+        return Outcome::Refused(Refusal::from(Reason::NoUpstream));
     };
     let reused = link.is_reused();
     let sent = within(left, link.send(request)).await;
@@ -101,7 +101,7 @@
             note_refused(shared);
         }
         log::warn!(id:% = call.id, reason:% = error; "upstream not connected");
-        Refusal::new(Reason::NoUpstream, Reason::NoUpstream.pause())
+        Refusal::from(Reason::NoUpstream)
     })
 }
 
@@ -168,14 +168,14 @@
 /// The upstream's own refusal.
 fn refusal(shared: &Shared, call: &Call, head: &AnswerHead) -> Refusal {
     if !head.misdirected {
-        return Refusal::new(Reason::UpstreamRefused, Reason::UpstreamRefused.pause()).arrived();
+        return Refusal::from(Reason::UpstreamRefused).arrived();
     }
     let mut state = shared.upstream.state.borrow_mut();
     if let Some(key) = call.key {
         let slice = state.slice(key);
         state.grants.refused(slice);
     }
-    Refusal::new(Reason::NoGrant, Reason::NoGrant.pause()).arrived()
+    Refusal::from(Reason::NoGrant).arrived()
 }
 
 async fn within<T>(left: Duration, future: impl Future<Output = T>) -> Option<T> {
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -8,8 +8,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header;
-use hyper::header::HeaderValue;
 use rattanarch_adapter::Grant;
 use rattanarch_adapter::GrantAnswer;
 use rattanarch_adapter::Heartbeat;
@@ -24,6 +22,7 @@
 use crate::connection::Handler;
 use crate::control;
 use crate::process::Shared;
+use crate::request::answers;
 use crate::upstream::Life;
 use crate::upstream::UpstreamState;
 use crate::upstream::life::Kinship;
@@ -39,24 +38,16 @@
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let call = upstream_call(request.uri().path());
         let body = Limited::new(request.into_body(), MAX_BEAT).collect().await;
-        let Ok(body) = body else { return answer(StatusCode::BAD_REQUEST, String::new()) };
+        let Ok(body) = body else { return answers::json(StatusCode::BAD_REQUEST, String::new()) };
         let body = body.to_bytes();
         match call {
             Some(UpstreamCall::Heartbeat(id)) => beat(&self.0, &id, &body),
             Some(UpstreamCall::Leave(id)) => leave(&self.0, &id),
-            None => answer(StatusCode::NOT_FOUND, String::new()),
+            None => answers::json(StatusCode::NOT_FOUND, String::new()),
         }
     }
 }
 
-fn answer(status: StatusCode, body: String) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::full(body));
-    *response.status_mut() = status;
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response
-}
-
 fn beat(shared: &Rc<Shared>, id: &str, body: &[u8]) -> Response<AnswerBody> {
     let beat = match read_heartbeat(body) {
         Ok(beat) => beat,
@@ -72,12 +63,12 @@
         Some(Kinship::Predecessor) => {
             shared.meters.heartbeat("ended life");
             log::info!(life:% = id, born = beat.born; "heartbeat of an ended life");
-            return answer(StatusCode::CONFLICT, "{}".to_owned());
+            return answers::json(StatusCode::CONFLICT, "{}".to_owned());
         }
         // What a later heartbeat said counts; this one renews nothing.
         Some(Kinship::Overtaken) => {
             shared.meters.heartbeat("overtaken");
-            return answer(StatusCode::OK, "{}".to_owned());
+            return answers::json(StatusCode::OK, "{}".to_owned());
         }
         Some(Kinship::Newer) => {}
         Some(Kinship::Successor) | None => begin_life(shared, id, &beat, now),
@@ -89,13 +80,13 @@
     shared.changed.notify_waiters();
     pump(shared);
     let granted = grant(shared, beat.sequence);
-    answer(StatusCode::OK, granted)
+    answers::json(StatusCode::OK, granted)
 }
 
 fn reject(shared: &Shared, id: &str, reason: &dyn std::fmt::Display) -> Response<AnswerBody> {
     shared.meters.heartbeat("rejected");
     log::warn!(life:% = id, reason:% = reason; "heartbeat rejected");
-    answer(StatusCode::BAD_REQUEST, "{}".to_owned())
+    answers::json(StatusCode::BAD_REQUEST, "{}".to_owned())
 }
 
 fn begin_life(shared: &Rc<Shared>, id: &str, beat: &Heartbeat, now: Moment) {
@@ -182,7 +173,7 @@
     }
     drop(state);
     control::maintain(shared);
-    answer(StatusCode::OK, "{}".to_owned())
+    answers::json(StatusCode::OK, "{}".to_owned())
 }
 
 /// The answer to the heartbeat `sequence`: what the upstream is to hold.
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -27,6 +27,9 @@
 /// has to arrive, and timers fire late on a busy machine.
 const BOUND_MARGIN: Duration = Duration::from_millis(400);
 
+/// Heartbeats that have to be missing before an upstream counts as lost, since single ones come late.
+const LOST_BEATS: u32 = 3;
+
 /// The upstream on this machine.
 pub(crate) struct Upstream {
     pub(crate) pool: Rc<Pool>,
@@ -102,7 +105,7 @@
 
     /// The slice of `key`.
     pub(crate) fn slice(&self, key: u16) -> SliceId {
-        slice_of(Self::hash(key), self.running.len() as SliceId)
+        slice_of(Self::hash(key), self.slices())
     }
 
     /// Whether a request for `key` may be sent now. `evacuated` says since when the data centre is
@@ -194,11 +197,10 @@
         !runs && !self.grants.may_hold(now, slice)
     }
 
-    /// Whether the upstream has ended without a word, or is not heard any more: for three
-    /// heartbeats, since single ones come late.
+    /// Whether the upstream has ended without a word, or is not heard any more.
     pub(crate) fn is_lost(&self, now: Moment, beat: Duration) -> bool {
         let Some(life) = &self.life else { return false };
-        life.refused.is_some() || now >= life.heard + beat * 3
+        life.refused.is_some() || now >= life.heard + beat * LOST_BEATS
     }
 }
 
--- a/crates/rattanarch_ownership/tests/grant_cover.rs
+++ b/crates/rattanarch_ownership/tests/grant_cover.rs
@@ -4,9 +4,12 @@
 //! needs updates that fail for a second while requests to the new witnesses alone are lost; so one
 //! node is led there by hand.
 
+mod members;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use members::member;
 use rattanarch_ownership::Action;
 use rattanarch_ownership::Event;
 use rattanarch_ownership::Message;
@@ -24,18 +27,8 @@
 const TERM: u64 = 3;
 const TICK: Duration = Duration::from_millis(10);
 
-fn member(name: &str, witness: u64) -> Member {
-    Member {
-        instance: name.to_owned(),
-        data_centre: name.to_owned(),
-        peer: ([127, 0, 0, 1], 7000).into(),
-        caller: ([127, 0, 0, 1], 7001).into(),
-        slots: 20,
-        fence: 0,
-        term: TERM,
-        witnesses: vec![witness],
-        leaving: false,
-    }
+fn witnessed(name: &str, witness: u64) -> Member {
+    Member { term: TERM, witnesses: vec![witness], ..member(name) }
 }
 
 fn record() -> Record {
@@ -43,7 +36,7 @@
     record.version = TERM;
     record.owners = vec![Some(OWNER)];
     let members = [(OWNER, OLD), (OLD, NEW), (NEW, OLD)];
-    record.members = members.map(|(id, by)| (id, member(&id.to_string(), by))).into();
+    record.members = members.map(|(id, by)| (id, witnessed(&id.to_string(), by))).into();
     record
 }
 
@@ -54,7 +47,7 @@
 /// nothing any more. Returns the end of the latest grant and the new witness's newest
 /// acknowledgement at the next update, if there is one.
 fn late_update(rules: Rules, fails: u32) -> Option<(Moment, Moment)> {
-    let mut node = Node::new(OWNER, member("1", 0), Timing::default(), 1).with_rules(rules);
+    let mut node = Node::new(OWNER, witnessed("1", 0), Timing::default(), 1).with_rules(rules);
     let start = Duration::from_secs(1);
     let mut inbox = vec![
         Event::Intent { barred: vec![OLD], lost: Vec::new() },
--- a/crates/rattanarch_ownership/tests/model_replay.rs
+++ b/crates/rattanarch_ownership/tests/model_replay.rs
@@ -1,10 +1,12 @@
 //! Replays traces of `model/ownership.pml` against the node; docs/MODEL.md says what is compared.
 
+mod members;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
+use members::member;
 use rattanarch_ownership::Action;
 use rattanarch_ownership::Event;
 use rattanarch_ownership::Message;
@@ -44,7 +46,7 @@
 fn node(me: BootId, rules: Rules) -> Node {
     // The model's witnesses are no members: it leaves out the rule that restricts who acknowledges.
     let rules = Rules { witness_standing: false, ..rules };
-    Node::new(me, member(me, 0, &[]), timing(), me).with_rules(rules)
+    Node::new(me, renamed(me, 0, &[]), timing(), me).with_rules(rules)
 }
 
 /// One line of a trace.
@@ -121,13 +123,13 @@
         record.version = 1;
         record.owners[0] = Some(OWNER);
         for id in [TAKER, sealer_id()] {
-            record.members.insert(id, member(id, 1, &[OWNER]));
+            record.members.insert(id, renamed(id, 1, &[OWNER]));
         }
         for witness in 0..witnesses {
             let id = witness_id(witness, 1);
-            record.members.insert(id, member(id, 1, &[TAKER]));
+            record.members.insert(id, renamed(id, 1, &[TAKER]));
         }
-        record.members.insert(OWNER, member(OWNER, 1, &named));
+        record.members.insert(OWNER, renamed(OWNER, 1, &named));
         let mut replay = Self {
             now: TICK,
             owner: node(OWNER, rules),
@@ -325,7 +327,7 @@
             }
             _ if self.releases => self.record.owners[0] = Some(TAKER),
             _ => {
-                let own = member(OWNER, version, &self.wanted);
+                let own = renamed(OWNER, version, &self.wanted);
                 self.record.members.insert(OWNER, own);
             }
         }
@@ -394,18 +396,13 @@
     }
 }
 
-fn member(id: BootId, term: Version, witnesses: &[BootId]) -> Member {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+fn renamed(id: BootId, term: Version, witnesses: &[BootId]) -> Member {
     Member {
-        instance: format!("i{id}"),
         data_centre: "centro-a".to_owned(),
-        peer: address,
-        caller: address,
-        slots: 20,
         fence: id,
         term,
         witnesses: witnesses.to_vec(),
-        leaving: false,
+        ..member(&format!("i{id}"))
     }
 }
 
--- a/crates/rattanarch_ownership/tests/thin_path.rs
+++ b/crates/rattanarch_ownership/tests/thin_path.rs
@@ -1,34 +1,20 @@
 //! Two nodes join over a shared record and serve.
 
+mod members;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use members::member;
 use rattanarch_ownership::Action;
 use rattanarch_ownership::Event;
 use rattanarch_ownership::Node;
 use rattanarch_ownership::Timing;
 use rattanarch_ownership::WriteOutcome;
-use rattanarch_types::Member;
 use rattanarch_types::Record;
 
 const SLICES: u16 = 8;
 
-fn member(name: &str) -> Member {
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    Member {
-        instance: name.to_owned(),
-        data_centre: name.to_owned(),
-        peer: address,
-        caller: address,
-        slots: 20,
-        fence: 0,
-        term: 0,
-        witnesses: Vec::new(),
-        leaving: false,
-    }
-}
-
 /// Runs every node for `ticks` of 10 ms over a network and a platform without faults.
 fn run(nodes: &mut [Node], stored: &mut Record, from: u32, ticks: u32) {
     for tick in from..from + ticks {
--- a/crates/rattanarch_ownership/tests/witness_standing.rs
+++ b/crates/rattanarch_ownership/tests/witness_standing.rs
@@ -1,8 +1,11 @@
 //! Who may acknowledge leases. Random schedules find no harm without this rule within the limit of
 //! `mutants.rs`, so that it is shown here by itself.
 
+mod members;
+
 use std::time::Duration;
 
+use members::member;
 use rattanarch_ownership::Action;
 use rattanarch_ownership::Event;
 use rattanarch_ownership::Message;
@@ -17,25 +20,15 @@
 const OWNER: BootId = 1;
 const WITNESS: BootId = 2;
 
-fn member(name: &str, witness: BootId) -> Member {
-    Member {
-        instance: name.to_owned(),
-        data_centre: name.to_owned(),
-        peer: ([127, 0, 0, 1], 7000).into(),
-        caller: ([127, 0, 0, 1], 7001).into(),
-        slots: 20,
-        fence: 0,
-        term: 1,
-        witnesses: vec![witness],
-        leaving: false,
-    }
+fn witnessed(name: &str, witness: BootId) -> Member {
+    Member { term: 1, witnesses: vec![witness], ..member(name) }
 }
 
 fn record() -> Record {
     let mut record = Record::new("trade-desk", 4);
     record.version = 1;
-    record.members.insert(OWNER, member("a", WITNESS));
-    record.members.insert(WITNESS, member("b", OWNER));
+    record.members.insert(OWNER, witnessed("a", WITNESS));
+    record.members.insert(WITNESS, witnessed("b", OWNER));
     record.owners = vec![Some(OWNER); 4];
     record
 }
@@ -44,7 +37,8 @@
 /// member.
 fn acknowledges(rules: Rules, later: Duration) -> bool {
     let mut now: Moment = Duration::from_secs(100);
-    let mut node = Node::new(WITNESS, member("b", OWNER), Timing::default(), 1).with_rules(rules);
+    let mut node =
+        Node::new(WITNESS, witnessed("b", OWNER), Timing::default(), 1).with_rules(rules);
     node.step(now, Event::Record { record: record(), read_sent: Some(now) });
     node.step(now, Event::Tick);
     now += later;
--- a/crates/rattanarchd/tests/mesh_losses.rs
+++ b/crates/rattanarchd/tests/mesh_losses.rs
@@ -135,11 +135,8 @@
 #[test]
 fn silent_machine() {
     let site = Site::start(1, 1);
-    let stored = || site.store.record(FILES);
-    wait_until("the instance is a member", || {
-        stored().is_some_and(|record| record["members"].as_array().is_some_and(|m| !m.is_empty()))
-    });
-    let mut record = stored().expect("a record");
+    site.wait_members(FILES, 1);
+    let mut record = site.store.record(FILES).expect("a record");
     let mut ghost = record["members"][0].clone();
     ghost["boot"] = "5".into();
     ghost["instance"] = "ghost".into();
--- a/crates/rattanarchd/tests/mesh_serving.rs
+++ b/crates/rattanarchd/tests/mesh_serving.rs
@@ -56,11 +56,8 @@
 fn refusal_elsewhere() {
     let site = Site::start(1, 2);
     for (daemon, refusing) in [(1, 1), (2, 2)] {
-        wait_until("both instances are known", || {
-            site.store.record(FILES).is_some_and(|record| {
-                record["members"].as_array().is_some_and(|members| members.len() == 2)
-            }) && site.ask(daemon, "/files/customs", "f0", 7).status == 200
-        });
+        site.wait_members(FILES, 2);
+        wait_until("they are known", || site.ask(daemon, "/files/customs", "f0", 7).status == 200);
         site.upstreams[refusing].refuse(50);
         let answer = site.ask(daemon, "/files/customs", &format!("f{daemon}"), 7);
         assert_eq!((answer.status, answer.stamped), (200, true), "{answer:?}");
@@ -73,11 +70,8 @@
 #[test]
 fn all_refuse() {
     let site = Site::start(1, 2);
-    wait_until("both instances are known", || {
-        site.store.record(FILES).is_some_and(|record| {
-            record["members"].as_array().is_some_and(|members| members.len() == 2)
-        }) && site.ask(0, "/files/customs", "u0", 7).status == 200
-    });
+    site.wait_members(FILES, 2);
+    wait_until("they are known", || site.ask(0, "/files/customs", "u0", 7).status == 200);
     site.upstreams[1].refuse(50);
     site.upstreams[2].refuse(50);
     let answer = site.ask(0, "/files/customs", "u1", 7);
--- a/crates/rattanarchd/tests/mesh_support/site.rs
+++ b/crates/rattanarchd/tests/mesh_support/site.rs
@@ -74,6 +74,15 @@
         });
     }
 
+    /// Waits until `service` has `count` members in its record.
+    pub fn wait_members(&self, service: &str, count: usize) {
+        wait_until("the members are in the record", || {
+            self.store.record(service).is_some_and(|record| {
+                record["members"].as_array().is_some_and(|members| members.len() == count)
+            })
+        });
+    }
+
     /// Whether every upstream of the desk is a member with keys, and a witness if it is not alone.
     fn is_settled(&self) -> bool {
         let Some(record) = self.store.record(DESK) else { return false };
