Deal slices once joins have settled; follow records by stale watches and fetches from peers

Of the updates, most were slices moved to members that had joined after the first one, which had taken all of them: moved for ten seconds, under load, and unserved meanwhile.

- Records are followed by stale reads (a tenth of the price); whom a change concerns is told by its writer.
- A member that hears of a newer record fetches it from the peer that has it, and reads the store only if peers have not helped within two heartbeats.
- With slices by load, a joining member deals nothing; members do once joins have settled (Adoption).
- A member that loses one race goes on at once from the record that won.

--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -20,6 +20,7 @@
 use rattanarch_types::Record;
 use rattanarch_types::SliceId;
 
+use crate::control::pull_soon;
 use crate::control::quiescence;
 use crate::process::Shared;
 use crate::process::read_record;
@@ -275,6 +276,7 @@
         Action::Read => {
             tokio::task::spawn_local(read_record(Rc::clone(shared)));
         }
+        Action::CatchUp { from } => catch_up(shared, from),
         Action::Quiesce { slices, .. } => {
             log::info!(slices = slices.len(); "releasing slices");
             shared.meters.released(slices.len());
@@ -295,6 +297,19 @@
     }
 }
 
+/// Fetches newer records from the member `from`; one that the known record does not show yet is met by
+/// gossip.
+fn catch_up(shared: &Rc<Shared>, from: BootId) {
+    let knowledge = shared.knowledge.borrow();
+    let record = knowledge.record(&shared.settings.service);
+    let member = record.and_then(|record| record.members.get(&from));
+    let address = member.map(|member| member.caller);
+    drop(knowledge);
+    if let Some(address) = address {
+        pull_soon(shared, address);
+    }
+}
+
 fn forget(shared: &Rc<Shared>) {
     let mut control = shared.control.borrow_mut();
     control.node = None;
--- a/crates/rattanarch_mesh/src/control/timing.rs
+++ b/crates/rattanarch_mesh/src/control/timing.rs
@@ -18,6 +18,13 @@
 /// How much longer a second may last on one daemon's clock than on another's.
 const DRIFT_PPM: u32 = 1_000;
 
+/// Time over which joins are spread: with 46 members, those of the largest known service, one each 45 ms,
+/// in which a join is read and written. Traffic starts 8 s after the machines do.
+const JOIN_SPREAD: Duration = Duration::from_secs(2);
+
+/// How long one turn to move slices lasts: three round trips to the store from a slow machine.
+const TURN: Duration = Duration::from_millis(200);
+
 /// The timing for upstreams that send a heartbeat every `beat`.
 ///
 /// Grants travel in the answers to heartbeats only, so that a lease has to span two of them: one
@@ -30,6 +37,7 @@
         heartbeat: lease / REQUESTS,
         suspicion: lease * 4 / 5,
         drift_ppm: DRIFT_PPM,
-        turn: Duration::from_millis(500),
+        join_spread: JOIN_SPREAD,
+        turn: TURN,
     }
 }
--- a/crates/rattanarch_mesh/src/process/follower.rs
+++ b/crates/rattanarch_mesh/src/process/follower.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rattanarch_adapter::Changes;
+use rattanarch_adapter::Freshness;
 use rattanarch_adapter::Listing;
 use rattanarch_adapter::StoreError;
 use rattanarch_adapter::StoredObject;
@@ -56,13 +57,22 @@
             Self::Records => kind::RECORD,
         }
     }
+
+    /// How recent the store's answers have to be. Those whom a change to a record concerns are told
+    /// by its writer, the others by gossip, and versions only rise.
+    fn freshness(self) -> Freshness {
+        match self {
+            Self::Configuration | Self::Evacuations => Freshness::Current,
+            Self::Records => Freshness::Stale,
+        }
+    }
 }
 
 /// Follows objects as long as the process lives.
 pub(crate) async fn follow(shared: Rc<Shared>, followed: Followed) {
     let mut pause = FIRST_PAUSE;
     loop {
-        match shared.store.list(followed.kind()).await {
+        match shared.store.list(followed.kind(), followed.freshness()).await {
             Ok(listing) => {
                 shared.note_store(true, &"");
                 pause = FIRST_PAUSE;
@@ -95,7 +105,8 @@
 async fn watch(shared: &Rc<Shared>, followed: Followed, mut revision: u64) {
     let mut pause = FIRST_PAUSE;
     loop {
-        match shared.store.watch(followed.kind(), revision, WATCH_WAIT).await {
+        let (kind, freshness) = (followed.kind(), followed.freshness());
+        match shared.store.watch(kind, revision, WATCH_WAIT, freshness).await {
             Ok(changes) => {
                 shared.note_store(true, &"");
                 pause = FIRST_PAUSE;
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -106,11 +106,16 @@
         for (name, help, value) in gauges(shared) {
             self.metrics.set(name, help, &Labels::new(), value);
         }
+        for ((call, kind), count) in shared.store.calls() {
+            let call = call.to_string();
+            let labels = labels(&[("call", &call), ("kind", kind)]);
+            self.metrics.set("rattanarch_store_calls", "Calls to the store", &labels, count as i64);
+        }
         self.metrics.text()
     }
 }
 
-fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 16] {
+fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 15] {
     let now = shared.now();
     let state = shared.upstream.state.borrow();
     let knowledge = shared.knowledge.borrow();
@@ -153,7 +158,6 @@
             "Connections opened to other daemons so far",
             shared.peers.opened() as i64,
         ),
-        ("rattanarch_store_calls", "Calls to the store so far", shared.store.calls() as i64),
         (
             "rattanarch_store_reachable",
             "Whether the store answered the last call",
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod shared;
 mod stop;
 mod tally;
+mod usage;
 
 pub(crate) use meters::RequestLabels;
 pub(crate) use records::learn_configuration;
--- a/crates/rattanarch_mesh/src/process/records.rs
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -9,6 +9,8 @@
 use rattanarch_adapter::kind;
 use rattanarch_ownership::Event;
 use rattanarch_ownership::WriteOutcome;
+use rattanarch_types::BootId;
+use rattanarch_types::Member;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
 use serde_json::Value;
@@ -106,17 +108,31 @@
 /// Replaces the record that `record` was made from.
 pub(crate) async fn write_record(shared: Rc<Shared>, record: Record) {
     let write_id = record.write_id;
+    let change = change(&shared, &record);
     let outcome = match stored_revision(&shared, &record) {
         Err(newer) => WriteOutcome::Conflict(Record::clone(&newer)),
         Ok(revision) => put(&shared, &record, revision).await,
     };
     shared.meters.record_write(name(&outcome));
-    log::info!(version = record.version, members = record.members.len(),
+    log::info!(version = record.version, members = record.members.len(), change:% = change,
         outcome:% = name(&outcome); "record written");
     control::step(&shared, Event::Written { write_id, outcome });
     control::maintain(&shared);
 }
 
+/// What `record` changes in the newest known one.
+fn change(shared: &Shared, record: &Record) -> String {
+    let known = shared.knowledge.borrow().record(&record.service).cloned().unwrap_or_default();
+    let joined = record.members.keys().filter(|id| !known.members.contains_key(id)).count();
+    let left = known.members.keys().filter(|id| !record.members.contains_key(id)).count();
+    let changed = |id: &BootId, member: &Member| {
+        known.members.get(id).is_some_and(|old| old.witnesses != member.witnesses)
+    };
+    let witnessed = record.members.iter().filter(|(id, member)| changed(id, member)).count();
+    let moved = record.owners.iter().zip(&known.owners).filter(|(new, old)| new != old).count();
+    format!("joined {joined}, left {left}, witnesses {witnessed}, slices {moved}")
+}
+
 fn name(outcome: &WriteOutcome) -> &'static str {
     match outcome {
         WriteOutcome::Accepted => "accepted",
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -35,6 +35,7 @@
 use crate::process::meters::Meters;
 use crate::process::shared::StoreContact;
 use crate::process::stop;
+use crate::process::usage::log_usage;
 use crate::request::Peers;
 use crate::upstream::Upstream;
 use crate::version::Knowledge;
@@ -99,6 +100,7 @@
     tokio::task::spawn_local(control::run(Rc::clone(&shared)));
     tokio::task::spawn_local(control::gossip(Rc::clone(&shared)));
     tokio::task::spawn_local(reload_settings(Rc::clone(&shared), reload, path));
+    tokio::task::spawn_local(log_usage(Rc::clone(&shared)));
     wait_for_stop(&shared, stop).await;
     log::info!("stopped");
     log::logger().flush();
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -68,7 +68,9 @@
     let Ok(mut link) = peer.pool.checkout(Checkout::Reuse).await else { return unreachable() };
     let left = call.deadline.saturating_sub(shared.now());
     let Some(request) = request(shared, peer, call, left) else { return unreachable() };
-    let sent = tokio::time::timeout(left + WAY_BACK, watched(peer, call, link.send(request))).await;
+    let sent =
+        tokio::time::timeout(left + WAY_BACK, watched(shared, peer, call, link.send(request)))
+            .await;
     match sent {
         Err(_) => {
             peer.note(shared.now(), false, None);
@@ -94,21 +96,34 @@
 /// Waits for `sending`, and looks now and then whether the peer is still there; `None` once it is not.
 ///
 /// A machine without power or behind a cut says nothing, and a request that waits for it until its
-/// deadline could have gone elsewhere. One that must not run twice waits: an answer may still come.
-async fn watched<T>(peer: &Peer, call: &Call, sending: impl Future<Output = T>) -> Option<T> {
+/// deadline could have gone elsewhere. One look may fail for a full link alone: new requests go
+/// elsewhere after it, while this one is given up after [`LOOKS`]. One that must not run twice waits,
+/// since an answer may still come, and so does any whose own daemon stops: it has no time to go
+/// elsewhere.
+async fn watched<T>(
+    shared: &Shared,
+    peer: &Peer,
+    call: &Call,
+    sending: impl Future<Output = T>,
+) -> Option<T> {
     let mut sending = std::pin::pin!(sending);
+    let mut missed = 0;
     loop {
         tokio::select! {
             biased;
             sent = &mut sending => return Some(sent),
-            () = tokio::time::sleep(SILENCE) => {}
+            () = tokio::time::sleep(if missed == 0 { SILENCE } else { LOOK_PAUSE }) => {}
         }
         tokio::select! {
             biased;
             sent = &mut sending => return Some(sent),
-            here = is_here(peer) => if !here && call.idempotent {
-                return None;
-            },
+            here = is_here(peer) => missed = if here { 0 } else { missed + 1 },
+        }
+        if missed > 0 {
+            peer.note_away(shared.now());
+        }
+        if missed >= LOOKS && call.idempotent && shared.phase.borrow().is_open() {
+            return None;
         }
     }
 }
@@ -141,6 +156,13 @@
 /// Time without an answer after which a peer is looked at: longer than most requests take.
 const SILENCE: Duration = Duration::from_millis(350);
 
+/// Looks in a row that have to fail before a peer counts as gone: packets wait for up to half a second
+/// where callers press beyond what a link bears, and each look takes a quarter of one.
+const LOOKS: u32 = 2;
+
+/// Pause between two such looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+
 /// When to come back if a daemon can't be reached: it may be starting.
 const RETURN_PAUSE: Duration = Duration::from_millis(400);
 
--- a/crates/rattanarch_ownership/src/action.rs
+++ b/crates/rattanarch_ownership/src/action.rs
@@ -23,6 +23,12 @@
     Write(Record),
     /// Read the record from the platform; answer with [`Event::Record`](crate::Event::Record).
     Read,
+    /// Fetch the record from a member that has applied a newer one, or read it from the platform; answer
+    /// with [`Event::Record`](crate::Event::Record). Nothing rests on how recent the answer is.
+    CatchUp {
+        /// The member that has it.
+        from: BootId,
+    },
     /// Start no more requests for these slices and hot keys, which [`Serving`](crate::Serving)
     /// already refuses, and answer with [`Event::Quiet`](crate::Event::Quiet) once none runs.
     Quiesce {
--- a/crates/rattanarch_ownership/src/attempt.rs
+++ b/crates/rattanarch_ownership/src/attempt.rs
@@ -97,7 +97,8 @@
     }
 
     fn lose(&mut self, now: Moment, record: Record) {
-        self.pause(now);
+        let is_member = self.own().is_some();
+        self.backoff.lose(now, &mut self.draws, is_member);
         self.contact.answer(now);
         self.apply(now, record);
     }
--- a/crates/rattanarch_ownership/src/backoff.rs
+++ b/crates/rattanarch_ownership/src/backoff.rs
@@ -32,6 +32,17 @@
         (self.failures > 0).then_some(self.until)
     }
 
+    /// Notes a lost race. A member that has lost one alone goes on at once from the record that won:
+    /// slices that it has given up already are not served meanwhile.
+    pub(crate) fn lose(&mut self, now: Moment, draws: &mut Draws, is_member: bool) {
+        if is_member && self.failures == 0 {
+            self.failures = 1;
+            self.until = now;
+        } else {
+            self.fail(now, draws, is_member);
+        }
+    }
+
     /// Starts the next, longer pause and returns its end.
     pub(crate) fn fail(&mut self, now: Moment, draws: &mut Draws, is_member: bool) -> Moment {
         let (first, limit) =
--- a/crates/rattanarch_ownership/src/balance.rs
+++ b/crates/rattanarch_ownership/src/balance.rs
@@ -44,16 +44,19 @@
             // The record has changed in other ways; the turns go on.
             return;
         }
-        let mine = moves.iter().filter(|change| change.from == core.me);
+        let mine: Vec<&Move> = moves.iter().filter(|change| change.from == core.me).collect();
         // Even shares are dealt out anew when the update is made; a move to oneself names no one.
         let planned = |change: &Move| {
             (core.spread == Spread::ByLoad && change.to != core.me).then_some(change.to)
         };
-        self.slices = mine.map(|change| (change.slice, planned(change))).collect();
-        self.turn = core.applied + core.timing.heartbeat + core.timing.turn * index(&moves, core);
+        let turn = core.applied + core.timing.heartbeat + core.timing.turn * index(&moves, core);
+        // A member that waits for its turn keeps it: updates of others come in rows.
+        let waits = !self.slices.is_empty() && !mine.is_empty();
+        self.turn = if waits { turn.min(self.turn) } else { turn };
         if core.barred.contains(&core.me) {
             self.turn = core.applied;
         }
+        self.slices = mine.iter().map(|change| (change.slice, planned(change))).collect();
         self.moves = moves;
     }
 }
--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -37,6 +37,10 @@
     pub(crate) record: Option<Arc<Record>>,
     /// When `record` was applied.
     pub(crate) applied: Moment,
+    /// Since when a peer is known to have a newer record.
+    behind: Option<Moment>,
+    /// When a peer was last asked for a newer record.
+    fetched: Option<Moment>,
     pub(crate) contact: Contact,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) backoff: Backoff,
@@ -74,6 +78,8 @@
             draws: Draws::new(seed),
             record: None,
             applied: Moment::ZERO,
+            behind: None,
+            fetched: None,
             contact: Contact::default(),
             attempt: None,
             backoff: Backoff::default(),
@@ -130,7 +136,7 @@
     /// Takes what a peer says of itself with its message.
     pub(crate) fn meet(&mut self, now: Moment, from: BootId, version: Version, load: u32) {
         self.loads.insert(from, load);
-        self.catch_up(now, version);
+        self.catch_up(now, from, version);
     }
 
     /// Takes what operators want; a loss counts from when this node first learned of it.
@@ -160,10 +166,19 @@
         self.measured = true;
     }
 
-    /// Asks for the record if a peer has applied a newer one.
-    pub(crate) fn catch_up(&mut self, now: Moment, version: u64) {
-        if version > self.version() {
+    /// Asks for the record if the peer `from` has applied a newer one: that peer, since calls to the
+    /// platform are dear, and the platform if peers have not helped within two heartbeats.
+    pub(crate) fn catch_up(&mut self, now: Moment, from: BootId, version: Version) {
+        if version <= self.version() {
+            return;
+        }
+        let pause = self.timing.heartbeat / 2;
+        let since = *self.behind.get_or_insert(now);
+        if now >= since + self.timing.heartbeat * 2 {
             self.read(now);
+        } else if self.fetched.is_none_or(|fetched| now >= fetched + pause) {
+            self.fetched = Some(now);
+            self.out.push(Action::CatchUp { from });
         }
     }
 
@@ -179,6 +194,7 @@
         self.note_ended(now, &record);
         self.record = Some(Arc::new(record));
         self.applied = now;
+        self.behind = None;
     }
 
     /// Notes witnesses that were succeeded, have left or were taken out.
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -1,5 +1,6 @@
 //! Before a node is a member.
 
+use rattanarch_placement::Spread;
 use rattanarch_placement::choose_witnesses;
 use rattanarch_types::BootId;
 use rattanarch_types::Fence;
@@ -54,8 +55,8 @@
     /// Whether the spread is over. What an older life owns is not served meanwhile, so that its
     /// successor does not wait.
     fn has_waited(&mut self, core: &mut Core, now: Moment, urgent: bool) -> bool {
-        let spread = core.timing.heartbeat;
-        let start = *self.start.get_or_insert_with(|| now + core.draws.jitter(spread) - spread / 2);
+        let spread = core.timing.join_spread;
+        let start = *self.start.get_or_insert_with(|| now + core.draws.jitter(spread * 2) - spread);
         urgent || now >= start
     }
 
@@ -109,7 +110,11 @@
     if let Some(own) = record.members.get_mut(&core.me) {
         own.witnesses = witnesses;
     }
-    core.spread.fill(&mut record, &core.barred);
+    if core.spread == Spread::Even {
+        core.spread.fill(&mut record, &core.barred);
+    }
+    // Otherwise members deal slices once joins have settled: the first to join would get all, and moving
+    // each away again leaves it unserved for a while.
     record
 }
 
--- a/crates/rattanarch_ownership/src/lib.rs
+++ b/crates/rattanarch_ownership/src/lib.rs
@@ -63,6 +63,7 @@
 
 mod acks;
 mod action;
+mod adoption;
 mod attempt;
 mod backoff;
 mod balance;
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use rattanarch_placement::rank;
 use rattanarch_types::BootId;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Moment;
@@ -11,6 +10,7 @@
 use rattanarch_types::Version;
 
 use crate::acks::Acks;
+use crate::adoption::Adoption;
 use crate::balance::Balance;
 use crate::balance::all_keys;
 use crate::core::Core;
@@ -32,6 +32,7 @@
     pub(crate) release: Option<Release>,
     balance: Balance,
     heat: Heat,
+    adoption: Adoption,
 }
 
 impl Membership {
@@ -40,7 +41,7 @@
         self.keep_lease(core, now);
         self.takeovers.advance(core, witness, now);
         self.give_away(core, now);
-        adopt(core, now);
+        self.adoption.advance(core, now);
     }
 
     /// Renews the lease and keeps its witnesses fit.
@@ -160,21 +161,3 @@
 ///
 /// Slices without a receiver are spread over the others.
 pub(crate) type Surplus = (BTreeMap<SliceId, Option<BootId>>, BTreeMap<KeyHash, Option<BootId>>);
-
-/// Gives slices without an owner to members, this node's turn among them drawn by rank.
-fn adopt(core: &mut Core, now: Moment) {
-    let Some(record) = core.record.clone() else { return };
-    if record.owners.iter().all(Option::is_some) || !core.can_write(now) {
-        return;
-    }
-    let mine = rank(record.version, core.me);
-    let before = record.members.keys().filter(|id| rank(record.version, **id) > mine).count();
-    if now < core.applied + core.timing.heartbeat + core.timing.turn * before as u32 {
-        return;
-    }
-    let mut draft = core.draft();
-    core.spread.fill(&mut draft, &core.barred);
-    if draft.owners != record.owners && core.is_reachable(now) {
-        core.write(now, draft);
-    }
-}
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -174,7 +174,7 @@
                 }
             }
             Message::Refused { sealed, record } => {
-                self.core.catch_up(now, record);
+                self.core.catch_up(now, from, record);
                 if let Some(member) = self.life.member_mut() {
                     member.lease.refuse(sealed);
                 }
--- a/crates/rattanarch_ownership/src/timing.rs
+++ b/crates/rattanarch_ownership/src/timing.rs
@@ -13,6 +13,9 @@
     pub suspicion: Duration,
     /// How much longer a second may last on one clock than on another, in parts per million.
     pub drift_ppm: u32,
+    /// Time over which the joins of nodes that start together are spread: each is a conditional update
+    /// of one object, and those that meet cost a call each and a pause.
+    pub join_spread: Duration,
     /// How long one turn to move slices lasts before the next member may take it.
     pub turn: Duration,
 }
@@ -24,6 +27,7 @@
             heartbeat: Duration::from_millis(400),
             suspicion: Duration::from_millis(1_000),
             drift_ppm: 1_000,
+            join_spread: Duration::from_millis(200),
             turn: Duration::from_secs(1),
         }
     }
--- a/crates/rattanarch_ownership/tests/grant_cover.rs
+++ b/crates/rattanarch_ownership/tests/grant_cover.rs
@@ -63,7 +63,7 @@
             granted = granted.max(node.serving().until);
             for action in node.step(now, event) {
                 match action {
-                    Action::Read => {
+                    Action::Read | Action::CatchUp { .. } => {
                         inbox.push(Event::Record { record: record(), read_sent: Some(now) });
                     }
                     Action::Write(record) if failures < fails => {
--- a/crates/rattanarch_ownership/tests/harness/world.rs
+++ b/crates/rattanarch_ownership/tests/harness/world.rs
@@ -243,7 +243,7 @@
                     let event = Event::Message { from: me, message };
                     self.send(index, to, &event);
                 }
-                Action::Read => {
+                Action::Read | Action::CatchUp { .. } => {
                     let sent = self.processes[index].clock(self.now);
                     let delay = self.platform_delay();
                     self.plan(delay, Due::Read { process: index, sent });
--- a/crates/rattanarch_ownership/tests/thin_path.rs
+++ b/crates/rattanarch_ownership/tests/thin_path.rs
@@ -24,7 +24,7 @@
             let me = nodes[index].me();
             for action in nodes[index].step(now, event) {
                 let answer = match action {
-                    Action::Read => {
+                    Action::Read | Action::CatchUp { .. } => {
                         (index, Event::Record { record: stored.clone(), read_sent: Some(now) })
                     }
                     Action::Write(record) => {
--- a/crates/rattanarchd/src/process/control/mod.rs
+++ b/crates/rattanarchd/src/process/control/mod.rs
@@ -184,7 +184,7 @@
         match action {
             Action::Send { to, message } => self.outbox.add(to, message),
             Action::Write(record) => self.parts.worker.write(record),
-            Action::Read => self.parts.worker.read(),
+            Action::Read | Action::CatchUp { .. } => self.parts.worker.read(),
             Action::Quiesce { slices, hot } => {
                 // Requests check the published view after they are counted as running, so what
                 // is held must be published before they are counted.
