--- a/crates/rattanarch_mesh/src/process/stop.rs
+++ b/crates/rattanarch_mesh/src/process/stop.rs
@@ -21,8 +21,9 @@
     Open,
     /// It was asked to stop at the given time: it serves on, and says that it is not ready.
     Stopping(Moment),
-    /// It sends no new request to its upstream, and serves what runs and the calls that this needs.
-    Draining,
+    /// It sends no new request to its upstream, and serves what runs and the calls that this needs; it was
+    /// asked to stop at the given time.
+    Draining(Moment),
     /// It refuses new requests.
     Refusing,
     /// It takes no new request, and ends when the last one has.
@@ -42,7 +43,17 @@
 
     /// Whether requests of callers are taken.
     pub(crate) fn serves(self) -> bool {
-        self.admits() || self == Self::Draining
+        self.admits() || matches!(self, Self::Draining(_))
+    }
+
+    /// Whether a request that may last until `deadline` is taken by a process that has to end within
+    /// `grace`. While it drains, callers have long been told to go elsewhere: only what is sure to end in
+    /// time is taken, besides calls of the upstream, which requests under way need.
+    pub(crate) fn takes(self, grace: Duration, deadline: Moment, is_call: bool) -> bool {
+        match self {
+            Self::Draining(asked) => is_call || deadline <= asked + grace.saturating_sub(RESERVE),
+            phase => phase.serves(),
+        }
     }
 }
 
@@ -54,7 +65,7 @@
     } else if busy == 0 || waited >= grace.saturating_sub(RESERVE) {
         Phase::Closing
     } else if waited < LINGER + CALL_LINGER {
-        Phase::Draining
+        Phase::Draining(asked)
     } else {
         Phase::Refusing
     }
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -102,6 +102,9 @@
             Err(answer) => return answer,
         };
         trail.goes_to(&call.service);
+        if !self.may_end(&call) {
+            return end(&trail, Outcome::Refused(Reason::Stopping.into()));
+        }
         let outcome =
             Attempts { outbound: &self, call: &call, rule: &rule, trail: &trail }.run().await;
         end(&trail, outcome)
@@ -176,6 +179,13 @@
         })
     }
 
+    /// Whether `call` ends before this process has to, if it is stopping.
+    fn may_end(&self, call: &Call) -> bool {
+        let grace = self.shared.bounds.get().grace;
+        let phase = *self.shared.phase.borrow();
+        phase.takes(grace, call.deadline, self.is_call(&call.id))
+    }
+
     /// Whether the own upstream makes this call for a request that it runs.
     fn is_call(&self, id: &str) -> bool {
         self.shared.upstream.state.borrow().is_call(id)
--- a/crates/rattanarchd/tests/mesh_stop.rs
+++ b/crates/rattanarchd/tests/mesh_stop.rs
@@ -48,6 +48,32 @@
     assert!(status.success());
 }
 
+/// A request that comes long after the daemon was asked to stop, and may last beyond its end, is refused
+/// while it can still go elsewhere. Before that, callers may not have heard of the stop.
+#[test]
+fn refused_near_end() {
+    let site = Site::start(2, 0);
+    site.store.configure_timeout(6, "4s");
+    wait_until("the longer time is in force", || site.daemons[0].log().contains("\"version\":6"));
+    site.upstreams[1].set_work(Duration::from_millis(1_500));
+    let key = site.upstreams[1].held()[0].0;
+    let stop = Instant::now();
+    site.daemons[0].stop();
+    let ask = |after: u64, id: &str| {
+        thread::sleep(Duration::from_millis(after).saturating_sub(stop.elapsed()));
+        site.ask(0, "/stock/crayfish", id, key)
+    };
+    let (early, late) = thread::scope(|scope| {
+        // It is under way while the other comes, so that the daemon is still there.
+        let early = scope.spawn(|| ask(1_800, "early"));
+        let late = ask(2_800, "late");
+        (early.join().unwrap(), late)
+    });
+    assert_eq!(early.status, 200, "{early:?}");
+    assert_eq!(late.status, 503, "{late:?}");
+    assert!(site.upstreams[1].runs().iter().all(|run| run.id != "late"));
+}
+
 /// A daemon that restarts beside a living upstream goes on where it was: keys stay where they are, under
 /// their fences.
 #[test]
