Send large answers in turns, and refuse downloads that the link can't carry in time

Cause: on the grown sites machines of the service of files have links of 11 to 15 Mbit/s, and slots for several times as many downloads. Ruled out: full listening queues (1,024), lost machines (the counts go on when none is down).

Uplink counts what is to be sent and what the link bears; LinkTurns sends large answers within a window of 100 ms, so that small ones pass; a download whose answer would leave too late goes to another instance or is refused before it runs, with the time after which there is room.

Records that do not concern a daemon are fetched from peers at most each 3 s.

--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -47,6 +47,7 @@
 mod selector;
 mod slice_meter;
 mod tokens;
+mod uplink;
 
 pub use cold_pace::ColdPace;
 pub use cold_start::ColdStart;
@@ -69,3 +70,4 @@
 pub use selector::Selector;
 pub use selector::UpstreamKey;
 pub use slice_meter::SliceMeter;
+pub use uplink::Uplink;
--- a/crates/rattanarch_mesh/src/connection/body.rs
+++ b/crates/rattanarch_mesh/src/connection/body.rs
@@ -12,13 +12,17 @@
 use hyper::body::SizeHint;
 
 use crate::connection::Link;
+use crate::connection::LinkTurns;
 use crate::connection::Pool;
+use crate::connection::TurnBody;
 
 /// Body of an answer to a caller or a peer.
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
     /// All of it is here.
     Full(Full<Bytes>),
+    /// All of it is here, and it is large: it waits for its turn on the link.
+    InTurn(TurnBody),
     /// It is read from a peer while it is sent on. A peer's failure fails the body, so that a short
     /// answer never looks whole.
     Relayed(Box<Relayed>),
@@ -37,6 +41,11 @@
         Self::Full(Full::new(bytes.into()))
     }
 
+    /// An answer of the upstream, in its turn on the link if it is large.
+    pub(crate) fn in_turn(turns: &LinkTurns, bytes: Bytes) -> Self {
+        turns.queue(&bytes).map_or_else(|| Self::full(bytes), Self::InTurn)
+    }
+
     pub(crate) fn relayed(incoming: Incoming, link: Link, pool: std::rc::Rc<Pool>) -> Self {
         let mut relayed = Relayed { incoming, link: Some(link), pool };
         relayed.finish();
@@ -65,6 +74,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
             Self::Full(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::InTurn(body) => body.poll_part(cx).map(|part| part.map(Ok)),
             Self::Relayed(relayed) => {
                 let polled = Pin::new(&mut relayed.incoming).poll_frame(cx);
                 match &polled {
@@ -80,6 +90,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(body) => body.is_end_stream(),
+            Self::InTurn(body) => body.len() == 0,
             Self::Relayed(relayed) => relayed.incoming.is_end_stream(),
         }
     }
@@ -87,6 +98,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(body) => body.size_hint(),
+            Self::InTurn(body) => SizeHint::with_exact(body.len() as u64),
             Self::Relayed(relayed) => relayed.incoming.size_hint(),
         }
     }
--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod pool;
 mod server;
+mod turns;
 
 pub(crate) use body::AnswerBody;
 pub(crate) use pool::Checkout;
@@ -12,3 +13,5 @@
 pub(crate) use server::Handler;
 pub(crate) use server::ServerOptions;
 pub(crate) use server::serve;
+pub(crate) use turns::LinkTurns;
+pub(crate) use turns::TurnBody;
--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -39,6 +39,10 @@
 /// Peers that are told at once of something new.
 const FANOUT: usize = 2;
 
+/// Time in which changes of records are gathered that do not concern this daemon: each fetch is a few tens
+/// of kilobytes, mostly between data centres, and members that join or are relieved make many.
+const RECORD_GATHER: Duration = Duration::from_secs(3);
+
 /// Longest time that an exchange with a peer may take.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -60,7 +64,7 @@
 
 /// Tells those members at once that have to act on what `record` changed since `older`.
 pub(crate) fn tell_concerned(shared: &Shared, record: &Record, older: &Record) {
-    let digest = digest(shared);
+    let digest = Digest { concerns: true, ..digest(shared) };
     let concerned = record.concerned_since(older);
     for member in concerned.iter().filter_map(|id| record.members.get(id)) {
         if member.peer != shared.settings.listen.datagrams {
@@ -96,6 +100,7 @@
         configuration: versions.configuration,
         evacuated: versions.evacuated,
         records: versions.records.iter().map(|(name, v)| (hash_key(name), *v)).collect(),
+        concerns: false,
     }
 }
 
@@ -103,12 +108,25 @@
 pub(crate) fn hear(shared: &Rc<Shared>, theirs: &Digest, from: SocketAddr) {
     let own = digest(shared);
     if theirs.is_newer(&own) {
-        pull_soon(shared, theirs.state);
+        if theirs.is_urgent(&own) || takes_records(shared) {
+            pull_soon(shared, theirs.state);
+        }
     } else if own.is_newer(theirs) {
         shared.socket.tell(&own, from);
     }
 }
 
+/// Whether records that do not concern this daemon are to be fetched again.
+fn takes_records(shared: &Shared) -> bool {
+    let now = shared.now();
+    let mut control = shared.control.borrow_mut();
+    let due = now >= control.gathered + RECORD_GATHER;
+    if due {
+        control.gathered = now;
+    }
+    due
+}
+
 /// Fetches what the daemon at `peer` knows and this one does not, unless that is under way.
 pub(crate) fn pull_soon(shared: &Rc<Shared>, peer: SocketAddr) {
     let (shared, known) = (Rc::clone(shared), shared.peers.get(peer));
--- a/crates/rattanarch_mesh/src/control/state.rs
+++ b/crates/rattanarch_mesh/src/control/state.rs
@@ -40,6 +40,8 @@
     pub(crate) leased: bool,
     /// When slices were last given away for their load.
     pub(crate) relieved: Moment,
+    /// When records that do not concern this daemon were last fetched from a peer.
+    pub(crate) gathered: Moment,
     /// Version of the record that grants follow.
     pub(crate) followed: u64,
 }
@@ -61,6 +63,7 @@
             kept: BTreeMap::new(),
             leased: false,
             relieved: Moment::ZERO,
+            gathered: Moment::ZERO,
             followed: 0,
         }
     }
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use crate::connection::LinkTurns;
 use crate::control;
 use crate::control::Control;
 use crate::control::PeerSocket;
@@ -124,6 +125,7 @@
         control: RefCell::new(Control::new(timing, clock.now())),
         socket,
         peers: Peers::default(),
+        turns: LinkTurns::new(settings.link),
         phase,
         busy: Tally::default(),
         connections: Tally::default(),
--- a/crates/rattanarch_mesh/src/process/settings.rs
+++ b/crates/rattanarch_mesh/src/process/settings.rs
@@ -32,6 +32,9 @@
     pub listen: ListenSettings,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Rate of the machine's link, in megabits a second; 0 if it is not known, so that it binds nothing.
+    #[serde(default)]
+    pub link: f64,
     /// Figures of the platform's rules, such as `drain=2s`.
     #[serde(default)]
     pub bounds: Vec<String>,
@@ -128,6 +131,9 @@
         if self.heartbeat.is_zero() {
             return value("heartbeat", "must be longer than 0".to_owned());
         }
+        if !self.link.is_finite() || self.link < 0.0 {
+            return value("link", format!("{} is no rate in megabits a second", self.link));
+        }
         if let Err(error) = self.log.level.parse::<log::LevelFilter>() {
             return value("log.level", error.to_string());
         }
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::connection::LinkTurns;
 use crate::control::Control;
 use crate::control::PeerSocket;
 use crate::process::Phase;
@@ -36,6 +37,8 @@
     pub(crate) control: RefCell<Control>,
     pub(crate) socket: PeerSocket,
     pub(crate) peers: Peers,
+    /// Turns of large answers on the link of this machine.
+    pub(crate) turns: LinkTurns,
     pub(crate) phase: watch::Sender<Phase>,
     /// Requests of callers and peers under way.
     pub(crate) busy: Tally,
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -180,6 +180,7 @@
         left,
         idempotent: call.idempotent,
         key: call.key,
+        size: call.size,
     };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -9,7 +9,6 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use rattanarch_adapter::headers;
-use rattanarch_routing::AnswerSize;
 use rattanarch_types::Verdict;
 
 use crate::connection::AnswerBody;
@@ -69,8 +68,7 @@
         objective: now + mark.objective,
         deadline: now + mark.left,
         key: mark.key,
-        // It has found its instance.
-        size: AnswerSize::Small,
+        size: mark.size,
     })
 }
 
@@ -109,5 +107,6 @@
         mean: state.gate.mean(),
         cold: state.gate.is_cold(now),
         used: (state.used() * 100.0) as u32,
+        sending: shared.turns.uplink.borrow().expected(),
     }
 }
--- a/crates/rattanarch_mesh/src/request/mark.rs
+++ b/crates/rattanarch_mesh/src/request/mark.rs
@@ -6,6 +6,7 @@
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use rattanarch_routing::AnswerSize;
 use rattanarch_types::Rank;
 use rattanarch_types::Verdict;
 
@@ -22,14 +23,18 @@
 const LOAD: HeaderName = HeaderName::from_static("rattanarch-load");
 
 /// A forwarded request, beside what its own head says:
-/// `service origin rank objective-ms left-ms once|safe key|-`.
+/// `service origin rank objective-ms left-ms once|safe key|- large|small`.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[display(
-    "{service} {origin} {rank} {} {} {} {}",
+    "{service} {origin} {rank} {} {} {} {} {}",
     objective.as_millis(),
     left.as_millis(),
     if *idempotent { SAFE } else { ONCE },
-    key.map_or_else(|| NO_KEY.to_owned(), |key| key.to_string())
+    key.map_or_else(|| NO_KEY.to_owned(), |key| key.to_string()),
+    match size {
+        AnswerSize::Small => SMALL,
+        AnswerSize::Large => LARGE,
+    }
 )]
 pub(crate) struct ForwardMark {
     pub(crate) service: String,
@@ -41,10 +46,13 @@
     pub(crate) left: Duration,
     pub(crate) idempotent: bool,
     pub(crate) key: Option<u16>,
+    pub(crate) size: AnswerSize,
 }
 
 const SAFE: &str = "safe";
 const ONCE: &str = "once";
+const SMALL: &str = "small";
+const LARGE: &str = "large";
 
 /// Stands for a key: a space at the end of a header field would be lost on the way.
 const NO_KEY: &str = "-";
@@ -66,13 +74,23 @@
                 NO_KEY => None,
                 key => Some(key.parse().ok()?),
             },
+            // An older daemon does not say it.
+            size: match next() {
+                Some(LARGE) => AnswerSize::Large,
+                _ => AnswerSize::Small,
+            },
         })
     }
 }
 
 /// Load of an upstream, told with each answer.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-#[display("{running} {waiting} {slots} {} {} {used}", mean.as_millis(), u8::from(*cold))]
+#[display(
+    "{running} {waiting} {slots} {} {} {used} {}",
+    mean.as_millis(),
+    u8::from(*cold),
+    sending.as_millis()
+)]
 pub(crate) struct LoadMark {
     pub(crate) running: u32,
     pub(crate) waiting: u32,
@@ -82,6 +100,8 @@
     pub(crate) cold: bool,
     /// Work that is offered to it, in percent of what its slots can do.
     pub(crate) used: u32,
+    /// Time for which a further large answer will be on its way out of its machine.
+    pub(crate) sending: Duration,
 }
 
 impl LoadMark {
@@ -95,6 +115,7 @@
             mean: Duration::from_millis(u64::from(next()?)),
             cold: next()? > 0,
             used: next()?,
+            sending: Duration::from_millis(u64::from(next().unwrap_or_default())),
         })
     }
 }
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -38,6 +38,9 @@
     /// It would not be answered in time.
     #[display("overloaded")]
     Overloaded,
+    /// The link of the upstream's machine has no room for its answer in time.
+    #[display("link-full")]
+    LinkFull,
     /// The upstream itself refused it.
     #[display("upstream-refused")]
     UpstreamRefused,
@@ -62,7 +65,7 @@
 }
 
 impl Reason {
-    const ALL: [Self; 17] = [
+    const ALL: [Self; 18] = [
         Self::NoConfiguration,
         Self::NoInstance,
         Self::NoKey,
@@ -73,6 +76,7 @@
         Self::LeaseEnded,
         Self::NoGrant,
         Self::Overloaded,
+        Self::LinkFull,
         Self::UpstreamRefused,
         Self::Draining,
         Self::Evacuated,
@@ -89,7 +93,7 @@
             Self::NotOwner | Self::Draining | Self::Evacuated => Duration::from_millis(100),
             // As long as a heartbeat takes to come.
             Self::NoGrant | Self::Moving | Self::LeaseEnded => Duration::from_millis(300),
-            Self::Overloaded => Duration::from_millis(150),
+            Self::Overloaded | Self::LinkFull => Duration::from_millis(150),
             // It refuses some requests and takes others.
             Self::UpstreamRefused => Duration::from_millis(50),
             // A process starts, or its keys move.
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rattanarch_admission::Wish;
+use rattanarch_routing::AnswerSize;
 use rattanarch_types::Moment;
 use tokio::sync::oneshot;
 
@@ -61,6 +62,9 @@
         let slice = state.slice(key);
         state.meter.note(slice);
     }
+    if let Some(refusal) = link_refusal(shared, call) {
+        return Err(refusal);
+    }
     loop {
         wait_for_key(shared, call).await?;
         let permit = wait_for_slot(shared, call).await?;
@@ -72,6 +76,16 @@
     }
 }
 
+/// The refusal of a call whose large answer would leave this machine too late.
+fn link_refusal(shared: &Shared, call: &Call) -> Option<Refusal> {
+    if call.size == AnswerSize::Small {
+        return None;
+    }
+    let work = shared.upstream.state.borrow().gate.mean();
+    let pause = shared.turns.uplink.borrow().is_late(shared.now(), work, call.objective)?;
+    Some(Refusal::new(Reason::LinkFull, pause))
+}
+
 fn standing(shared: &Shared, key: Option<u16>) -> Standing {
     if !shared.phase.borrow().admits() {
         return Standing::Never(Reason::Stopping);
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -156,7 +156,7 @@
     permit.answered();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
-    Outcome::Answered(Response::from_parts(parts, AnswerBody::full(body)))
+    Outcome::Answered(Response::from_parts(parts, AnswerBody::in_turn(&shared.turns, body)))
 }
 
 /// Whether an answer belongs to `call`.
--- a/crates/rattanarch_routing/src/candidate.rs
+++ b/crates/rattanarch_routing/src/candidate.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::AnswerSize;
+
 /// What a daemon knows of one instance of a service without keys.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -15,6 +17,8 @@
     pub mean: Duration,
     /// Part of the last requests sent there that failed, 0 to 1.
     pub failing: f64,
+    /// Time for which a large answer would be on its way out of its machine.
+    pub sending: Duration,
     /// Whether it is cold, or expected to refuse for some other reason.
     pub cold: bool,
 }
@@ -22,13 +26,17 @@
 impl Candidate {
     /// Expected time until a request sent now is answered: its own service time and its share of
     /// the work ahead of it.
-    pub(crate) fn expected(&self, usual: Duration) -> f64 {
+    pub(crate) fn expected(&self, usual: Duration, size: AnswerSize) -> f64 {
         let mean = if self.mean.is_zero() { usual } else { self.mean }.as_secs_f64();
         let slots = f64::from(self.slots.max(1));
         let load = (f64::from(self.busy) + 1.0) / slots;
         // Neighbours slow a nearly full upstream before its queue grows.
         let ahead = (load - 1.0).max(0.0) + load.min(1.0).powi(2) * FULL_SLOWDOWN;
-        mean * (1.0 + ahead)
+        let sending = match size {
+            AnswerSize::Small => Duration::ZERO,
+            AnswerSize::Large => self.sending,
+        };
+        mean * (1.0 + ahead) + sending.as_secs_f64()
     }
 }
 
--- a/crates/rattanarch_routing/src/choice.rs
+++ b/crates/rattanarch_routing/src/choice.rs
@@ -50,5 +50,5 @@
     };
     let failing = 1.0 + candidate.failing * FAILING_FACTOR;
     let cold = if candidate.cold { COLD_FACTOR } else { 1.0 };
-    candidate.expected(UNKNOWN_MEAN) * distance * failing * cold
+    candidate.expected(UNKNOWN_MEAN, size) * distance * failing * cold
 }
--- a/crates/rattanarch_routing/tests/instance_choice.rs
+++ b/crates/rattanarch_routing/tests/instance_choice.rs
@@ -14,6 +14,7 @@
         mean: Duration::from_millis(60),
         failing: 0.0,
         cold: false,
+        sending: Duration::ZERO,
     }
 }
 
@@ -66,3 +67,11 @@
     assert!(small.is_some() && small < large, "{small:?} {large:?}");
     assert!(large < Some(18 * 8), "a local queue of eight rounds is too long: {large:?}");
 }
+
+/// A large answer goes where the link has room for it; a small one does not wait behind large ones.
+#[test]
+fn full_link() {
+    let full = Candidate { sending: Duration::from_secs(1), ..idle(true) };
+    assert_eq!(choose(&[idle(false), full], AnswerSize::Large, 0), Some(0));
+    assert_eq!(choose(&[idle(false), full], AnswerSize::Small, 0), Some(1));
+}
--- a/crates/rattanarch_wire/src/digest.rs
+++ b/crates/rattanarch_wire/src/digest.rs
@@ -19,23 +19,33 @@
     pub evacuated: u64,
     /// Versions of ownership records, by the hash of the service's name.
     pub records: BTreeMap<u64, Version>,
+    /// Whether the receiver has to act on a change of a record that the sender has just made.
+    pub concerns: bool,
 }
 
-type Fields = (SocketAddr, Version, u64, BTreeMap<u64, Version>);
+type Fields = (SocketAddr, Version, u64, BTreeMap<u64, Version>, bool);
 
 impl From<Fields> for Digest {
-    fn from((state, configuration, evacuated, records): Fields) -> Self {
-        Self { state, configuration, evacuated, records }
+    fn from((state, configuration, evacuated, records, concerns): Fields) -> Self {
+        Self { state, configuration, evacuated, records, concerns }
     }
 }
 
 impl From<Digest> for Fields {
     fn from(digest: Digest) -> Self {
-        (digest.state, digest.configuration, digest.evacuated, digest.records)
+        (digest.state, digest.configuration, digest.evacuated, digest.records, digest.concerns)
     }
 }
 
 impl Digest {
+    /// Whether what is newer here than in `other` is to be fetched at once: what operators want, and records
+    /// that the receiver has to act on.
+    pub fn is_urgent(&self, other: &Self) -> bool {
+        self.concerns
+            || self.configuration > other.configuration
+            || self.evacuated > other.evacuated
+    }
+
     /// Whether this one has anything newer than `other`.
     pub fn is_newer(&self, other: &Self) -> bool {
         let known = |service: &u64| other.records.get(service).copied().unwrap_or_default();
--- /dev/null
+++ b/crates/rattanarchd/tests/mesh_link.rs
@@ -0,0 +1,54 @@
+//! Large answers over a narrow link.
+
+mod mesh_support;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mesh_support::Site;
+
+/// Bytes of a download: with 8 Mbit/s, of which large answers get 85 %, 0.24 s on the link.
+const SIZE: usize = 200_000;
+
+/// Time between two downloads: twice as many as the link bears.
+const PAUSE: Duration = Duration::from_millis(120);
+
+/// Time in which the routes of the site are to be answered.
+const AIM: Duration = Duration::from_millis(500);
+
+/// Downloads at twice the rate that the link bears: those that are taken are whole and in time, the others
+/// are refused before they run, with a time to come back, and small answers pass them.
+#[test]
+fn downloads_in_turn() {
+    let site = Site::start(1, 1);
+    site.upstreams[1].set_padding(SIZE);
+    let (downloads, small) = thread::scope(|scope| {
+        let downloads: Vec<_> = (0..16)
+            .map(|index| {
+                thread::sleep(PAUSE);
+                let site = &site;
+                scope.spawn(move || {
+                    let began = Instant::now();
+                    let answer = site.ask(1, "/maps/fjord", &format!("m{index}"), 0);
+                    (answer, began.elapsed())
+                })
+            })
+            .collect();
+        let began = Instant::now();
+        let small = site.ask(0, "/stock/crayfish", "s", 7);
+        assert_eq!(small.status, 200, "{small:?}");
+        let small = began.elapsed();
+        (downloads.into_iter().map(|d| d.join().unwrap()).collect::<Vec<_>>(), small)
+    });
+    let served: Vec<_> = downloads.iter().filter(|(answer, _)| answer.status == 200).collect();
+    let refused = downloads.iter().filter(|(answer, _)| answer.status == 503);
+    assert!(served.iter().all(|(answer, _)| answer.stamped && answer.body.len() > SIZE));
+    assert!(refused.clone().all(|(answer, _)| answer.pause.is_some()));
+    assert_eq!(served.len() + refused.clone().count(), downloads.len());
+    let late = served.iter().filter(|(_, took)| *took > AIM).count();
+    assert!(late <= 1, "{late} of {} late: {served:?}", served.len());
+    assert!((5..=12).contains(&served.len()), "{} served", served.len());
+    assert_eq!(site.upstreams[1].runs().len(), served.len());
+    assert!(small < AIM, "{small:?}");
+}
--- a/crates/rattanarchd/tests/mesh_support/daemon.rs
+++ b/crates/rattanarchd/tests/mesh_support/daemon.rs
@@ -60,6 +60,9 @@
     child: Child,
 }
 
+/// Rate of a machine's link in megabits a second: it binds only answers of tens of kilobytes.
+const LINK: f64 = 8.0;
+
 impl Daemon {
     /// Starts the daemon of the slot `instance`, beside an upstream of `service`.
     pub fn start(
@@ -79,6 +82,7 @@
         let text = format!(
             "instance = \"{instance}\"\ndata_centre = \"{centre}\"\nservice = \"{service}\"\n\
              upstream = \"{upstream}\"\nheartbeat = \"200ms\"\nstore = \"{store}\"\n\
+             link = {LINK}\n\
              bounds = [\"grace=6s\", \"drain=2s\"]\nunheard_of = 5\n\
              [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\ndatagrams = \"{datagrams}\"\n\
              ready = \"{ready}\"\nupstream = \"{control}\"\nmetrics = \"{metrics}\"\n\
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -1,5 +1,5 @@
 //! The platform in small: its store, upstreams that hold keys, and daemons as processes.
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
 mod daemon;
