Repeat less of what may have run: its calls are repeated too

Its own requests (some 3,200) bear 510 repeats there; the rest are calls of repeated runs of spot-lookup, which makes two calls in seven of ten runs. Runs fail for their calls, so that those that are repeated make two each: with 40 % of the ratio up to 866 runs in a window while callers repeat at once, and 1,732 calls. Ruled out: the share of refused requests (510 at most), shares that don't add up (shares_add_up).

25 % leaves a tenth of the bound in that load. calls_of_repeats fails before (2,255 of 1,754) and passes after. A repeat mark on forwarded requests, by which daemons count such calls, would bear more repeats; not built.

--- a/crates/rattanarch_routing/src/retry_share.rs
+++ b/crates/rattanarch_routing/src/retry_share.rs
@@ -17,8 +17,9 @@
 }
 
 /// Part of the ratio that repeats of requests that may have run take at most: a repeated run repeats
-/// its own calls at other services, where they count as well.
-const RUN_RATIO: f64 = 0.4;
+/// its own calls at other services, where they count as well. With two calls a run, and twice as many requests
+/// to the calling service as to the called one, a quarter leaves a tenth of the called one's bound.
+const RUN_RATIO: f64 = 0.25;
 
 /// Part of the ratio that all repeats take at most; the rest covers repeats not known as such.
 const USED_RATIO: f64 = 0.75;
--- a/crates/rattanarch_routing/tests/retry_share.rs
+++ b/crates/rattanarch_routing/tests/retry_share.rs
@@ -47,3 +47,20 @@
     let (refused, _) = play(11, 20, RepeatKind::Refused);
     assert!(runs * 3 < refused * 2, "{runs} {refused}");
 }
+
+/// Plays the heaviest day of a service that is called: callers of another one, of whose runs seven in ten
+/// make two calls, repeat at once, and every request to either is to be repeated. Runs fail for their calls, so
+/// that those that are repeated make two each; no daemon takes these for repeats. With them, the bound
+/// of the called service holds.
+#[test]
+fn calls_of_repeats() {
+    const CALLS: f64 = 2.0;
+    // Requests a second at each of 11 daemons: of callers to the one and the other, and calls.
+    let (calling, called, calls) = (95, 29, 48);
+    let (runs, _) = play(11, calling, RepeatKind::Run);
+    let (refused, _) = play(11, called, RepeatKind::Refused);
+    let arrivals = refused as f64 + runs as f64 * CALLS;
+    let requests = (called + calls) * 11 * 10;
+    let allowed = requests as f64 * BOUNDS.ratio + f64::from(BOUNDS.slack);
+    assert!(arrivals < allowed, "{arrivals} of {allowed}");
+}
