Give members that joined early their witnesses before a lone one can take them for lost

Cause: a member that joined as second has one witness. It asks for more once the record has been left alone for a heartbeat and a turn of up to 0.96 s, and each update of others starts that wait again. In each of four traces the lone witness was the cut one, heard nothing for a second and rightly took the member for lost (begin takeover: term 2, one witness, silence 1.04 s; removed after the lease). Ruled out: a pause of a process (no gap in the logs), the new way of dealing slices (this service deals at the join), a majority that lies (each takeover had one witness, its own). Now such members go in a fixed order a turn of 30 ms apart, a heartbeat after the last join, whatever others write, and look at their turn rather than at the next heartbeat.

--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -37,6 +37,8 @@
     pub(crate) record: Option<Arc<Record>>,
     /// When `record` was applied.
     pub(crate) applied: Moment,
+    /// When a record with a new member was last applied.
+    pub(crate) joined: Moment,
     /// Since when a peer is known to have a newer record.
     behind: Option<Moment>,
     /// When a peer was last asked for a newer record.
@@ -78,6 +80,7 @@
             draws: Draws::new(seed),
             record: None,
             applied: Moment::ZERO,
+            joined: Moment::ZERO,
             behind: None,
             fetched: None,
             contact: Contact::default(),
@@ -192,6 +195,10 @@
         self.attempt.take_if(settled);
         self.loads.retain(|id, _| *id == self.me || record.members.contains_key(id));
         self.note_ended(now, &record);
+        let known = |id| self.record.as_ref().is_some_and(|old| old.members.contains_key(id));
+        if !record.members.keys().all(known) {
+            self.joined = now;
+        }
         self.record = Some(Arc::new(record));
         self.applied = now;
         self.behind = None;
--- a/crates/rattanarch_ownership/src/membership.rs
+++ b/crates/rattanarch_ownership/src/membership.rs
@@ -53,8 +53,7 @@
             return;
         }
         let due = self.lease.is_due(core, now);
-        let changed = self.replacer.seen != core.version();
-        if due || changed || self.lease.refused || self.replacer.is_wanted {
+        if due || self.lease.refused || self.replacer.is_due(core, now) {
             self.begin_replacement(core, now);
         }
         if due {
--- a/crates/rattanarch_ownership/src/replacement.rs
+++ b/crates/rattanarch_ownership/src/replacement.rs
@@ -49,9 +49,11 @@
     pub(crate) change: Option<Replacement>,
     shunned: BTreeMap<BootId, Moment>,
     /// Whether a change is only waiting for the platform to answer.
-    pub(crate) is_wanted: bool,
+    is_wanted: bool,
+    /// When a change that is not urgent is due.
+    turn: Option<Moment>,
     /// Record version for which the witnesses were last looked at.
-    pub(crate) seen: Version,
+    seen: Version,
 }
 
 impl Replacer {
@@ -79,6 +81,12 @@
         }
     }
 
+    /// Whether to look at the witnesses, apart from each heartbeat.
+    pub(crate) fn is_due(&self, core: &Core, now: Moment) -> bool {
+        let in_turn = self.turn.is_some_and(|turn| now >= turn);
+        self.seen != core.version() || self.is_wanted || in_turn
+    }
+
     /// Begins a change if the witnesses should be others, or the term another.
     pub(crate) fn begin(&mut self, core: &mut Core, lease: &Lease, now: Moment) {
         self.shunned.retain(|_, end| now < *end);
@@ -90,7 +98,13 @@
         let wanted = self.wanted(core, lease, now);
         let unchanged = same(&wanted, &own.witnesses);
         let urgent = lease.refused || is_short(core, lease, now);
-        self.is_wanted = !unchanged && (urgent || is_settled(core, now)) || lease.refused;
+        let turn = if own.witnesses.len() < wanted.len() {
+            completion_turn(core, wanted.len())
+        } else {
+            improvement_turn(core)
+        };
+        self.turn = (!unchanged).then_some(turn);
+        self.is_wanted = !unchanged && (urgent || now >= turn) || lease.refused;
         if !self.is_wanted || !core.is_reachable(now) {
             return;
         }
@@ -147,11 +161,21 @@
         || !silent(core, lease, now).is_empty()
 }
 
-/// Whether the record has been left alone for a while, so that a mere improvement does not race
-/// with members that join.
-fn is_settled(core: &Core, now: Moment) -> bool {
+/// When a mere improvement is due: once the record has been left alone for a while, so that it does not
+/// race with members that join.
+fn improvement_turn(core: &Core) -> Moment {
     let turn = rank(core.version(), core.me) % IMPROVEMENT_TURNS;
-    now >= core.applied + core.timing.heartbeat + IMPROVEMENT_TURN * turn as u32
+    core.applied + core.timing.heartbeat + IMPROVEMENT_TURN * turn as u32
+}
+
+/// When a member with fewer than `full` witnesses asks for more. It joined while there were few members,
+/// and a lone witness that is cut off takes it for lost: it waits for joins only, not for other updates.
+fn completion_turn(core: &Core, full: usize) -> Moment {
+    let members = core.record.iter().flat_map(|record| &record.members);
+    let short = members.filter(|(_, member)| member.witnesses.len() < full);
+    let mine = rank(0, core.me);
+    let before = short.filter(|(id, _)| rank(0, **id) > mine).count();
+    core.joined + core.timing.heartbeat + IMPROVEMENT_TURN * before as u32
 }
 
 /// Witnesses that have not answered for two heartbeats and some of a third.
--- a/crates/rattanarch_ownership/tests/joining_together.rs
+++ b/crates/rattanarch_ownership/tests/joining_together.rs
@@ -12,8 +12,10 @@
 use rattanarch_ownership::Event;
 use rattanarch_ownership::Node;
 use rattanarch_ownership::Timing;
+use rattanarch_placement::MAX_WITNESSES;
 use rattanarch_placement::Spread;
 use rattanarch_types::BootId;
+use rattanarch_types::Member;
 use rattanarch_types::Record;
 
 const SLICES: u16 = 256;
@@ -80,3 +82,25 @@
     }
     assert!(given.is_some(), "after 6 s of updates it owns nothing");
 }
+
+/// Members that joined while the service was small get their full number of witnesses before a lone
+/// one that is cut off could take them for lost, however many others write theirs.
+#[test]
+fn witnesses_soon() {
+    let timing = Timing::default();
+    for first in [1, 11, 21, 31, 41] {
+        let mut nodes: Vec<Node> = (first..first + 8)
+            .map(|id| Node::new(id, member(&format!("m{id}")), timing, id))
+            .collect();
+        let mut stored = Record::new("trade-desk", SLICES);
+        let mut tick = 1;
+        while stored.members.len() < nodes.len() {
+            run(&mut nodes, &mut stored, tick, 1);
+            tick += 1;
+        }
+        let ticks = (timing.suspicion.as_millis() / TICK.as_millis()) as u32;
+        run(&mut nodes, &mut stored, tick, ticks);
+        let few = |member: &&Member| member.witnesses.len() < MAX_WITNESSES;
+        assert_eq!(stored.members.values().filter(few).count(), 0, "ids from {first}");
+    }
+}
