Write a line for each decision on a request, and for takeovers

Now each is a line of its own, made only if the request's lines are written; they are written together or not at all (the last line decides on the budget). Bodies that can't be read end with a line and are counted too: they returned before. Takeovers of silent members had no line: the failure of witness_unheard could not be read from kept logs.

--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -79,8 +79,7 @@
 async fn run(shared: &Rc<Shared>, call: &Rc<Call>) -> Outcome {
     let trail = Trail::begin(shared, &call.id, "forwarded");
     trail.goes_to(&call.service);
-    let outcome = upstream::run(shared, call).await;
-    trail.note(upstream::describe(shared));
+    let outcome = upstream::run(shared, call, &trail).await;
     trail.end(&outcome);
     outcome
 }
--- a/crates/rattanarch_mesh/src/request/mod.rs
+++ b/crates/rattanarch_mesh/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod peers;
 mod reason;
+mod step;
 mod target;
 mod trail;
 
@@ -22,3 +23,6 @@
 pub(crate) use peers::Peer;
 pub(crate) use peers::Peers;
 pub(crate) use reason::Reason;
+pub(crate) use step::GiveUp;
+pub(crate) use step::Step;
+pub(crate) use trail::Trail;
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -34,16 +34,18 @@
 use crate::control;
 use crate::process::Shared;
 use crate::request::Call;
+use crate::request::GiveUp;
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::Step;
+use crate::request::Trail;
 use crate::request::answers;
 use crate::request::call::strip_connection_headers;
 use crate::request::forward::forward;
 use crate::request::mark::FORWARD;
 use crate::request::target;
 use crate::request::target::Target;
-use crate::request::trail::Trail;
 use crate::upstream;
 
 /// Largest body that is taken, in bytes: bodies are held until they are whole, and a machine has a
@@ -99,7 +101,7 @@
         trail.takes(&rule.name);
         let call = match self.read(request, &rule, came, &routes).await {
             Ok(call) => Rc::new(call),
-            Err(answer) => return answer,
+            Err(answer) => return end(&trail, Outcome::Answered(answer)),
         };
         trail.goes_to(&call.service);
         if !self.may_end(&call) {
@@ -125,7 +127,8 @@
     request: &Request<Incoming>,
     routes: &RouteTable,
 ) -> Response<AnswerBody> {
-    trail.note(format!("no route for {:?} in version {}", request.uri().path(), routes.version));
+    let path = request.uri().path().to_owned();
+    trail.note(Step::NoRoute { path, version: routes.version });
     let answer = answers::plain(StatusCode::NOT_FOUND, "no route".to_owned());
     end(trail, Outcome::Answered(answer))
 }
@@ -289,12 +292,16 @@
                     };
                 }
             };
+            self.note_sent(target, tried.len() as u32 + 1);
             let outcome = self.send(target).await;
             self.note(target, &outcome);
-            let again = match &outcome {
+            let next = match &outcome {
                 Outcome::Answered(response) => {
                     arrivals += 1;
-                    response.status().is_server_error() && self.may_repeat(arrivals)
+                    if !response.status().is_server_error() {
+                        return outcome;
+                    }
+                    self.may_repeat(arrivals)
                 }
                 Outcome::Failed(_) => {
                     arrivals += 1;
@@ -303,12 +310,19 @@
                 Outcome::Refused(refusal) => {
                     refusals += 1;
                     arrivals += u32::from(refusal.arrived);
-                    refusals < MAX_REFUSALS && self.may_move(target, refusal, arrivals).await
+                    if refusals < MAX_REFUSALS {
+                        self.may_move(target, refusal, arrivals).await
+                    } else {
+                        Err(GiveUp::Attempts)
+                    }
                 }
             };
-            if !again {
+            if let Err(why) = next {
+                let left = self.call.deadline.saturating_sub(shared.now());
+                self.trail.note(Step::GivenUp { why, arrivals, left });
                 return outcome.or_earlier(kept);
             }
+            self.trail.note(Step::Again { arrivals });
             kept = Some(outcome.or_earlier(kept));
             tried.push(target.address);
             if self.call.key.is_some() {
@@ -321,65 +335,81 @@
     async fn send(&self, target: Target) -> Outcome {
         let shared = &self.outbound.shared;
         if target.own {
-            let outcome = upstream::run(shared, self.call).await;
-            if !matches!(outcome, Outcome::Answered(_)) {
-                self.trail.note(upstream::describe(shared));
-            }
-            return outcome;
+            return upstream::run(shared, self.call, self.trail).await;
         }
         forward(shared, &shared.peers.get(target.address), self.call, target.local).await
     }
 
+    fn note_sent(&self, target: Target, number: u32) {
+        let Target { address, version, .. } = target;
+        let service = self.call.service.clone();
+        self.trail.note(Step::Sent { service, address, version, number });
+    }
+
     fn note(&self, target: Target, outcome: &Outcome) {
         let text = match outcome {
             Outcome::Answered(response) => format!("status {}", response.status().as_u16()),
             Outcome::Refused(refusal) => format!("refused {}", refusal.reason),
             Outcome::Failed(failure) => format!("failed {failure}"),
         };
-        let version = target.version;
+        self.trail.note(Step::Came { address: target.address, outcome: text });
         let service = &self.call.service;
-        self.trail.note(format!("{service} {} by record {version}: {text}", target.address));
         if let Outcome::Refused(Refusal { reason: Reason::OtherService, .. }) = outcome {
             control::note_ended(&self.outbound.shared, service, target.member);
         }
     }
 
     /// Whether a request that may have run is sent once more.
-    fn may_repeat(&self, arrivals: u32) -> bool {
-        self.call.idempotent
-            && arrivals < self.rule.attempts
-            && self.has_time()
-            && self.outbound.spend(&self.call.service, RepeatKind::Run)
+    fn may_repeat(&self, arrivals: u32) -> Result<(), GiveUp> {
+        if !self.call.idempotent {
+            return Err(GiveUp::NotRepeatable);
+        }
+        if arrivals >= self.rule.attempts {
+            return Err(GiveUp::Attempts);
+        }
+        self.check_time()?;
+        self.spend(RepeatKind::Run)
+    }
+
+    fn spend(&self, kind: RepeatKind) -> Result<(), GiveUp> {
+        let granted = self.outbound.spend(&self.call.service, kind);
+        granted.then_some(()).ok_or(GiveUp::Share)
     }
 
     /// Whether enough time is left for another try.
-    fn has_time(&self) -> bool {
+    fn check_time(&self) -> Result<(), GiveUp> {
         let left = self.call.deadline.saturating_sub(self.outbound.shared.now());
-        left > self.rule.objective / 4
+        (left > self.rule.objective / 4).then_some(()).ok_or(GiveUp::NoTime)
     }
 
     /// Whether a request that was refused goes to another instance.
-    async fn may_move(&self, target: Target, refusal: &Refusal, arrivals: u32) -> bool {
-        if !self.has_time() || !refusal.reason.may_go_elsewhere() {
-            return false;
+    async fn may_move(
+        &self,
+        target: Target,
+        refusal: &Refusal,
+        arrivals: u32,
+    ) -> Result<(), GiveUp> {
+        self.check_time()?;
+        if !refusal.reason.may_go_elsewhere() {
+            return Err(GiveUp::Elsewhere);
         }
-        let may_arrive = arrivals == 0
-            || arrivals < self.rule.attempts.max(MAX_ARRIVALS)
-                && self.outbound.spend(&self.call.service, RepeatKind::Refused);
-        if !may_arrive {
-            return false;
+        if arrivals > 0 {
+            if arrivals >= self.rule.attempts.max(MAX_ARRIVALS) {
+                return Err(GiveUp::Attempts);
+            }
+            self.spend(RepeatKind::Refused)?;
         }
         match refusal.reason {
-            _ if self.call.key.is_none() => true,
+            _ if self.call.key.is_none() => Ok(()),
             Reason::NotOwner => self.newer_record(target).await,
             // An upstream that refuses a part of what it gets may take the next one.
-            Reason::UpstreamRefused => true,
-            _ => false,
+            Reason::UpstreamRefused => Ok(()),
+            _ => Err(GiveUp::Elsewhere),
         }
     }
 
     /// Waits for a record that names another owner than `target`, which knows a newer one itself.
-    async fn newer_record(&self, target: Target) -> bool {
+    async fn newer_record(&self, target: Target) -> Result<(), GiveUp> {
         let shared = &self.outbound.shared;
         if !target.own {
             control::pull_soon(shared, target.address);
@@ -391,10 +421,10 @@
                 found.version > target.version && found.address != target.address
             });
             if moved {
-                return true;
+                return Ok(());
             }
             if tokio::time::timeout_at(end, changed).await.is_err() {
-                return false;
+                return Err(GiveUp::Owner);
             }
         }
     }
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/step.rs
@@ -0,0 +1,82 @@
+//! Decisions on one request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use rattanarch_types::Version;
+
+use crate::request::Reason;
+use crate::upstream::View;
+
+/// A decision on a request, with what decided it. Text is made only if the request's lines are written.
+#[derive(Debug, Display)]
+pub(crate) enum Step {
+    /// No route leads anywhere for this path.
+    #[display("path {path:?} in version {version}")]
+    NoRoute { path: String, version: u64 },
+    /// It waits until its key may be served here.
+    #[display("{reason}, {view}")]
+    Held { reason: Reason, view: View },
+    /// It waits at the upstream's gate.
+    #[display("{_0}")]
+    Queued(View),
+    /// It has a slot of the upstream.
+    #[display("waited {}ms, {view}", waited.as_millis())]
+    Admitted { waited: Duration, view: View },
+    /// The gate refuses it.
+    #[display("{reason}, come back after {}ms, {view}", pause.as_millis())]
+    Refused { reason: Reason, pause: Duration, view: View },
+    /// It goes to an instance's daemon.
+    #[display("{service} {address} by record {version}, try {number}")]
+    Sent { service: String, address: SocketAddr, version: Version, number: u32 },
+    /// What a try came to.
+    #[display("{address}: {outcome}")]
+    Came { address: SocketAddr, outcome: String },
+    /// It is tried once more.
+    #[display("{arrivals} tries may have run")]
+    Again { arrivals: u32 },
+    /// It is not tried any more.
+    #[display("{why}, {arrivals} tries may have run, {}ms left", left.as_millis())]
+    GivenUp { why: GiveUp, arrivals: u32, left: Duration },
+}
+
+impl Step {
+    /// Name of the decision in the log.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::NoRoute { .. } => "no-route",
+            Self::Held { .. } => "held",
+            Self::Queued(_) => "queued",
+            Self::Admitted { .. } => "admitted",
+            Self::Refused { .. } => "refused",
+            Self::Sent { .. } => "sent",
+            Self::Came { .. } => "answer",
+            Self::Again { .. } => "again",
+            Self::GivenUp { .. } => "given-up",
+        }
+    }
+}
+
+/// Why a request is not tried once more.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(crate) enum GiveUp {
+    /// It may have run, and running it twice may do harm.
+    #[display("not-repeatable")]
+    NotRepeatable,
+    /// The route's number of attempts, or of refusals, is used up.
+    #[display("attempts-used")]
+    Attempts,
+    /// Too little of its time is left.
+    #[display("no-time")]
+    NoTime,
+    /// The share of repeats among the service's requests is used up.
+    #[display("share-used")]
+    Share,
+    /// Another instance would refuse it for the same reason.
+    #[display("no-other-instance")]
+    Elsewhere,
+    /// No newer record names another owner.
+    #[display("owner-unchanged")]
+    Owner,
+}
--- a/crates/rattanarch_mesh/src/request/trail.rs
+++ b/crates/rattanarch_mesh/src/request/trail.rs
@@ -4,20 +4,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rattanarch_process::WHOLE;
+use log::Level;
+use rattanarch_process::GRANTED;
+use rattanarch_process::may_log;
 use rattanarch_types::Moment;
 use rattanarch_types::hash_key;
 
 use crate::process::RequestLabels;
 use crate::process::Shared;
 use crate::request::Outcome;
+use crate::request::Step;
 
 /// One in this many failed requests belongs to the sample whose lines have a budget of their own: at
 /// 500 refusals a second, the sample still fits it.
 const WHOLE_SAMPLE: u64 = 8;
 
-/// Decisions on one request. They are written together when it ends: all of them if it was refused
-/// or failed, or belongs to the sample of requests that ended well.
+/// Decisions on one request. They are written together when it ends, a line each: if it was refused or
+/// failed, or belongs to the sample of requests that ended well.
 pub(crate) struct Trail {
     shared: Rc<Shared>,
     id: String,
@@ -26,7 +29,7 @@
     began: Moment,
     route: RefCell<String>,
     service: RefCell<String>,
-    steps: RefCell<Vec<(Moment, String)>>,
+    steps: RefCell<Vec<(Moment, Step)>>,
 }
 
 impl Trail {
@@ -53,8 +56,8 @@
         service.clone_into(&mut self.service.borrow_mut());
     }
 
-    /// Adds a decision and what decided it.
-    pub(crate) fn note(&self, step: String) {
+    /// Adds a decision.
+    pub(crate) fn note(&self, step: Step) {
         self.steps.borrow_mut().push((self.shared.now(), step));
     }
 
@@ -90,24 +93,30 @@
         sample > 0 && hash_key(&self.id).is_multiple_of(sample)
     }
 
+    /// Writes a line for each decision and one for the end, all of them or none.
     fn write(&self, outcome: &str, detail: &str, took: Duration, failed: bool) {
+        let event = if failed { "request not served" } else { "request served" };
+        let level = if failed { Level::Warn } else { Level::Info };
+        // By the id, so that every daemon that the request passes chooses alike.
+        let whole = failed && hash_key(&self.id).is_multiple_of(WHOLE_SAMPLE);
         let steps = self.steps.borrow();
-        let step = |(at, step): &(Moment, String)| {
-            format!("{}ms {step}", at.saturating_sub(self.began).as_millis())
-        };
-        let steps = steps.iter().map(step).collect::<Vec<_>>().join("; ");
+        if !may_log((event, whole), level, steps.len() as u64 + 1) {
+            return;
+        }
         let (id, side, took) = (&self.id, self.side, took.as_millis() as u64);
+        for (at, step) in &*steps {
+            let at = at.saturating_sub(self.began).as_millis() as u64;
+            log::log!(target: GRANTED, level, id:% = id, side:% = side, at_ms = at,
+                decision:% = step.name(), detail:% = step; "request decision");
+        }
         let (route, service) = (self.route.borrow(), self.service.borrow());
         if failed {
-            // By the id, so that every daemon that the request passes chooses alike.
-            let whole = hash_key(id).is_multiple_of(WHOLE_SAMPLE);
-            let target = if whole { WHOLE } else { module_path!() };
-            log::warn!(target: target, id:% = id, side:% = side, route:% = route, service:% = service,
-                outcome:% = outcome, detail:% = detail, took_ms = took, steps:% = steps;
+            log::warn!(target: GRANTED, id:% = id, side:% = side, route:% = route,
+                service:% = service, outcome:% = outcome, detail:% = detail, took_ms = took;
                 "request not served");
         } else {
-            log::info!(id:% = id, side:% = side, route:% = route, service:% = service,
-                outcome:% = outcome, detail:% = detail, took_ms = took, steps:% = steps;
+            log::info!(target: GRANTED, id:% = id, side:% = side, route:% = route,
+                service:% = service, outcome:% = outcome, detail:% = detail, took_ms = took;
                 "request served");
         }
     }
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -7,12 +7,16 @@
 use rattanarch_routing::AnswerSize;
 use rattanarch_types::Moment;
 use tokio::sync::oneshot;
+use tokio::sync::oneshot::error::TryRecvError;
 
 use crate::process::Shared;
 use crate::request::Call;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::Step;
+use crate::request::Trail;
 use crate::upstream::Standing;
+use crate::upstream::View;
 use crate::upstream::state::Waiter;
 
 /// Part of the time left that a request may wait for its key to arrive: what is left has to do for
@@ -55,7 +59,11 @@
 ///
 /// # Errors
 /// Why it may not, at once if that is certain; the request has not run then.
-pub(crate) async fn admit(shared: &Rc<Shared>, call: &Call) -> Result<Permit, Refusal> {
+pub(crate) async fn admit(
+    shared: &Rc<Shared>,
+    call: &Call,
+    trail: &Trail,
+) -> Result<Permit, Refusal> {
     let came = shared.now();
     if let Some(key) = call.key {
         let mut state = shared.upstream.state.borrow_mut();
@@ -66,11 +74,13 @@
         return Err(refusal);
     }
     loop {
-        wait_for_key(shared, call).await?;
-        let permit = wait_for_slot(shared, call).await?;
+        wait_for_key(shared, call, trail).await?;
+        let permit = wait_for_slot(shared, call, trail).await?;
         // The key may have gone while the request waited for its slot.
         if standing(shared, call.key) == Standing::Ready {
-            shared.meters.queued(&call.service, shared.now().saturating_sub(came));
+            let waited = shared.now().saturating_sub(came);
+            shared.meters.queued(&call.service, waited);
+            trail.note(Step::Admitted { waited, view: View::of(shared) });
             return Ok(permit);
         }
     }
@@ -98,8 +108,9 @@
     state.standing(shared.now(), key, evacuated, (&bounds, beat))
 }
 
-async fn wait_for_key(shared: &Rc<Shared>, call: &Call) -> Result<(), Refusal> {
+async fn wait_for_key(shared: &Rc<Shared>, call: &Call, trail: &Trail) -> Result<(), Refusal> {
     let came = shared.now();
+    let mut queued = false;
     let left = call.deadline.saturating_sub(came);
     let patience = came + left.mul_f64(KEY_PATIENCE);
     loop {
@@ -114,6 +125,9 @@
         if expected > patience {
             return Err(Refusal::new(reason, expected.saturating_sub(now)));
         }
+        if !std::mem::replace(&mut queued, true) {
+            trail.note(Step::Held { reason, view: View::of(shared) });
+        }
         tokio::select! {
             () = changed => {}
             () = tokio::time::sleep(expected.saturating_sub(now)) => {}
@@ -121,16 +135,23 @@
     }
 }
 
-async fn wait_for_slot(shared: &Rc<Shared>, call: &Call) -> Result<Permit, Refusal> {
-    let (waiter, waiting) = oneshot::channel();
+async fn wait_for_slot(shared: &Rc<Shared>, call: &Call, trail: &Trail) -> Result<Permit, Refusal> {
+    let (waiter, mut waiting) = oneshot::channel();
     offer(shared, call, waiter);
-    match waiting.await {
-        Ok(Ok(mut permit)) => {
+    let decided = match waiting.try_recv() {
+        Err(TryRecvError::Empty) => {
+            trail.note(Step::Queued(View::of(shared)));
+            waiting.await.ok()
+        }
+        decided => decided.ok(),
+    };
+    match decided {
+        Some(Ok(mut permit)) => {
             permit.take(call);
             Ok(permit)
         }
-        Ok(Err(refusal)) => Err(refusal),
-        Err(_) => Err(Refusal::new(Reason::Overloaded, Duration::from_millis(100))),
+        Some(Err(refusal)) => Err(refusal),
+        None => Err(Refusal::new(Reason::Overloaded, Duration::from_millis(100))),
     }
 }
 
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -29,8 +29,11 @@
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::Step;
+use crate::request::Trail;
 use crate::request::strip_connection_headers;
 use crate::upstream::Permit;
+use crate::upstream::View;
 use crate::upstream::admit;
 
 /// Largest answer that is held until it is whole, in bytes; the largest known ones have a tenth.
@@ -43,14 +46,17 @@
 ///
 /// Dropping the future ends an idempotent request, whose caller has gone; any other goes on, so that
 /// what it does is done once and whole.
-pub(crate) async fn run(shared: &Rc<Shared>, call: &Rc<Call>) -> Outcome {
+pub(crate) async fn run(shared: &Rc<Shared>, call: &Rc<Call>, trail: &Trail) -> Outcome {
     if call.service != shared.settings.service {
         // A daemon of another service had this address, and may still stand in that one's record.
         return Outcome::Refused(Reason::OtherService.into());
     }
-    let permit = match admit(shared, call).await {
+    let permit = match admit(shared, call, trail).await {
         Ok(permit) => permit,
-        Err(refusal) => return Outcome::Refused(refusal),
+        Err(Refusal { reason, pause, arrived }) => {
+            trail.note(Step::Refused { reason, pause, view: View::of(shared) });
+            return Outcome::Refused(Refusal { reason, pause, arrived });
+        }
     };
     let sending = send(Rc::clone(shared), Rc::clone(call), permit);
     if call.idempotent {
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod heartbeat;
 mod life;
 mod state;
+mod view;
 
 pub(crate) use admission::Permit;
 pub(crate) use admission::admit;
@@ -16,4 +17,4 @@
 pub(crate) use state::Standing;
 pub(crate) use state::Upstream;
 pub(crate) use state::UpstreamState;
-pub(crate) use state::describe;
+pub(crate) use view::View;
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -19,7 +19,6 @@
 use tokio::sync::oneshot;
 
 use crate::connection::Pool;
-use crate::process::Shared;
 use crate::request::Reason;
 use crate::upstream::Life;
 
@@ -204,26 +203,5 @@
     }
 }
 
-/// What decides about requests now, for the lines of one that was not served: the life, ages of the
-/// last heartbeat and of the lease, the record, and the load.
-pub(crate) fn describe(shared: &Shared) -> String {
-    let now = shared.now();
-    let state = shared.upstream.state.borrow();
-    let (life, heard) = match &state.life {
-        Some(life) => (life.id.as_str(), now.saturating_sub(life.heard).as_millis()),
-        None => ("none", 0),
-    };
-    let margin = state.serving.until.map(|until| until.saturating_sub(now).as_millis());
-    format!(
-        "life {life} heard {heard}ms ago, lease {}ms, record {}, {} of {} slots, {} waiting, mean {}ms",
-        margin.unwrap_or_default(),
-        state.serving.record.version,
-        state.gate.running(),
-        state.gate.slots(),
-        state.gate.waiting(),
-        state.gate.mean().as_millis(),
-    )
-}
-
 /// Shortest time after which it is worth looking again.
 const NEXT_LOOK: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/rattanarch_mesh/src/upstream/view.rs
@@ -0,0 +1,46 @@
+//! What decides about requests at the upstream.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use rattanarch_types::Version;
+
+use crate::process::Shared;
+
+/// What decided on a request at the upstream, as of one moment.
+#[derive(Clone, Debug, Display)]
+#[display(
+    "life {life} heard {}ms ago, lease {}ms, record {record}, {running} of {slots} slots, \
+     {waiting} waiting, mean {}ms",
+    heard.as_millis(), lease.as_millis(), mean.as_millis()
+)]
+pub(crate) struct View {
+    life: String,
+    /// Age of its last heartbeat.
+    heard: Duration,
+    /// What is left of the daemon's lease.
+    lease: Duration,
+    record: Version,
+    running: u32,
+    slots: u32,
+    waiting: u32,
+    mean: Duration,
+}
+
+impl View {
+    pub(crate) fn of(shared: &Shared) -> Self {
+        let now = shared.now();
+        let state = shared.upstream.state.borrow();
+        let life = state.life.as_ref();
+        Self {
+            life: life.map_or_else(|| "none".to_owned(), |life| life.id.clone()),
+            heard: life.map(|life| now.saturating_sub(life.heard)).unwrap_or_default(),
+            lease: state.serving.until.map(|until| until.saturating_sub(now)).unwrap_or_default(),
+            record: state.serving.record.version,
+            running: state.gate.running(),
+            slots: state.gate.slots(),
+            waiting: state.gate.waiting(),
+            mean: state.gate.mean(),
+        }
+    }
+}
--- a/crates/rattanarch_mesh/tests/operations_page.rs
+++ b/crates/rattanarch_mesh/tests/operations_page.rs
@@ -34,15 +34,16 @@
 
 fn code() -> String {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let files = sources(&root.join("src"));
-    files.iter().map(|path| fs::read_to_string(path).expect("a source")).collect()
+    let directories = ["src", "../rattanarch_ownership/src"];
+    let files = directories.iter().flat_map(|directory| sources(&root.join(directory)));
+    files.map(|path| fs::read_to_string(path).expect("a source")).collect()
 }
 
 /// Every log line's event, in a macro's last argument or its only one.
 #[test]
 fn events_listed() {
     let (code, page) = (code(), page());
-    let levels = ["log::info!(", "log::warn!(", "log::error!("];
+    let levels = ["log::info!(", "log::warn!(", "log::error!(", "log::log!("];
     let calls = levels.iter().flat_map(|level| code.split(level).skip(1));
     let events: Vec<&str> = calls.filter_map(message).collect();
     assert!(events.len() > 30, "{events:?}");
@@ -87,3 +88,21 @@
         assert!(page.contains(name), "{name} is not on the page");
     }
 }
+
+/// Every decision on a request, and every reason to give one up, is listed.
+#[test]
+fn decisions_listed() {
+    let (code, page) = (code(), page());
+    let steps = code.split("//! Decisions on one request.").nth(1);
+    let steps = steps.and_then(|rest| rest.split("\n//! ").next()).expect("the decisions");
+    let decisions: Vec<&str> = quoted(steps, "=>").collect();
+    let reasons = steps.split("pub(crate) enum GiveUp").nth(1).expect("the reasons");
+    let reasons: Vec<&str> = quoted(reasons, "#[display(").collect();
+    assert!(decisions.len() >= 9 && reasons.len() >= 6, "{decisions:?} {reasons:?}");
+    for name in decisions {
+        assert!(page.contains(&format!("\n| {name} |")), "{name} is not on the page");
+    }
+    for name in reasons {
+        assert!(page.contains(name), "{name} is not on the page");
+    }
+}
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -191,7 +191,7 @@
             }
             Message::Alive { owner } => {
                 if let Some(member) = self.life.member_mut() {
-                    member.takeovers.alive(&mut self.witness, now, owner);
+                    member.takeovers.alive(&self.core, &mut self.witness, now, owner);
                 }
             }
         }
--- a/crates/rattanarch_ownership/src/takeovers.rs
+++ b/crates/rattanarch_ownership/src/takeovers.rs
@@ -71,6 +71,10 @@
         if reachable && silence >= core.timing.suspicion + delay {
             let takeover = Takeover::new(member.term, member.witnesses.clone());
             self.stages.insert(owner, Stage::Sealing(takeover));
+            let silence = silence.as_millis() as u64;
+            log::info!(owner:% = member.instance, member = owner, term = member.term,
+                record = core.version(), silence_ms = silence, witnesses = member.witnesses.len();
+                "owner suspected");
         }
     }
 
@@ -119,10 +123,11 @@
     }
 
     /// Gives up on an owner that another witness has heard from.
-    pub(crate) fn alive(&mut self, witness: &mut Witness, now: Moment, owner: BootId) {
+    pub(crate) fn alive(&mut self, core: &Core, witness: &mut Witness, now: Moment, owner: BootId) {
         if matches!(self.stages.get(&owner), Some(Stage::Sealing(_))) {
             self.stages.remove(&owner);
             witness.vouch(now, owner);
+            log::info!(member = owner, record = core.version(); "owner vouched for");
         }
     }
 
@@ -136,6 +141,8 @@
         }
         let mut draft = core.draft();
         for owner in ready {
+            let name = draft.members.get(&owner).map_or("", |member| &*member.instance);
+            log::info!(owner:% = name, member = owner, record = core.version(); "owner taken out");
             remove(&mut draft, owner);
         }
         let suspects = self.suspects(core, witness, now);
--- a/crates/rattanarch_process/benches/log_cost.rs
+++ b/crates/rattanarch_process/benches/log_cost.rs
@@ -14,8 +14,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rattanarch_process::GRANTED;
 use rattanarch_process::LogOptions;
 use rattanarch_process::dropped_lines;
+use rattanarch_process::may_log;
 use rattanarch_process::start_logs;
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
@@ -71,21 +73,39 @@
 fn end_request(number: u32, load: Load) -> Duration {
     let began = Instant::now();
     let id = format!("{number:016x}");
-    let steps = format!("0ms trade-desk 10.1.0.9:8221 by record {number}: refused overloaded");
     if !load.logged {
-        std::hint::black_box((id, steps));
-    } else if number % 100 < load.refused {
-        log::warn!(id:% = id, side = "caller", route = "stock", service = "trade-desk",
-            outcome = "refused", detail = "overloaded", took_ms = 3, steps:% = steps;
-            "request not served");
-    } else if number.is_multiple_of(SAMPLE) {
-        log::info!(id:% = id, side = "caller", route = "stock", service = "trade-desk",
-            outcome = "answered", detail = "200", took_ms = 3, steps:% = steps;
+        std::hint::black_box(id);
+        return began.elapsed();
+    }
+    if number % 100 < load.refused {
+        if may_log(("request not served", false), log::Level::Warn, STEPS + 1) {
+            write_steps(&id, number);
+            log::warn!(target: GRANTED, id:% = id, side = "caller", route = "stock",
+                service = "trade-desk", outcome = "refused", detail = "overloaded", took_ms = 3;
+                "request not served");
+        }
+    } else if number.is_multiple_of(SAMPLE)
+        && may_log(("request served", false), log::Level::Info, STEPS + 1)
+    {
+        write_steps(&id, number);
+        log::info!(target: GRANTED, id:% = id, side = "caller", route = "stock",
+            service = "trade-desk", outcome = "answered", detail = "200", took_ms = 3;
             "request served");
     }
     began.elapsed()
 }
 
+/// Decisions on a request.
+const STEPS: u64 = 3;
+
+fn write_steps(id: &str, record: u32) {
+    for step in 0..STEPS {
+        log::warn!(target: GRANTED, id, side = "caller", at_ms = step, decision = "sent",
+            detail:% = format_args!("trade-desk 10.1.0.9:8221 by record {record}, try {step}");
+            "request decision");
+    }
+}
+
 /// Offers `load`; returns requests, processor time and the longest time that one request took.
 fn offer(load: Load) -> (u32, Duration, Duration) {
     let (start, before) = (Instant::now(), processor_time());
--- a/crates/rattanarch_process/src/lib.rs
+++ b/crates/rattanarch_process/src/lib.rs
@@ -15,10 +15,11 @@
 
 pub use clock::Clock;
 pub use clock::unix_ms;
+pub use logs::GRANTED;
 pub use logs::LogError;
 pub use logs::LogOptions;
-pub use logs::WHOLE;
 pub use logs::dropped_lines;
+pub use logs::may_log;
 pub use logs::start_logs;
 pub use metrics::Labels;
 pub use metrics::Metrics;
--- a/crates/rattanarch_process/src/logs.rs
+++ b/crates/rattanarch_process/src/logs.rs
@@ -1,11 +1,13 @@
 //! Log lines in JSON.
 
 use std::io;
+use std::sync::LazyLock;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use log::Level;
 use log::LevelFilter;
 use log::Log;
 use log::Metadata;
@@ -25,9 +27,28 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
-/// Target of lines about a sample of requests that every process draws alike. They have a budget of
-/// their own, so that all lines of one such request are written while others are dropped.
-pub const WHOLE: &str = "rattanarch::whole";
+/// Target of lines that [`may_log`] has granted; they count against no budget again.
+pub const GRANTED: &str = "rattanarch::granted";
+
+/// Budgets of events. In one place for the process, as its logger is.
+static BUDGET: LazyLock<Mutex<Budget>> = LazyLock::new(Mutex::default);
+
+/// Whether all `lines` of something that ends in `event` may be written, with the target [`GRANTED`].
+/// Those that may not are counted as dropped.
+///
+/// `whole`: whether it belongs to a sample that every process draws alike. That has a budget of its own,
+/// so that all its lines are written while others are dropped.
+pub fn may_log(event: (&str, bool), level: Level, lines: u64) -> bool {
+    if level > log::max_level() {
+        return false;
+    }
+    let mut budget = BUDGET.lock().unwrap_or_else(PoisonError::into_inner);
+    let granted = budget.take(Clock.now(), event, level);
+    if !granted {
+        DROPPED.fetch_add(lines, Ordering::Relaxed);
+    }
+    granted
+}
 
 /// How to log.
 pub struct LogOptions {
@@ -70,14 +91,13 @@
         })
         .chain(out)
         .into_log();
-    log::set_boxed_logger(Box::new(Limited { budget: Mutex::default(), inner }))?;
+    log::set_boxed_logger(Box::new(Limited { inner }))?;
     log::set_max_level(level);
     Ok(())
 }
 
 /// Keeps each event within its budget.
 struct Limited {
-    budget: Mutex<Budget>,
     inner: Box<dyn Log>,
 }
 
@@ -88,14 +108,8 @@
 
     fn log(&self, record: &Record<'_>) {
         let event = record.args().as_str().unwrap_or_else(|| record.target());
-        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        let whole = record.target() == WHOLE;
-        let granted = budget.take(Clock.now(), (event, whole), record.level());
-        drop(budget);
-        if granted {
+        if record.target() == GRANTED || may_log((event, false), record.level(), 1) {
             self.inner.log(record);
-        } else {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
         }
     }
 
--- a/crates/rattanarch_process/tests/log_output.rs
+++ b/crates/rattanarch_process/tests/log_output.rs
@@ -9,9 +9,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rattanarch_process::GRANTED;
 use rattanarch_process::LogOptions;
-use rattanarch_process::WHOLE;
 use rattanarch_process::dropped_lines;
+use rattanarch_process::may_log;
 use rattanarch_process::start_logs;
 
 /// An output whose reader can be stuck.
@@ -49,7 +50,11 @@
         log::warn!(id = request; "request not served");
         log::info!(id = request; "request served");
         if request % 100 == 0 {
-            log::warn!(target: WHOLE, id = request, whole = true; "request not served");
+            let granted = may_log(("request not served", true), log::Level::Warn, 2);
+            if granted {
+                log::warn!(target: GRANTED, id = request, whole = true; "request decision");
+                log::warn!(target: GRANTED, id = request, whole = true; "request not served");
+            }
         }
         log::debug!("never written");
     }
@@ -66,7 +71,11 @@
         std::thread::sleep(Duration::from_millis(10));
     }
     assert!(count("not served") > count("request served"), "failures go first");
-    assert_eq!(count("\"whole\":true"), 50, "the sample of whole requests has a budget of its own");
+    assert_eq!(
+        count("\"whole\":true"),
+        100,
+        "the sample of whole requests has a budget of its own"
+    );
     let bytes = written.lock().unwrap();
     let text = String::from_utf8_lossy(&bytes);
     for line in text.lines() {
