--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -301,6 +301,7 @@
             let target = match target::find(shared, self.call, &tried) {
                 Ok(target) => target,
                 Err(refusal) => {
+                    self.note_unsent(&refusal);
                     return match kept {
                         // No instance is left to try: what the last one said tells more.
                         Some(kept) if refusal.reason == Reason::NoInstance => kept,
@@ -357,6 +358,14 @@
         forward(shared, &shared.peers.get(target.address), self.call, target.local).await
     }
 
+    fn note_unsent(&self, refusal: &Refusal) {
+        let Refusal { reason, pause, .. } = *refusal;
+        let service = self.call.service.clone();
+        let knowledge = self.outbound.shared.knowledge.borrow();
+        let version = knowledge.record(&service).map(|record| record.version).unwrap_or_default();
+        self.trail.note(Step::Unsent { reason, pause, service, version });
+    }
+
     fn note_sent(&self, target: Target, number: u32) {
         let Target { address, version, .. } = target;
         let service = self.call.service.clone();
--- a/crates/rattanarch_mesh/src/request/step.rs
+++ b/crates/rattanarch_mesh/src/request/step.rs
@@ -27,6 +27,9 @@
     /// The gate refuses it.
     #[display("{reason}, come back after {}ms, {view}", pause.as_millis())]
     Refused { reason: Reason, pause: Duration, view: View },
+    /// No instance's daemon is to get it.
+    #[display("{reason}, come back after {}ms, {service} by record {version}", pause.as_millis())]
+    Unsent { reason: Reason, pause: Duration, service: String, version: Version },
     /// It goes to an instance's daemon.
     #[display("{service} {address} by record {version}, try {number}")]
     Sent { service: String, address: SocketAddr, version: Version, number: u32 },
@@ -50,6 +53,7 @@
             Self::Queued(_) => "queued",
             Self::Admitted { .. } => "admitted",
             Self::Refused { .. } => "refused",
+            Self::Unsent { .. } => "unsent",
             Self::Sent { .. } => "sent",
             Self::Came { .. } => "answer",
             Self::Again { .. } => "again",
--- a/crates/rattanarchd/tests/mesh_lines.rs
+++ b/crates/rattanarchd/tests/mesh_lines.rs
@@ -36,3 +36,11 @@
     wait_until("a line for each decision", both);
     assert_eq!(lines_of(&site, 0, "served", "caller"), ["sent", "answer", "answered"]);
 }
+
+/// A request for which no instance is there has a line that tells the record's version.
+#[test]
+fn unsent_told() {
+    let site = Site::start(1, 0);
+    site.ask(0, "/files/customs", "nowhere", 7);
+    wait_until("its lines", || lines_of(&site, 0, "nowhere", "caller") == ["unsent", "refused"]);
+}
