Judge shed_early by bursts in which the test's process ran

Cause of the listed failure (4 of 24 late, 20 shed): the process with callers, daemon and upstream was stopped for longer than the requests' 100 ms. Ruled out: the gate's estimate; after such a pause no order of requests is in time. A burst with a gap of more than half the work's time (the deadline spares that) is played again, up to ten times, and ten such fail the test; both bounds stand.

--- a/crates/rattanarchd/tests/admission.rs
+++ b/crates/rattanarchd/tests/admission.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::future::join_all;
 use rattanarch_types::KeySource;
@@ -69,6 +70,35 @@
     assert_eq!(order, ["/reserve/a", "/stock/a", "/reserve/a"]);
 }
 
+/// Plays `burst` again while this process, which holds callers, daemon and upstream, was stopped for longer
+/// than `spare`: what was under way is late then, whatever was admitted.
+async fn unstalled<T, F: Future<Output = T>>(spare: Duration, burst: impl Fn() -> F) -> T {
+    const TICK: Duration = Duration::from_millis(2);
+    const TRIES: u32 = 10;
+    for _ in 0..TRIES {
+        let longest = Arc::new(Mutex::new(Duration::ZERO));
+        let seen = Arc::clone(&longest);
+        let ticks = tokio::spawn(async move {
+            loop {
+                let began = Instant::now();
+                tokio::time::sleep(TICK).await;
+                let mut seen = seen.lock().expect("no holder panics");
+                *seen = began.elapsed().max(*seen);
+            }
+        });
+        let result = burst().await;
+        // Lets the tick that a stall has held up end.
+        tokio::time::sleep(TICK * 2).await;
+        ticks.abort();
+        let longest = *longest.lock().expect("no holder panics");
+        if longest <= spare {
+            return result;
+        }
+        eprintln!("stopped for {longest:?}, played again");
+    }
+    panic!("stopped for longer than {spare:?} in each of {TRIES} plays");
+}
+
 #[tokio::test]
 async fn shed_early() {
     const WORK: Duration = Duration::from_millis(40);
@@ -81,7 +111,8 @@
     }
     // One round runs, the queue holds two more, of which the second can't make it.
     let burst = usize::from(SLOTS) * 3;
-    let all = join_all((0..burst).map(|_| ask(rig.address, "GET", "/trade-desk/stock/a"))).await;
+    let ask_all = || join_all((0..burst).map(|_| ask(rig.address, "GET", "/trade-desk/stock/a")));
+    let all = unstalled(WORK / 2, ask_all).await;
     let shed: Vec<_> = all.iter().filter(|got| got.status == 503).collect();
     assert!(shed.iter().all(|got| got.verdict() == "not-run"));
     assert!(shed.iter().all(|got| got.field("rattanarch-retry-ms").is_some()));
