Let the gate hold as many requests as its upstream's slots allow

Now the bound follows the slots. Test: burst_of_calls (fails before: 32 of 54 shed that can be served in time).

--- a/crates/rattanarch_admission/src/gate.rs
+++ b/crates/rattanarch_admission/src/gate.rs
@@ -130,6 +130,7 @@
     /// Sets the number of slots, which may differ in each life of the upstream.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
+        self.queue.set_max(self.slots as usize * QUEUE_FACTOR);
     }
 
     /// Notes that the upstream stays cold for `left` and bears `rate` requests a second.
--- a/crates/rattanarch_admission/src/queue.rs
+++ b/crates/rattanarch_admission/src/queue.rs
@@ -82,6 +82,11 @@
         self.pace = Pace { limit: pace.limit.max(1), ..pace };
     }
 
+    /// Sets the most requests that wait; what waits already stays.
+    pub fn set_max(&mut self, max: usize) {
+        self.max = max;
+    }
+
     /// Number of waiting requests.
     pub fn len(&self) -> usize {
         self.lanes.values().map(VecDeque::len).sum()
--- a/crates/rattanarch_admission/tests/gate.rs
+++ b/crates/rattanarch_admission/tests/gate.rs
@@ -164,3 +164,17 @@
     assert!(wake > now && wake <= now + Duration::from_millis(100));
     assert!(gate.start(wake + Duration::from_millis(1)).next.is_some());
 }
+
+/// Plays the load of calls, which come in bursts: a gate that was made before the upstream's slots were
+/// known holds as many requests as they can serve in time.
+#[test]
+fn burst_of_calls() {
+    let mut gate = Gate::new(1);
+    gate.set_slots(SLOTS);
+    let start = Duration::from_secs(5);
+    gate.end(Some(Duration::from_millis(25)));
+    let wish = Wish { rank: 0, objective: start + OBJECTIVE, deadline: start + DEADLINE, item: () };
+    let offers: Vec<_> = (0..SLOTS * 3).map(|_| gate.offer(start, wish.clone())).collect();
+    assert_eq!(offers.iter().map(|offered| offered.shed.len()).sum::<usize>(), 0);
+    assert_eq!((gate.running(), gate.waiting()), (SLOTS, SLOTS * 2));
+}
