Wait for the last lines before the process ends

The end waits for it now, at most 100 ms of its reserve. mesh_stop asks for the line; there the older code wrote it too, so that the test does not show the mend.

--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -43,6 +43,9 @@
 use crate::upstream::Upstream;
 use crate::version::Knowledge;
 
+/// Longest time that the last lines have to be written: part of what [`END_RESERVE`] leaves.
+const LAST_LINES: Duration = Duration::from_millis(100);
+
 /// Time between two looks at whether a stopping process may end.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -107,7 +110,7 @@
     tokio::task::spawn_local(measure_lag(Rc::clone(&shared)));
     wait_for_stop(&shared, stop).await;
     log::info!("stopped");
-    log::logger().flush();
+    rattanarch_process::finish_logs(LAST_LINES);
     Ok(())
 }
 
--- a/crates/rattanarch_process/src/lib.rs
+++ b/crates/rattanarch_process/src/lib.rs
@@ -24,3 +24,4 @@
 pub use metrics::Labels;
 pub use metrics::Metrics;
 pub use random::random;
+pub use writer::finish_logs;
--- a/crates/rattanarchd/tests/mesh_stop.rs
+++ b/crates/rattanarchd/tests/mesh_stop.rs
@@ -46,6 +46,8 @@
     assert!(failures.is_empty(), "{failures:?}");
     let status = site.daemons[0].wait(Duration::from_secs(4)).expect("it ends within its grace");
     assert!(status.success());
+    let log = site.daemons[0].log();
+    assert!(log.contains("\"stopped\""), "its last line is lost");
 }
 
 /// A request that comes long after the daemon was asked to stop, and may last beyond its end, is refused
