--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -34,6 +34,7 @@
 //!
 //! [`Moment`]: rattanarch_types::Moment
 
+mod call_brake;
 mod cold_pace;
 mod cold_start;
 mod ending;
