--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod pool;
+mod post;
 mod server;
 mod turns;
 
@@ -10,6 +11,8 @@
 pub(crate) use pool::Link;
 pub(crate) use pool::Pool;
 pub(crate) use pool::SendError;
+pub(crate) use post::post;
+pub(crate) use post::read_question;
 pub(crate) use server::Handler;
 pub(crate) use server::ServerOptions;
 pub(crate) use server::serve;
--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -4,15 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header;
 use rattanarch_adapter::StoredRecord;
 use rattanarch_process::random;
 use rattanarch_types::Record;
@@ -20,7 +15,9 @@
 use rattanarch_wire::Digest;
 
 use crate::connection::AnswerBody;
-use crate::connection::Checkout;
+use crate::connection::SendError;
+use crate::connection::post;
+use crate::connection::read_question;
 use crate::process::Shared;
 use crate::process::learn_configuration;
 use crate::process::learn_evacuated;
@@ -147,21 +144,10 @@
     }
 }
 
-async fn fetch(shared: &Shared, peer: SocketAddr) -> Result<Snapshot, String> {
+async fn fetch(shared: &Shared, peer: SocketAddr) -> Result<Snapshot, SendError> {
     let versions = shared.knowledge.borrow().versions();
-    let body = serde_json::to_vec(&versions).map_err(|error| error.to_string())?;
-    let request = Request::post(STATE_PATH)
-        .header(header::HOST, peer.to_string())
-        .body(Full::new(Bytes::from(body)))
-        .map_err(|error| error.to_string())?;
     let pool = Rc::clone(&shared.peers.get(peer).pool);
-    let mut link = pool.checkout(Checkout::Reuse).await.map_err(|error| error.to_string())?;
-    let response = link.send(request).await.map_err(|error| error.to_string())?;
-    let body = Limited::new(response.into_body(), MAX_STATE).collect().await;
-    let body = body.map_err(|error| error.to_string())?.to_bytes();
-    pool.put_back(link);
-    shared.meters.fetched(body.len());
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+    post(shared, (&pool, peer), STATE_PATH, &versions, MAX_STATE).await
 }
 
 fn take(shared: &Rc<Shared>, snapshot: Snapshot) {
@@ -184,9 +170,7 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let body = Limited::new(request.into_body(), MAX_STATE).collect().await;
-    let versions = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
-    let Some(versions): Option<Versions> = versions else {
+    let Some(versions) = read_question::<Versions>(request, MAX_STATE).await else {
         return answers::plain(StatusCode::BAD_REQUEST, String::new());
     };
     let snapshot = shared.knowledge.borrow().newer(&versions);
--- a/crates/rattanarch_mesh/src/control/relief.rs
+++ b/crates/rattanarch_mesh/src/control/relief.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use rattanarch_ownership::Event;
 use rattanarch_placement::MemberLoad;
@@ -19,9 +18,6 @@
 /// one heartbeat, and rates are known after another.
 const PAUSE_BEATS: u32 = 2;
 
-/// How long what another owner said of its load counts.
-const REPORT_LIFE: Duration = Duration::from_secs(3);
-
 /// Lets the node give slices up: the upstream can be told so in the answer to the heartbeat that has
 /// just come.
 pub(crate) fn window(shared: &Rc<Shared>) {
@@ -61,7 +57,7 @@
         .filter(|(id, member)| **id != me && !member.leaving && !control.barred.contains(id));
     let others: Vec<MemberLoad> = others
         .filter_map(|(id, member)| {
-            let (used, share) = shared.peers.get(member.caller).used(now, REPORT_LIFE)?;
+            let (used, share) = shared.peers.get(member.caller).used(now)?;
             Some(MemberLoad { member: *id, used, share })
         })
         .collect();
--- a/crates/rattanarch_mesh/src/process/store_relay.rs
+++ b/crates/rattanarch_mesh/src/process/store_relay.rs
@@ -7,15 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header;
 use rattanarch_adapter::Put;
 use rattanarch_adapter::Store;
 use rattanarch_adapter::StoreError;
@@ -27,8 +22,10 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::connection;
 use crate::connection::AnswerBody;
-use crate::connection::Checkout;
+use crate::connection::SendError;
+use crate::connection::read_question;
 use crate::process::Shared;
 use crate::request::Peer;
 use crate::request::answers;
@@ -184,22 +181,12 @@
 }
 
 async fn ask(shared: &Shared, peer: &Peer, call: &StoreCall) -> Result<StoreReply, StoreError> {
-    let not_taken = |reason: &dyn std::fmt::Display| StoreError::NotTaken(reason.to_string());
-    let no_answer = |reason: &dyn std::fmt::Display| StoreError::NoAnswer(reason.to_string());
-    let body = serde_json::to_vec(call).map_err(|error| not_taken(&error))?;
-    let request = Request::post(STORE_PATH)
-        .header(header::HOST, peer.address.to_string())
-        .body(Full::new(Bytes::from(body)))
-        .map_err(|error| not_taken(&error))?;
-    let link = peer.pool.checkout(Checkout::Reuse).await;
-    let mut link = link.map_err(|error| not_taken(&error))?;
-    let answer = link.send(request).await.map_err(|error| no_answer(&error))?;
-    let body = Limited::new(answer.into_body(), MAX_CALL).collect().await;
-    let body = body.map_err(|error| no_answer(&error))?.to_bytes();
-    peer.pool.put_back(link);
-    shared.meters.fetched(body.len());
-    let relayed: Relayed = serde_json::from_slice(&body).map_err(|error| no_answer(&error))?;
-    relayed.into()
+    let there = (&*peer.pool, peer.address);
+    match connection::post::<Relayed>(shared, there, STORE_PATH, call, MAX_CALL).await {
+        Ok(relayed) => relayed.into(),
+        Err(SendError::Unsent(reason)) => Err(StoreError::NotTaken(reason)),
+        Err(SendError::Broken(reason)) => Err(StoreError::NoAnswer(reason)),
+    }
 }
 
 /// Carries out a call for a peer, unless the store can't be reached from here either.
@@ -207,9 +194,7 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let body = Limited::new(request.into_body(), MAX_CALL).collect().await;
-    let call = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
-    let Some(call): Option<StoreCall> = call else {
+    let Some(call) = read_question::<StoreCall>(request, MAX_CALL).await else {
         return answers::plain(StatusCode::BAD_REQUEST, "malformed call".to_owned());
     };
     let result = if shared.contact.get().reachable {
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -115,9 +115,9 @@
     }
 
     /// Part of its capacity in use, and the part that one request a second takes, if it has said so
-    /// within `life`.
-    pub(crate) fn used(&self, now: Moment, life: Duration) -> Option<(f64, f64)> {
-        let (at, load) = self.load.get().filter(|(at, _)| now.saturating_sub(*at) < life)?;
+    /// lately.
+    pub(crate) fn used(&self, now: Moment) -> Option<(f64, f64)> {
+        let (at, load) = self.load.get().filter(|(at, _)| now.saturating_sub(*at) < USED_LIFE)?;
         let share = load.mean.as_secs_f64() / f64::from(load.slots.max(1));
         (at <= now).then(|| (f64::from(load.used) / 100.0, share))
     }
