--- a/crates/rattanarch_admission/src/call_brake.rs
+++ b/crates/rattanarch_admission/src/call_brake.rs
@@ -10,7 +10,7 @@
 
 /// Part of the calls of an interval that may be refused before runs are held back: one in twenty is what
 /// bursts cost a service that bears its load.
-const TOLERATED: f64 = 0.05;
+const TOLERATED: f64 = 0.15;
 
 /// Calls in an interval below which it tells nothing.
 const LEAST_CALLS: u32 = 5;
@@ -19,10 +19,10 @@
 const FALL: f64 = 0.5;
 
 /// By how much the share rises in an interval without refusals: back from its least in some 3 s.
-const RISE: f64 = 0.05;
+const RISE: f64 = 0.15;
 
 /// Least share: runs without calls go on, and what callees bear is asked again and again.
-const LEAST_SHARE: f64 = 0.4;
+const LEAST_SHARE: f64 = 0.6;
 
 /// Share of an upstream's slots that is used while services that its runs call are overloaded.
 ///
