--- a/crates/rattanarch_admission/src/gate.rs
+++ b/crates/rattanarch_admission/src/gate.rs
@@ -10,7 +10,6 @@
 use crate::Popped;
 use crate::Queue;
 use crate::Shed;
-use crate::call_brake::CallBrake;
 
 /// Requests that may wait, for each slot: those far back would be late in any case.
 const QUEUE_FACTOR: usize = 4;
@@ -94,9 +93,6 @@
     /// Mean service time in seconds; 0 before the first answer.
     mean: f64,
     arrivals: Arrivals,
-    brake: CallBrake,
-    /// Slots that are used at once: fewer while the services called by what runs have no room.
-    limit: u32,
 }
 
 /// Rate at which requests are offered.
@@ -128,8 +124,7 @@
         let slots = slots.max(1);
         let queue = Queue::new(slots as usize * QUEUE_FACTOR);
         let arrivals = Arrivals::default();
-        let (cold, brake) = (ColdPace::default(), CallBrake::default());
-        Self { slots, running: 0, queue, cold, mean: 0.0, arrivals, brake, limit: slots }
+        Self { slots, running: 0, queue, cold: ColdPace::default(), mean: 0.0, arrivals }
     }
 
     /// Sets the number of slots, which may differ in each life of the upstream.
@@ -152,7 +147,7 @@
     pub fn offer(&mut self, now: Moment, wish: Wish<T>) -> Offered<T> {
         self.arrivals.note(now);
         self.set_pace(now);
-        if self.queue.ahead(wish.rank) == 0 && self.running < self.limit && self.cold.take(now) {
+        if self.queue.ahead(wish.rank) == 0 && self.running < self.slots && self.cold.take(now) {
             self.running += 1;
             return Offered { started: Some(wish.item), shed: Vec::new() };
         }
@@ -169,7 +164,7 @@
     /// Work that is offered, in parts of what the upstream can do.
     fn offered(&self, now: Moment) -> f64 {
         let mean = self.mean().as_secs_f64();
-        let capacity = (f64::from(self.limit) / mean).min(self.cold.rate(now));
+        let capacity = (f64::from(self.slots) / mean).min(self.cold.rate(now));
         self.arrivals.rate / capacity
     }
 
@@ -177,7 +172,7 @@
     /// returns none after [`Gate::end`] and at [`Gate::wake`].
     pub fn start(&mut self, now: Moment) -> Popped<T> {
         self.set_pace(now);
-        if self.queue.is_empty() || self.running >= self.limit || !self.cold.take(now) {
+        if self.queue.is_empty() || self.running >= self.slots || !self.cold.take(now) {
             return Popped { next: None, shed: self.queue.expire(now) };
         }
         let popped = self.queue.pop(now);
@@ -198,15 +193,10 @@
     /// When [`Gate::start`] is to be called although no slot becomes free: requests wait for the
     /// pace of a cold upstream.
     pub fn wake(&self, now: Moment) -> Option<Moment> {
-        let waits = !self.queue.is_empty() && self.running < self.limit;
+        let waits = !self.queue.is_empty() && self.running < self.slots;
         self.cold.next(now).filter(|_| waits)
     }
 
-    /// Notes how a call of something that runs has ended: whether the service called had no `room` for it.
-    pub fn note_call(&mut self, room: bool) {
-        self.brake.note(!room);
-    }
-
     /// Drops waiting requests that `keep` rejects.
     pub fn retain(&mut self, keep: impl Fn(&T) -> bool) {
         self.queue.retain(keep);
@@ -236,8 +226,7 @@
     fn set_pace(&mut self, now: Moment) {
         let mean = self.mean();
         let paced = self.cold.rate(now) * mean.as_secs_f64();
-        self.limit = (f64::from(self.slots) * self.brake.share(now)).ceil() as u32;
-        let limit = f64::from(self.limit).min(paced).max(1.0) as u32;
+        let limit = f64::from(self.slots).min(paced).max(1.0) as u32;
         self.queue.set_pace(Pace { limit, mean });
     }
 }
--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -34,7 +34,6 @@
 //!
 //! [`Moment`]: rattanarch_types::Moment
 
-mod call_brake;
 mod cold_pace;
 mod cold_start;
 mod ending;
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -110,10 +110,6 @@
         }
         let outcome =
             Attempts { outbound: &self, call: &call, rule: &rule, trail: &trail }.run().await;
-        if self.is_call(&call.id) {
-            let full = matches!(&outcome, Outcome::Refused(refusal) if refusal.reason.is_full());
-            self.shared.upstream.state.borrow_mut().gate.note_call(!full);
-        }
         end(&trail, outcome)
     }
 }
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -109,11 +109,6 @@
         }
     }
 
-    /// Whether the service has no room for the request, which fewer requests would give it.
-    pub(crate) fn is_full(self) -> bool {
-        matches!(self, Self::Overloaded | Self::LinkFull)
-    }
-
     /// Whether another instance of a service without keys may take the request.
     pub(crate) fn may_go_elsewhere(self) -> bool {
         !matches!(self, Self::NoConfiguration | Self::NoInstance | Self::NoKey)
