Tell refused downloads to come back when an answer has left the link

The pause was how much too late the answer would be, after which the link is as full for all who were told so. Test: pause_of_an_answer (fails before).

--- a/crates/rattanarch_admission/src/uplink.rs
+++ b/crates/rattanarch_admission/src/uplink.rs
@@ -85,8 +85,10 @@
     /// what time it is worth coming back.
     pub fn is_late(&self, now: Moment, work: Duration, objective: Moment) -> Option<Duration> {
         let end = now + work + self.expected();
+        // Others come too: sooner than one answer has left, the link is as full as now.
+        let pause = || (end - objective).max(self.time_for(self.mean)).min(self.wait());
         // With nothing ahead of it, a refusal would not help it.
-        (self.unsent > 0 && end > objective).then(|| (end - objective).min(self.wait()))
+        (self.unsent > 0 && end > objective).then(pause)
     }
 
     fn time_for(&self, bytes: f64) -> Duration {
--- a/crates/rattanarch_admission/tests/uplink.rs
+++ b/crates/rattanarch_admission/tests/uplink.rs
@@ -82,3 +82,14 @@
     assert_eq!(uplink.window(), None);
     assert_eq!(uplink.is_late(MS, WORK, MS + AIM), None);
 }
+
+/// What comes a moment too late is told to stay away until an answer has left, not for that moment.
+#[test]
+fn pause_of_an_answer() {
+    let mut uplink = Uplink::new(MEGABITS);
+    while uplink.is_late(MS, WORK, MS + AIM).is_none() {
+        uplink.begin(SIZE);
+    }
+    let pause = uplink.is_late(MS, WORK, MS + AIM).expect("it is late");
+    assert!(pause * 18 >= Duration::from_secs(1), "{pause:?}");
+}
