Wait with the answer to a heartbeat for a lease that is about to come

The answer waits for the lease now, at most 0.6 s and half a heartbeat; if a later heartbeat has come, it grants nothing. Ruled out: witnesses that are gone.

--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -1,6 +1,7 @@
 //! What the upstream says of itself.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -31,6 +32,10 @@
 /// Largest heartbeat that is read, in bytes: rows for every slice and more.
 const MAX_BEAT: usize = 256 << 10;
 
+/// Longest time that the answer to a heartbeat waits for a lease. An answer counts within a second; the rest is
+/// left for a busy machine, and half a heartbeat keeps one ahead of the next.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(600);
+
 /// Answers the upstream's heartbeats.
 pub(crate) struct HeartbeatHandler(pub(crate) Rc<Shared>);
 
@@ -41,14 +46,14 @@
         let Ok(body) = body else { return answers::json(StatusCode::BAD_REQUEST, String::new()) };
         let body = body.to_bytes();
         match call {
-            Some(UpstreamCall::Heartbeat(id)) => beat(&self.0, &id, &body),
+            Some(UpstreamCall::Heartbeat(id)) => beat(&self.0, &id, &body).await,
             Some(UpstreamCall::Leave(id)) => leave(&self.0, &id),
             None => answers::json(StatusCode::NOT_FOUND, String::new()),
         }
     }
 }
 
-fn beat(shared: &Rc<Shared>, id: &str, body: &[u8]) -> Response<AnswerBody> {
+async fn beat(shared: &Rc<Shared>, id: &str, body: &[u8]) -> Response<AnswerBody> {
     let beat = match read_heartbeat(body) {
         Ok(beat) => beat,
         Err(error) => return reject(shared, id, &error),
@@ -79,10 +84,46 @@
     control::window(shared);
     shared.changed.notify_waiters();
     pump(shared);
+    wait_for_lease(shared).await;
+    if !is_newest(shared, id, beat.sequence) {
+        return answers::json(StatusCode::OK, "{}".to_owned());
+    }
     let granted = grant(shared, beat.sequence);
     answers::json(StatusCode::OK, granted)
 }
 
+/// Waits for the lease of a member that is about to hold one.
+///
+/// Grants travel in answers only. A daemon that has just started hears its upstream before it has joined, a
+/// tenth of a second or two before its lease: without the wait its keys would go unserved until the next heartbeat.
+async fn wait_for_lease(shared: &Shared) {
+    let patience = ANSWER_PATIENCE.min(shared.settings.heartbeat / 2);
+    let lease = async {
+        loop {
+            let changed = shared.changed.notified();
+            if !awaits_lease(shared) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    // Without a lease in time it is told again with the next heartbeat.
+    let _ = tokio::time::timeout(patience, lease).await;
+}
+
+fn awaits_lease(shared: &Shared) -> bool {
+    let state = shared.upstream.state.borrow();
+    let stays = state.life.as_ref().is_some_and(|life| life.leaving.is_none());
+    let leased = state.serving.until.is_some_and(|end| shared.now() < end);
+    state.keyed && stays && !leased
+}
+
+/// Whether no later heartbeat has come than the one with `sequence`, of the life `id`.
+fn is_newest(shared: &Shared, id: &str, sequence: u64) -> bool {
+    let state = shared.upstream.state.borrow();
+    state.life.as_ref().is_some_and(|life| life.id == id && life.sequence == sequence)
+}
+
 fn reject(shared: &Shared, id: &str, reason: &dyn std::fmt::Display) -> Response<AnswerBody> {
     shared.meters.heartbeat("rejected");
     log::warn!(life:% = id, reason:% = reason; "heartbeat rejected");
