Hold leases soon after a loss of everything

Cause, from logs of three daemons killed and started again (first_answer_grants): joined within 0.25 s, leases at 1.5 s. A member took old lives of the record as its witnesses and knew their silence only after 2.25 heartbeats; a witness that had just joined dropped the first request, for want of standing or of the record, and the next came a heartbeat later; members whose witness had ended were not among those told of the change. Now a member without a lease takes witnesses that have joined since its process knows the record, asks six times a heartbeat until its term's first lease, for a lease's time, and hears of a witness's end at once.

--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -102,11 +102,12 @@
     }
     let slices = if keyed { SLICES } else { 0 };
     let known = knowledge.record(service).cloned();
+    let elders = knowledge.elders(service);
     drop(knowledge);
     let record = known.map_or_else(|| Record::new(service.clone(), slices), |r| Record::clone(&r));
     let mut control = shared.control.borrow_mut();
     let node = Node::new(random(), member(shared), control.timing, random());
-    let node = node.with_spread(Spread::ByLoad);
+    let node = node.with_spread(Spread::ByLoad).with_elders(elders);
     log::info!(boot:% = format!("{:x}", node.me()), record = record.version; "joining");
     control.node = Some(node);
     drop(control);
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -115,7 +115,9 @@
     let state = shared.upstream.state.borrow();
     let stays = state.life.as_ref().is_some_and(|life| life.leaving.is_none());
     let leased = state.serving.until.is_some_and(|end| shared.now() < end);
-    state.keyed && stays && !leased
+    // Before the configuration is known, the service may be divided by key.
+    let keyed = state.keyed || shared.knowledge.borrow().routes().is_none();
+    keyed && stays && !leased
 }
 
 /// Whether no later heartbeat has come than the one with `sequence`, of the life `id`.
--- a/crates/rattanarch_mesh/src/version/knowledge.rs
+++ b/crates/rattanarch_mesh/src/version/knowledge.rs
@@ -1,12 +1,14 @@
 //! The shared state as this process knows it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use rattanarch_adapter::DecodeError;
 use rattanarch_adapter::StoredRecord;
 use rattanarch_adapter::read_configuration;
 use rattanarch_routing::RouteTable;
+use rattanarch_types::BootId;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
 use rattanarch_types::ServiceName;
@@ -32,6 +34,8 @@
     configuration: Rc<Value>,
     evacuated: Rc<Evacuated>,
     records: BTreeMap<ServiceName, KnownRecord>,
+    /// Members of the first record that was known of each service.
+    elders: BTreeMap<ServiceName, BTreeSet<BootId>>,
     /// Whether the store has listed its records, so that a missing one does not exist.
     pub(crate) listed: bool,
 }
@@ -57,6 +61,12 @@
         self.records.get(service)
     }
 
+    /// Members of `service` that were there when this process first knew its record. The others have joined
+    /// since, and so were alive.
+    pub(crate) fn elders(&self, service: &str) -> BTreeSet<BootId> {
+        self.elders.get(service).cloned().unwrap_or_default()
+    }
+
     /// All records.
     pub(crate) fn records(&self) -> impl Iterator<Item = &Rc<Record>> {
         self.records.values().map(|known| &known.record)
@@ -95,6 +105,8 @@
     pub(crate) fn learn_record(&mut self, record: Record, revision: u64) -> bool {
         let newer = self.record(&record.service).is_none_or(|old| old.version < record.version);
         if newer {
+            let elders = || record.members.keys().copied().collect();
+            self.elders.entry(record.service.clone()).or_insert_with(elders);
             let known = KnownRecord { record: Rc::new(record), revision };
             self.records.insert(known.record.service.clone(), known);
         }
--- a/crates/rattanarch_ownership/src/core.rs
+++ b/crates/rattanarch_ownership/src/core.rs
@@ -23,6 +23,10 @@
 use crate::contact::Contact;
 use crate::draws::Draws;
 
+/// Heartbeats for which a member that has joined is taken to be alive: longer than a fleet takes to start again
+/// after a loss of everything.
+const FRESH_BEATS: u32 = 12;
+
 /// The applied record, the one update on its way, and the actions of the current step.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -39,6 +43,10 @@
     pub(crate) applied: Moment,
     /// When a record with a new member was last applied.
     pub(crate) joined: Moment,
+    /// Members of the first record that this process knew, if that is older than the node's first one.
+    pub(crate) elders: Option<BTreeSet<BootId>>,
+    /// Members that have joined since this process follows the record, and when the node learned of each.
+    fresh: BTreeMap<BootId, Moment>,
     /// Since when a peer is known to have a newer record.
     behind: Option<Moment>,
     /// When a peer was last asked for a newer record.
@@ -81,6 +89,8 @@
             record: None,
             applied: Moment::ZERO,
             joined: Moment::ZERO,
+            elders: None,
+            fresh: BTreeMap::new(),
             behind: None,
             fetched: None,
             contact: Contact::default(),
@@ -195,15 +205,34 @@
         self.attempt.take_if(settled);
         self.loads.retain(|id, _| *id == self.me || record.members.contains_key(id));
         self.note_ended(now, &record);
-        let known = |id| self.record.as_ref().is_some_and(|old| old.members.contains_key(id));
-        if !record.members.keys().all(known) {
-            self.joined = now;
-        }
+        self.note_joined(now, &record);
         self.record = Some(Arc::new(record));
         self.applied = now;
         self.behind = None;
     }
 
+    fn note_joined(&mut self, now: Moment, record: &Record) {
+        self.fresh.retain(|id, _| record.members.contains_key(id));
+        let is_known = |id: &BootId| match (&self.record, &self.elders) {
+            (Some(old), _) => old.members.contains_key(id),
+            (None, Some(elders)) => elders.contains(id),
+            (None, None) => true,
+        };
+        let joined: Vec<BootId> =
+            record.members.keys().filter(|id| !is_known(id)).copied().collect();
+        if self.record.is_none() || !joined.is_empty() {
+            self.joined = now;
+        }
+        self.fresh.extend(joined.into_iter().map(|id| (id, now)));
+    }
+
+    /// Members that have joined lately, and so are alive, as far as this node knows.
+    pub(crate) fn fresh(&self, now: Moment) -> BTreeSet<BootId> {
+        let life = self.timing.heartbeat * FRESH_BEATS;
+        let lately = self.fresh.iter().filter(|(_, joined)| now < **joined + life);
+        lately.map(|(id, _)| *id).collect()
+    }
+
     /// Notes witnesses that were succeeded, have left or were taken out.
     fn note_ended(&mut self, now: Moment, record: &Record) {
         let known = std::mem::take(&mut self.ended);
--- a/crates/rattanarch_ownership/src/joining.rs
+++ b/crates/rattanarch_ownership/src/joining.rs
@@ -1,7 +1,7 @@
 //! Before a node is a member.
 
 use rattanarch_placement::Spread;
-use rattanarch_placement::choose_witnesses;
+use rattanarch_placement::choose_living_witnesses;
 use rattanarch_types::BootId;
 use rattanarch_types::Fence;
 use rattanarch_types::Moment;
@@ -47,7 +47,7 @@
         }
         if core.can_write(now) && self.has_waited(core, now, old.is_some()) && core.has_reread(now)
         {
-            let draft = draft(core, old);
+            let draft = draft(core, now, old);
             core.write(now, draft);
         }
     }
@@ -96,7 +96,7 @@
 }
 
 /// The next record, with this node in it and in the place of `old`.
-fn draft(core: &mut Core, old: Option<BootId>) -> Record {
+fn draft(core: &mut Core, now: Moment, old: Option<BootId>) -> Record {
     let mut record = core.draft();
     if let Some(old) = old {
         succeed(&mut record, old, core.me);
@@ -106,7 +106,7 @@
     member.witnesses = Vec::new();
     member.leaving = false;
     record.members.insert(core.me, member);
-    let witnesses = choose_witnesses(&record, core.me, &core.barred);
+    let witnesses = choose_living_witnesses(&record, core.me, &core.barred, &core.fresh(now));
     if let Some(own) = record.members.get_mut(&core.me) {
         own.witnesses = witnesses;
     }
--- a/crates/rattanarch_ownership/src/lease.rs
+++ b/crates/rattanarch_ownership/src/lease.rs
@@ -10,6 +10,10 @@
 use crate::acks::Acks;
 use crate::core::Core;
 
+/// Requests in a heartbeat before a term's first lease: one each tenth of a second on the users' platform, a few
+/// times what a read of the record takes.
+const EAGER_PARTS: u32 = 6;
+
 /// The lease of a member under its term in force.
 #[derive(Debug, Default)]
 pub(crate) struct Lease {
@@ -36,12 +40,16 @@
         };
     }
 
-    /// Whether requests are due; the next ones are then due a heartbeat later.
+    /// Whether requests are due; the next ones are then due a heartbeat later. Before the first lease of a term
+    /// they come faster, for a lease's time: witnesses that have just joined acknowledge nothing until the
+    /// platform has shown them as members, and keys wait for each round.
     pub(crate) fn is_due(&mut self, core: &Core, now: Moment) -> bool {
         if now < self.next {
             return false;
         }
-        self.next = now + core.timing.heartbeat;
+        let eager = self.since(core).is_none() && now < self.acks.began() + core.timing.lease;
+        let pause = core.timing.heartbeat / if eager { EAGER_PARTS } else { 1 };
+        self.next = now + pause;
         true
     }
 
--- a/crates/rattanarch_ownership/src/node.rs
+++ b/crates/rattanarch_ownership/src/node.rs
@@ -1,6 +1,7 @@
 //! The part of one daemon that takes part in the ownership of one service.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::mem;
 use std::sync::Arc;
 
@@ -68,6 +69,13 @@
         self
     }
 
+    /// Names members that were there when this process began to follow the record. Others that the node's
+    /// first record shows have joined since, and so are alive.
+    pub fn with_elders(mut self, elders: BTreeSet<BootId>) -> Self {
+        self.core.elders = Some(elders);
+        self
+    }
+
     /// Boot id of this member.
     pub fn me(&self) -> BootId {
         self.core.me
--- a/crates/rattanarch_ownership/src/replacement.rs
+++ b/crates/rattanarch_ownership/src/replacement.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rattanarch_placement::choose_living_witnesses;
 use rattanarch_placement::choose_witnesses;
 use rattanarch_placement::rank;
 use rattanarch_types::BootId;
@@ -12,6 +13,7 @@
 use rattanarch_types::WriteId;
 
 use crate::acks::Acks;
+use crate::acks::majority_of;
 use crate::core::Core;
 use crate::lease::Lease;
 
@@ -95,9 +97,11 @@
             return;
         }
         let Some(own) = core.own() else { return };
-        let wanted = self.wanted(core, lease, now);
+        let living = living(core, lease, now);
+        let awaited = living.is_some();
+        let wanted = living.unwrap_or_else(|| self.wanted(core, lease, now));
         let unchanged = same(&wanted, &own.witnesses);
-        let urgent = lease.refused || is_short(core, lease, now);
+        let urgent = lease.refused || awaited || is_short(core, lease, now);
         let turn = if own.witnesses.len() < wanted.len() {
             completion_turn(core, wanted.len())
         } else {
@@ -149,6 +153,22 @@
     }
 }
 
+/// Witnesses of which a majority is known to be alive, for a member that has had no lease under its term and whose
+/// own witnesses are not known to be; `None` if there are none such.
+fn living(core: &Core, lease: &Lease, now: Moment) -> Option<Vec<BootId>> {
+    if lease.since(core).is_some() {
+        return None;
+    }
+    let (record, own) = (core.record.as_deref()?, core.own()?);
+    let fresh = core.fresh(now);
+    let is_majority = |witnesses: &[BootId]| {
+        let alive = witnesses.iter().filter(|id| fresh.contains(id)).count();
+        majority_of(witnesses.len()).is_some_and(|needed| alive >= needed)
+    };
+    let living = choose_living_witnesses(record, core.me, &core.barred, &fresh);
+    (!is_majority(&own.witnesses) && is_majority(&living)).then_some(living)
+}
+
 /// Whether the lease needs another witness: one is out, on its way out or silent, or there is none.
 fn is_short(core: &Core, lease: &Lease, now: Moment) -> bool {
     let (Some(record), Some(own)) = (core.record.as_deref(), core.own()) else { return false };
--- a/crates/rattanarch_ownership/tests/joining_together.rs
+++ b/crates/rattanarch_ownership/tests/joining_together.rs
@@ -3,6 +3,8 @@
 mod members;
 mod network;
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use members::member;
@@ -11,6 +13,7 @@
 use network::settle;
 use rattanarch_ownership::Event;
 use rattanarch_ownership::Node;
+use rattanarch_ownership::Rules;
 use rattanarch_ownership::Timing;
 use rattanarch_placement::MAX_WITNESSES;
 use rattanarch_placement::Spread;
@@ -104,3 +107,48 @@
         assert_eq!(stored.members.values().filter(few).count(), 0, "ids from {first}");
     }
 }
+
+/// After a loss of everything the record names old lives, which acknowledge nothing, and witnesses that have
+/// just joined are not in standing yet. Members that join again one after the other hold their leases
+/// as soon as enough have, and none waits for a heartbeat.
+#[test]
+fn leases_soon() {
+    const COUNT: u64 = 8;
+    const PATIENCE: Duration = Duration::from_millis(250);
+    let rules = Rules { fence_first: false, ..Rules::default() };
+    let timing = Timing { join_spread: Duration::from_secs(2), ..Timing::default() };
+    let mut stored = Record::new("trade-desk", SLICES);
+    stored.owners = (0..SLICES).map(|slice| Some(101 + BootId::from(slice) % COUNT)).collect();
+    for id in 1..=COUNT {
+        let old = Member { witnesses: vec![101 + id % COUNT], ..member(&format!("m{id}")) };
+        stored.members.insert(100 + id, old);
+    }
+    stored.version = 9;
+    // Each starts with the first heartbeat of its upstream, 150 ms after the one before; its process has followed
+    // the record before that.
+    let elders: BTreeSet<BootId> = stored.members.keys().copied().collect();
+    let node = |id| {
+        let node = Node::new(id, member(&format!("m{id}")), timing, id);
+        node.with_rules(rules).with_elders(elders.clone())
+    };
+    let start = |id: BootId| TICK * (15 * (id as u32 - 1) + 1);
+    let mut nodes: Vec<Node> = Vec::new();
+    let mut held = BTreeMap::new();
+    for tick in 1..300 {
+        let next = nodes.len() as BootId + 1;
+        if next <= COUNT && start(next) == TICK * tick {
+            nodes.push(node(next));
+        }
+        run(&mut nodes, &mut stored, tick, 1);
+        for node in &nodes {
+            if node.serving().until.is_some_and(|until| until > TICK * tick) {
+                held.entry(node.me()).or_insert(TICK * tick);
+            }
+        }
+    }
+    assert_eq!(held.len(), COUNT as usize, "{held:?}");
+    // Half of the members are needed before a majority of anyone's witnesses lives for certain.
+    let due = |id: BootId| start(id.max(COUNT / 2)) + PATIENCE;
+    let late = held.iter().filter(|(id, at)| **at > due(**id)).count();
+    assert_eq!(late, 0, "{held:?}");
+}
--- a/crates/rattanarch_placement/src/lib.rs
+++ b/crates/rattanarch_placement/src/lib.rs
@@ -64,4 +64,5 @@
 pub use slice_relief::relieve_slices;
 pub use spread::Spread;
 pub use witness::MAX_WITNESSES;
+pub use witness::choose_living_witnesses;
 pub use witness::choose_witnesses;
--- a/crates/rattanarch_placement/src/witness.rs
+++ b/crates/rattanarch_placement/src/witness.rs
@@ -34,6 +34,29 @@
     best
 }
 
+/// Witnesses that `owner` should have while it holds no lease: those known to be `alive` first, then as
+/// [`choose_witnesses`] would choose.
+///
+/// Answers the load after a loss of everything. A record names old lives then, which acknowledge nothing, and
+/// a member that took some of them as its witnesses would wait until it knows their silence.
+pub fn choose_living_witnesses(
+    record: &Record,
+    owner: BootId,
+    excluded: &BTreeSet<BootId>,
+    alive: &BTreeSet<BootId>,
+) -> Vec<BootId> {
+    let choice = Choice::new(record, owner, excluded);
+    let mut chosen = Vec::new();
+    while chosen.len() < choice.count {
+        let free = choice.candidates.iter().copied().filter(|id| !chosen.contains(id));
+        let cost = |id: &BootId| (!alive.contains(id), choice.cost(*id, &chosen));
+        let Some(next) = free.min_by_key(cost) else { break };
+        chosen.push(next);
+    }
+    chosen.sort_unstable();
+    chosen
+}
+
 struct Choice<'a> {
     record: &'a Record,
     owner: BootId,
--- a/crates/rattanarch_types/src/record.rs
+++ b/crates/rattanarch_types/src/record.rs
@@ -108,7 +108,7 @@
     }
 
     /// Members that have to act on what changed since `older`: owners of slices or keys that they did
-    /// not own, members that are new or changed, and their witnesses.
+    /// not own, members that are new or changed, and their witnesses, and members that have lost a witness.
     pub fn concerned_since(&self, older: &Self) -> BTreeSet<BootId> {
         let gained = self.owners.iter().enumerate().filter_map(|(slice, owner)| {
             owner.filter(|_| older.owners.get(slice).copied().flatten() != *owner)
@@ -118,7 +118,10 @@
             self.members.iter().filter(|(id, member)| older.members.get(*id) != Some(*member));
         let changed = changed
             .flat_map(|(id, member)| member.witnesses.iter().copied().chain(std::iter::once(*id)));
-        gained.chain(hot.map(|(_, owner)| *owner)).chain(changed).collect()
+        let gone = |id: &BootId| older.members.contains_key(id) && !self.members.contains_key(id);
+        let bereft = self.members.iter().filter(|(_, member)| member.witnesses.iter().any(gone));
+        let bereft = bereft.map(|(id, _)| *id);
+        gained.chain(hot.map(|(_, owner)| *owner)).chain(changed).chain(bereft).collect()
     }
 
     /// Checks every invariant of the record.
--- a/crates/rattanarch_types/tests/record_changes.rs
+++ b/crates/rattanarch_types/tests/record_changes.rs
@@ -56,3 +56,14 @@
     before.members.get_mut(&boot(1)).expect("a member").witnesses = vec![boot(6)];
     assert_eq!(after.concerned_since(&before), BTreeSet::from([boot(1), boot(2)]));
 }
+
+/// A member whose witness has ended has to find another.
+#[test]
+fn lost_witness() {
+    let before = record(6);
+    let mut after = before.clone();
+    let old = after.members.remove(&boot(3)).expect("a member");
+    after.members.insert(boot(13), Member { term: 2, ..old });
+    // The second has the third as its witness, whose successor has the fourth.
+    assert_eq!(after.concerned_since(&before), BTreeSet::from([boot(2), boot(4), boot(13)]));
+}
--- a/crates/rattanarchd/tests/mesh_stop.rs
+++ b/crates/rattanarchd/tests/mesh_stop.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mesh_support::Daemon;
 use mesh_support::Site;
 use mesh_support::wait_until;
+use rattanarch_adapter_standins::Upstream;
 
 /// A daemon that is asked to stop says so at once, and gives every request that it has read its answer,
 /// also while others keep it busy.
@@ -91,6 +93,26 @@
     assert_eq!(site.upstreams[0].held(), before);
 }
 
+/// After a loss of all daemons the first answer to a living upstream grants its keys: it waits for the lease,
+/// which comes before an answer has to. Only one whose single witness is the last to join may be told later.
+#[test]
+fn first_answer_grants() {
+    let mut site = Site::start(3, 0);
+    let bare = |site: &Site| -> u32 { site.upstreams.iter().map(Upstream::bare_answers).sum() };
+    site.daemons.iter_mut().for_each(Daemon::kill);
+    let before = bare(&site);
+    for daemon in &mut site.daemons {
+        daemon.expect_heartbeat("1200ms");
+        daemon.restart();
+    }
+    for daemon in &site.daemons {
+        wait_until("it holds its lease", || daemon.log().matches("lease held").count() > 1);
+    }
+    site.wait_served();
+    let bare = bare(&site) - before;
+    assert!(bare <= 1, "{bare} answers without grants to 3 upstreams");
+}
+
 /// An upstream that leaves gets nothing two seconds later, and its keys are served elsewhere.
 #[test]
 fn drained_upstream() {
--- a/crates/rattanarchd/tests/mesh_support/daemon.rs
+++ b/crates/rattanarchd/tests/mesh_support/daemon.rs
@@ -93,6 +93,13 @@
         Self { addresses, settings, log, child }
     }
 
+    /// Sets the time between two heartbeats that it expects from its next start on.
+    pub fn expect_heartbeat(&self, time: &str) {
+        let text = fs::read_to_string(&self.settings).unwrap();
+        let text = text.replace("heartbeat = \"200ms\"", &format!("heartbeat = \"{time}\""));
+        fs::write(&self.settings, text).unwrap();
+    }
+
     /// Starts it again after its end.
     pub fn restart(&mut self) {
         self.child = spawn(&self.settings, &self.log);
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -5,5 +5,6 @@
 mod daemon;
 mod site;
 
+pub use daemon::Daemon;
 pub use site::Site;
 pub use site::wait_until;
