Refuse a queued request once it has waited for half of its time

Requests of a low rank waited behind others until their deadline could not be met any more: refused then, their callers could not come back. Now a request waits for half of its time at most, unless a slot is free for it. Test: never_held_long (fails before: held for 1 s of 1.2 s).

--- a/crates/rattanarch_admission/src/queue.rs
+++ b/crates/rattanarch_admission/src/queue.rs
@@ -9,6 +9,11 @@
 
 /// Least time that a shed caller is told to stay away.
 const MIN_RETRY: Duration = Duration::from_millis(20);
+
+/// Part of its time that a request may wait: a caller that is refused after it has time left to come back, or to
+/// go elsewhere.
+const WAIT_PART: f64 = 0.5;
+
 /// How fast an upstream works.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Pace {
@@ -40,13 +45,15 @@
 struct Entry<T> {
     item: T,
     deadline: Moment,
+    /// Until when it may wait.
+    patience: Moment,
 }
 
 /// Short queue by priority, first come, first served within a class.
 ///
 /// A request that cannot be answered by its deadline at the upstream's [`Pace`] is shed at once,
-/// when it comes or when others that go first push it back: its caller has time left to go
-/// elsewhere. A full queue sheds the newest of the lowest class.
+/// when it comes or when others that go first push it back, and so is one that has waited for half of its
+/// time: its caller has time left to go elsewhere. A full queue sheds the newest of the lowest class.
 ///
 /// ```
 /// use std::time::Duration;
@@ -116,7 +123,9 @@
         deadline: Moment,
         item: T,
     ) -> Vec<Shed<T>> {
-        self.lanes.entry(rank.into()).or_default().push_back(Entry { item, deadline });
+        let patience = now + deadline.saturating_sub(now).mul_f64(WAIT_PART);
+        let entry = Entry { item, deadline, patience };
+        self.lanes.entry(rank.into()).or_default().push_back(entry);
         let mut shed = self.expire(now);
         if self.len() > self.max {
             shed.extend(self.shed_newest());
@@ -163,7 +172,8 @@
         for (rank, lane) in std::mem::take(&mut self.lanes) {
             for entry in lane {
                 let answered = now + self.time_for(ahead) + self.pace.mean;
-                if answered < entry.deadline {
+                // One for which a slot is free does not wait any longer.
+                if answered < entry.deadline && (ahead == 0 || now < entry.patience) {
                     self.lanes.entry(rank).or_default().push_back(entry);
                     ahead += 1;
                 } else {
--- a/crates/rattanarch_admission/tests/gate.rs
+++ b/crates/rattanarch_admission/tests/gate.rs
@@ -240,3 +240,14 @@
         assert!(refusals <= unserved * 2, "{rate}: {served} served, {refusals} refusals");
     }
 }
+
+/// Requests of a low rank that others push back are refused while their callers have time to come back, not at
+/// the end of it.
+#[test]
+fn never_held_long() {
+    for rates in [[70, 0, 25], [80, 10, 10], [85, 20, 20]] {
+        for got in play(rates, 20) {
+            assert!(got.held <= DEADLINE / 2 + Duration::from_millis(10), "{rates:?}: {got:?}");
+        }
+    }
+}
