Vouch for an owner by what a witness has heard itself

Cause, from the new lines of takeovers in the kept logs: three witnesses suspected the lost owner one after the other, each was told by another that it lived, and took that as having heard it: the first asked 4 ms before the others' silence was long enough, was 'vouched for', answered the next in turn 'alive' by that word, and so on for 8 s. Now a witness answers by its own hearing only. Ruled out: pauses (each daemon wrote lines all along), the store (all updates were answered).

--- a/crates/rattanarch_ownership/src/replacement.rs
+++ b/crates/rattanarch_ownership/src/replacement.rs
@@ -92,6 +92,9 @@
     /// Begins a change if the witnesses should be others, or the term another.
     pub(crate) fn begin(&mut self, core: &mut Core, lease: &Lease, now: Moment) {
         self.shunned.retain(|_, end| now < *end);
+        // Dropped for its silence, a witness must not come back with the next improvement.
+        let silent = silent(core, lease, now).into_iter().map(|id| (id, now + SHUN_TIME));
+        self.shunned.extend(silent);
         self.seen = core.version();
         if self.change.is_some() || core.attempt.is_some() {
             return;
--- a/crates/rattanarch_ownership/src/witness.rs
+++ b/crates/rattanarch_ownership/src/witness.rs
@@ -14,8 +14,10 @@
 /// What a witness remembers of one owner.
 #[derive(Debug, Default)]
 struct Watched {
-    /// When a request of the owner was last acknowledged or another witness vouched for it.
+    /// When a request of the owner was last acknowledged, or this node met its term.
     heard: Moment,
+    /// When another witness last vouched for it.
+    vouched: Moment,
     /// When a request of the owner was last acknowledged; later than any such request's send.
     acked: Option<Moment>,
     /// Highest term that this witness has promised not to acknowledge. Only rises.
@@ -63,7 +65,8 @@
         term: Version,
         forced: bool,
     ) -> Message {
-        if !forced && self.silence(core, now, owner) < core.timing.suspicion {
+        // Only what it has heard itself: witnesses that vouched for each other's word would do so for good.
+        if !forced && self.unheard(core, now, owner) < core.timing.suspicion {
             return Message::Alive { owner };
         }
         let remaining = self.promise(core, now, owner, term);
@@ -88,12 +91,18 @@
 
     /// Notes that another witness has heard from `owner`.
     pub(crate) fn vouch(&mut self, now: Moment, owner: BootId) {
-        self.owners.entry(owner).or_default().heard = now;
+        self.owners.entry(owner).or_default().vouched = now;
     }
 
-    /// How long nothing was heard from `owner`, leaving out the time before this node knew it and
+    /// How long nothing was heard from `owner`, by this node or one that vouched for it, leaving out the time before this node knew it and
     /// before this process was last paused.
     pub(crate) fn silence(&self, core: &Core, now: Moment, owner: BootId) -> Duration {
+        let vouched = self.owners.get(&owner).map(|watched| watched.vouched).unwrap_or_default();
+        self.unheard(core, now, owner).min(now.saturating_sub(vouched))
+    }
+
+    /// The same, by what this node has heard itself.
+    fn unheard(&self, core: &Core, now: Moment, owner: BootId) -> Duration {
         let heard = self.owners.get(&owner).map(|watched| watched.heard).unwrap_or_default();
         now.saturating_sub(heard.max(core.awake))
     }
@@ -108,7 +117,7 @@
         for (id, member) in &new.members {
             let term = old.get(id).map(|member| member.term);
             if term != Some(member.term) {
-                self.vouch(now, *id);
+                self.owners.entry(*id).or_default().heard = now;
             }
         }
     }
