Count the tries of a request for a key

The line of a send numbered a try by the instances tried, which are forgotten where only the owner can serve: each try was the first. Test: tries_counted (fails before: both say try 1).

--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -290,6 +290,7 @@
         let mut tried: Vec<SocketAddr> = Vec::new();
         let mut arrivals = 0;
         let mut refusals = 0;
+        let mut tries = 0;
         // A call of a repeated run counts as a repeat, however often it is sent itself.
         let repeated = self.call.repeat.get();
         if repeated {
@@ -310,7 +311,8 @@
                 }
             };
             self.call.repeat.set(repeated || arrivals > 0);
-            self.note_sent(target, tried.len() as u32 + 1);
+            tries += 1;
+            self.note_sent(target, tries);
             let outcome = self.send(target).await;
             self.note(target, &outcome);
             let next = match &outcome {
--- a/crates/rattanarchd/tests/mesh_lines.rs
+++ b/crates/rattanarchd/tests/mesh_lines.rs
@@ -8,11 +8,16 @@
 use mesh_support::wait_until;
 use serde_json::Value;
 
-/// Decisions on the request `id` that a daemon of `site` has logged for `side`, then its outcome.
-fn lines_of(site: &Site, daemon: usize, id: &str, side: &str) -> Vec<String> {
+/// Lines of the request `id` that a daemon of `site` has logged for `side`.
+fn all_lines(site: &Site, daemon: usize, id: &str, side: &str) -> Vec<Value> {
     let log = site.daemons[daemon].log();
     let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-    let of_request = lines.filter(|line| line["id"] == id && line["side"] == side);
+    lines.filter(|line| line["id"] == id && line["side"] == side).collect()
+}
+
+/// The decisions among them, then the outcome.
+fn lines_of(site: &Site, daemon: usize, id: &str, side: &str) -> Vec<String> {
+    let of_request = all_lines(site, daemon, id, side).into_iter();
     let text =
         |line: Value| line["decision"].as_str().or(line["outcome"].as_str()).map(str::to_owned);
     of_request.filter_map(text).collect()
@@ -44,3 +49,19 @@
     site.ask(0, "/files/customs", "nowhere", 7);
     wait_until("its lines", || lines_of(&site, 0, "nowhere", "caller") == ["unsent", "refused"]);
 }
+
+/// Tries are counted, also where each goes to the owner of the key.
+#[test]
+fn tries_counted() {
+    let site = Site::start(1, 0);
+    site.upstreams[0].fail(1);
+    assert_eq!(site.ask(0, "/stock/crayfish", "twice", 5).status, 200);
+    let sent = || -> Vec<String> {
+        let lines = all_lines(&site, 0, "twice", "caller").into_iter();
+        let sent = lines.filter(|line| line["decision"] == "sent");
+        sent.filter_map(|line| line["detail"].as_str().map(str::to_owned)).collect()
+    };
+    wait_until("two tries", || sent().len() == 2);
+    let sent = sent();
+    assert!(sent[0].ends_with("try 1") && sent[1].ends_with("try 2"), "{sent:?}");
+}
