Tries of a request in a file of their own; their ends become text only in the log

outbound.rs had grown to 458 lines over two concerns. What a try came to was made into text on every request, also where no line of it is written. The lines read as before.

--- a/crates/rattanarch_mesh/src/request/mod.rs
+++ b/crates/rattanarch_mesh/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a request.
 
 pub(crate) mod answers;
+mod attempts;
 mod call;
 mod forward;
 mod inbound;
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,30 +31,21 @@
 
 use crate::connection::AnswerBody;
 use crate::connection::Handler;
-use crate::control;
 use crate::process::Shared;
 use crate::request::Call;
-use crate::request::GiveUp;
 use crate::request::Outcome;
 use crate::request::Reason;
-use crate::request::Refusal;
 use crate::request::Step;
 use crate::request::Trail;
 use crate::request::answers;
+use crate::request::attempts::Attempts;
 use crate::request::call::strip_connection_headers;
-use crate::request::forward::forward;
 use crate::request::mark::FORWARD;
-use crate::request::target;
-use crate::request::target::Target;
-use crate::upstream;
 
 /// Largest body that is taken, in bytes: bodies are held until they are whole, and a machine has a
 /// few hundred megabytes.
 pub(crate) const MAX_BODY: usize = 16 << 20;
 
-/// Refusals by instances after which a request is refused: a third one is no better informed.
-const MAX_REFUSALS: usize = 3;
-
 /// Rank of a call that an upstream makes for a request that it runs: turned away, it would fail a
 /// request that holds a slot already.
 const CALL_RANK: Rank = 0;
@@ -63,16 +53,9 @@
 /// Part of the longest patience of a route's callers that each has at its first attempt.
 const LEAST_PATIENCE: f64 = 0.82;
 
-/// Times that a request may reach upstreams that refuse it. Those do not run it, and so do not count
-/// as attempts.
-const MAX_ARRIVALS: u32 = 3;
-
-/// Longest wait for the record that names the owner of a key, when the known one is out of date.
-const RECORD_PATIENCE: Duration = Duration::from_millis(150);
-
 /// Takes the requests of the callers on this machine.
 pub(crate) struct Outbound {
-    shared: Rc<Shared>,
+    pub(crate) shared: Rc<Shared>,
     shares: RefCell<HashMap<ServiceName, RetryShare>>,
     /// Longest time that callers of each route have had.
     patience: RefCell<HashMap<String, Duration>>,
@@ -217,16 +200,16 @@
         }
     }
 
-    fn earn(&self, service: &str) {
+    pub(crate) fn earn(&self, service: &str) {
         self.with_share(service, |share, now, _| share.earn(now));
     }
 
-    fn charge(&self, service: &str) {
+    pub(crate) fn charge(&self, service: &str) {
         self.with_share(service, |share, now, _| share.charge(now));
         self.shared.meters.repeat(service, "call");
     }
 
-    fn spend(&self, service: &str, repeat: RepeatKind) -> bool {
+    pub(crate) fn spend(&self, service: &str, repeat: RepeatKind) -> bool {
         let granted =
             self.with_share(service, |share, now, daemons| share.spend(now, daemons, repeat));
         self.shared.meters.repeat(service, if granted { "yes" } else { "no" });
@@ -273,187 +256,3 @@
         Err(_) => Err(answers::plain(StatusCode::BAD_REQUEST, "body cut short".to_owned())),
     }
 }
-
-/// The tries of one request.
-struct Attempts<'a> {
-    outbound: &'a Outbound,
-    call: &'a Rc<Call>,
-    rule: &'a Rule,
-    trail: &'a Trail,
-}
-
-impl Attempts<'_> {
-    async fn run(&self) -> Outcome {
-        let shared = &self.outbound.shared;
-        // What earlier tries came to: a request that one of them may have run was not refused.
-        let mut kept: Option<Outcome> = None;
-        let mut tried: Vec<SocketAddr> = Vec::new();
-        let mut arrivals = 0;
-        let mut refusals = 0;
-        let mut tries = 0;
-        // A call of a repeated run counts as a repeat, however often it is sent itself.
-        let repeated = self.call.repeat.get();
-        if repeated {
-            self.outbound.charge(&self.call.service);
-        } else {
-            self.outbound.earn(&self.call.service);
-        }
-        loop {
-            let target = match target::find(shared, self.call, &tried) {
-                Ok(target) => target,
-                Err(refusal) => {
-                    self.note_unsent(&refusal);
-                    return match kept {
-                        // No instance is left to try: what the last one said tells more.
-                        Some(kept) if refusal.reason == Reason::NoInstance => kept,
-                        kept => Outcome::Refused(refusal).or_earlier(kept),
-                    };
-                }
-            };
-            self.call.repeat.set(repeated || arrivals > 0);
-            tries += 1;
-            self.note_sent(target, tries);
-            let outcome = self.send(target).await;
-            self.note(target, &outcome);
-            let next = match &outcome {
-                Outcome::Answered(response) => {
-                    arrivals += 1;
-                    if !response.status().is_server_error() {
-                        return outcome;
-                    }
-                    self.may_repeat(arrivals)
-                }
-                Outcome::Failed(_) => {
-                    arrivals += 1;
-                    self.may_repeat(arrivals)
-                }
-                Outcome::Refused(refusal) => {
-                    refusals += 1;
-                    arrivals += u32::from(refusal.arrived);
-                    if refusals < MAX_REFUSALS {
-                        self.may_move(target, refusal, arrivals).await
-                    } else {
-                        Err(GiveUp::Attempts)
-                    }
-                }
-            };
-            if let Err(why) = next {
-                let left = self.call.deadline.saturating_sub(shared.now());
-                self.trail.note(Step::GivenUp { why, arrivals, left });
-                return outcome.or_earlier(kept);
-            }
-            self.trail.note(Step::Again { arrivals });
-            kept = Some(outcome.or_earlier(kept));
-            tried.push(target.address);
-            if self.call.key.is_some() {
-                // Only the owner can serve it.
-                tried.clear();
-            }
-        }
-    }
-
-    async fn send(&self, target: Target) -> Outcome {
-        let shared = &self.outbound.shared;
-        if target.own {
-            return upstream::run(shared, self.call, self.trail).await;
-        }
-        forward(shared, &shared.peers.get(target.address), self.call, target.local).await
-    }
-
-    fn note_unsent(&self, refusal: &Refusal) {
-        let Refusal { reason, pause, .. } = *refusal;
-        let service = self.call.service.clone();
-        let knowledge = self.outbound.shared.knowledge.borrow();
-        let version = knowledge.record(&service).map(|record| record.version).unwrap_or_default();
-        self.trail.note(Step::Unsent { reason, pause, service, version });
-    }
-
-    fn note_sent(&self, target: Target, number: u32) {
-        let Target { address, version, .. } = target;
-        let service = self.call.service.clone();
-        self.trail.note(Step::Sent { service, address, version, number });
-    }
-
-    fn note(&self, target: Target, outcome: &Outcome) {
-        let text = match outcome {
-            Outcome::Answered(response) => format!("status {}", response.status().as_u16()),
-            Outcome::Refused(refusal) => format!("refused {}", refusal.reason),
-            Outcome::Failed(failure) => format!("failed {failure}"),
-        };
-        self.trail.note(Step::Came { address: target.address, outcome: text });
-        let service = &self.call.service;
-        if let Outcome::Refused(Refusal { reason: Reason::OtherService, .. }) = outcome {
-            control::note_ended(&self.outbound.shared, service, target.member);
-        }
-    }
-
-    /// Whether a request that may have run is sent once more.
-    fn may_repeat(&self, arrivals: u32) -> Result<(), GiveUp> {
-        if !self.call.idempotent {
-            return Err(GiveUp::NotRepeatable);
-        }
-        if arrivals >= self.rule.attempts {
-            return Err(GiveUp::Attempts);
-        }
-        self.check_time()?;
-        self.spend(RepeatKind::Run)
-    }
-
-    fn spend(&self, kind: RepeatKind) -> Result<(), GiveUp> {
-        let granted = self.outbound.spend(&self.call.service, kind);
-        granted.then_some(()).ok_or(GiveUp::Share)
-    }
-
-    /// Whether enough time is left for another try.
-    fn check_time(&self) -> Result<(), GiveUp> {
-        let left = self.call.deadline.saturating_sub(self.outbound.shared.now());
-        (left > self.rule.objective / 4).then_some(()).ok_or(GiveUp::NoTime)
-    }
-
-    /// Whether a request that was refused goes to another instance.
-    async fn may_move(
-        &self,
-        target: Target,
-        refusal: &Refusal,
-        arrivals: u32,
-    ) -> Result<(), GiveUp> {
-        self.check_time()?;
-        if !refusal.reason.may_go_elsewhere() {
-            return Err(GiveUp::Elsewhere);
-        }
-        if arrivals > 0 {
-            if arrivals >= self.rule.attempts.max(MAX_ARRIVALS) {
-                return Err(GiveUp::Attempts);
-            }
-            self.spend(RepeatKind::Refused)?;
-        }
-        match refusal.reason {
-            _ if self.call.key.is_none() => Ok(()),
-            Reason::NotOwner => self.newer_record(target).await,
-            // An upstream that refuses a part of what it gets may take the next one.
-            Reason::UpstreamRefused => Ok(()),
-            _ => Err(GiveUp::Elsewhere),
-        }
-    }
-
-    /// Waits for a record that names another owner than `target`, which knows a newer one itself.
-    async fn newer_record(&self, target: Target) -> Result<(), GiveUp> {
-        let shared = &self.outbound.shared;
-        if !target.own {
-            control::pull_soon(shared, target.address);
-        }
-        let end = tokio::time::Instant::now() + RECORD_PATIENCE;
-        loop {
-            let changed = shared.changed.notified();
-            let moved = target::find(shared, self.call, &[]).is_ok_and(|found| {
-                found.version > target.version && found.address != target.address
-            });
-            if moved {
-                return Ok(());
-            }
-            if tokio::time::timeout_at(end, changed).await.is_err() {
-                return Err(GiveUp::Owner);
-            }
-        }
-    }
-}
--- a/crates/rattanarch_mesh/src/request/step.rs
+++ b/crates/rattanarch_mesh/src/request/step.rs
@@ -6,6 +6,8 @@
 use derive_more::Display;
 use rattanarch_types::Version;
 
+use crate::request::Failure;
+use crate::request::Outcome;
 use crate::request::Reason;
 use crate::upstream::View;
 
@@ -34,8 +36,8 @@
     #[display("{service} {address} by record {version}, try {number}")]
     Sent { service: String, address: SocketAddr, version: Version, number: u32 },
     /// What a try came to.
-    #[display("{address}: {outcome}")]
-    Came { address: SocketAddr, outcome: String },
+    #[display("{address}: {told}")]
+    Came { address: SocketAddr, told: Told },
     /// It is tried once more.
     #[display("{arrivals} tries may have run")]
     Again { arrivals: u32 },
@@ -62,6 +64,28 @@
     }
 }
 
+/// What is told of the end of a try.
+#[derive(Debug, Display)]
+pub(crate) enum Told {
+    /// The status of the answer.
+    #[display("status {_0}")]
+    Status(u16),
+    #[display("refused {_0}")]
+    Refused(Reason),
+    #[display("failed {_0}")]
+    Failed(Failure),
+}
+
+impl From<&Outcome> for Told {
+    fn from(outcome: &Outcome) -> Self {
+        match outcome {
+            Outcome::Answered(response) => Self::Status(response.status().as_u16()),
+            Outcome::Refused(refusal) => Self::Refused(refusal.reason),
+            Outcome::Failed(failure) => Self::Failed(failure.clone()),
+        }
+    }
+}
+
 /// Why a request is not tried once more.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub(crate) enum GiveUp {
