Tell what became of a request whose sender went away, and of looks at peers

Such a request now ends as `abandoned`, with its decisions, in the log and in `rattanarch_requests`. Each look that a peer fails is a decision of the request (`looked`), and all looks are counted (`rattanarch_peer_looks`). The last line of a request names the phase of the process; what fails while the process stops is logged within the sample's budget.

`abandoned_told` checks both daemons' lines and the count.

--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -5,6 +5,7 @@
 use rattanarch_process::Labels;
 use rattanarch_process::Metrics;
 use rattanarch_process::dropped_lines;
+use rattanarch_routing::Look;
 
 use crate::process::Shared;
 
@@ -70,6 +71,13 @@
         self.metrics.add("rattanarch_repeats", "Repeats asked of the retry budget", &labels, 1);
     }
 
+    /// Counts a look at a peer that has not answered a request yet.
+    pub(crate) fn looked(&self, look: Look) {
+        let help = "Looks at peers that have not answered a request yet";
+        let look = labels(&[("look", &look.to_string())]);
+        self.metrics.add("rattanarch_peer_looks", help, &look, 1);
+    }
+
     /// Counts bytes of a request for `service` and its answer that went between data centres.
     pub(crate) fn crossed(&self, service: &str, bytes: usize) {
         let help = "Bytes of requests to, and answers of, daemons in other data centres";
--- a/crates/rattanarch_mesh/src/process/stop.rs
+++ b/crates/rattanarch_mesh/src/process/stop.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use rattanarch_types::Moment;
 
 /// How long a stopping process lets requests go to its upstream: callers ask once a second whether
@@ -15,18 +16,23 @@
 const RESERVE: Duration = Duration::from_millis(400);
 
 /// Where the process stands.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub(crate) enum Phase {
     /// It serves.
+    #[display("open")]
     Open,
     /// It was asked to stop at the given time: it serves on, and says that it is not ready.
+    #[display("stopping")]
     Stopping(Moment),
     /// It sends no new request to its upstream, and serves what runs and the calls that this needs; it was
     /// asked to stop at the given time.
+    #[display("draining")]
     Draining(Moment),
     /// It refuses new requests.
+    #[display("refusing")]
     Refusing,
     /// It takes no new request, and ends when the last one has.
+    #[display("closing")]
     Closing,
 }
 
--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -116,7 +116,8 @@
         if target.own {
             return upstream::run(shared, self.call, self.trail).await;
         }
-        forward(shared, &shared.peers.get(target.address), self.call, target.local).await
+        let peer = shared.peers.get(target.address);
+        forward(shared, &peer, self.call, target.local, self.trail).await
     }
 
     /// Asks for a newer record where the known one names no owner, and waits a moment for one that does.
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -27,6 +27,8 @@
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::Step;
+use crate::request::Trail;
 use crate::request::mark::AnswerMark;
 use crate::request::mark::FORWARD;
 use crate::request::mark::ForwardMark;
@@ -42,9 +44,10 @@
     peer: &Rc<Peer>,
     call: &Call,
     local: bool,
+    trail: &Trail,
 ) -> Outcome {
     let _sent = SentGuard::new(peer);
-    let outcome = exchange(shared, peer, call).await;
+    let outcome = exchange(shared, peer, call, trail).await;
     if !local {
         shared.meters.crossed(&call.service, bytes_of(call, &outcome));
     }
@@ -65,14 +68,16 @@
     outcome
 }
 
-async fn exchange(shared: &Rc<Shared>, peer: &Rc<Peer>, call: &Call) -> Outcome {
+async fn exchange(shared: &Rc<Shared>, peer: &Rc<Peer>, call: &Call, trail: &Trail) -> Outcome {
     let unreachable = || Outcome::Refused(Refusal::new(Reason::Unreachable, RETURN_PAUSE));
     let Ok(mut link) = peer.pool.checkout(Checkout::Reuse).await else { return unreachable() };
     let left = call.deadline.saturating_sub(shared.now());
     let Some(request) = request(shared, peer, call, left) else { return unreachable() };
-    let sent =
-        tokio::time::timeout(left + WAY_BACK, watched(shared, peer, call, link.send(request)))
-            .await;
+    let sent = tokio::time::timeout(
+        left + WAY_BACK,
+        watched(shared, peer, (call, trail), link.send(request)),
+    )
+    .await;
     match sent {
         Err(_) => {
             peer.note(shared.now(), false, None);
@@ -100,7 +105,7 @@
 async fn watched<T>(
     shared: &Shared,
     peer: &Peer,
-    call: &Call,
+    (call, trail): (&Call, &Trail),
     sending: impl Future<Output = T>,
 ) -> Option<T> {
     let mut sending = std::pin::pin!(sending);
@@ -117,7 +122,9 @@
             here = is_here(peer) => here,
         };
         let look = watch.look(here, !shared.phase.borrow().is_open());
+        shared.meters.looked(look);
         if look != Look::Here {
+            trail.note(Step::Looked { address: peer.address, look });
             peer.note_away(shared.now());
         }
         if look == Look::Gone {
--- a/crates/rattanarch_mesh/src/request/step.rs
+++ b/crates/rattanarch_mesh/src/request/step.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use rattanarch_routing::Look;
 use rattanarch_types::Version;
 
 use crate::request::Failure;
@@ -35,6 +36,9 @@
     /// It goes to an instance's daemon.
     #[display("{service} {address} by record {version}, try {number}")]
     Sent { service: String, address: SocketAddr, version: Version, number: u32 },
+    /// The daemon that has it did not take a fresh connection.
+    #[display("{address}: {look}")]
+    Looked { address: SocketAddr, look: Look },
     /// What a try came to.
     #[display("{address}: {told}")]
     Came { address: SocketAddr, told: Told },
@@ -57,6 +61,7 @@
             Self::Refused { .. } => "refused",
             Self::Unsent { .. } => "unsent",
             Self::Sent { .. } => "sent",
+            Self::Looked { .. } => "looked",
             Self::Came { .. } => "answer",
             Self::Again { .. } => "again",
             Self::GivenUp { .. } => "given-up",
--- a/crates/rattanarch_mesh/src/request/trail.rs
+++ b/crates/rattanarch_mesh/src/request/trail.rs
@@ -1,5 +1,6 @@
 //! Log lines of one request.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +21,7 @@
 const WHOLE_SAMPLE: u64 = 8;
 
 /// Decisions on one request. They are written together when it ends, a line each: if it was refused or
-/// failed, or belongs to the sample of requests that ended well.
+/// failed, if its sender went away before, or if it belongs to the sample of requests that ended well.
 pub(crate) struct Trail {
     shared: Rc<Shared>,
     id: String,
@@ -30,6 +31,26 @@
     route: RefCell<String>,
     service: RefCell<String>,
     steps: RefCell<Vec<(Moment, Step)>>,
+    ended: Cell<bool>,
+}
+
+/// How a request ended, for its lines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Served,
+    NotServed,
+    /// Its sender went away before.
+    Abandoned,
+}
+
+impl End {
+    fn event(self) -> &'static str {
+        match self {
+            Self::Served => "request served",
+            Self::NotServed => "request not served",
+            Self::Abandoned => "request abandoned",
+        }
+    }
 }
 
 impl Trail {
@@ -43,6 +64,7 @@
             route: RefCell::default(),
             service: RefCell::default(),
             steps: RefCell::default(),
+            ended: Cell::new(false),
         }
     }
 
@@ -63,17 +85,23 @@
 
     /// Ends with what an upstream, or this daemon, made of the request.
     pub(crate) fn end(&self, outcome: &Outcome) {
+        self.ended.set(true);
         match outcome {
             Outcome::Answered(response) => {
                 let status = response.status();
-                self.finish("answered", status.as_str(), status.is_server_error());
+                let end = if status.is_server_error() { End::NotServed } else { End::Served };
+                self.finish("answered", status.as_str(), end);
+            }
+            Outcome::Refused(refusal) => {
+                self.finish("refused", &refusal.reason.to_string(), End::NotServed);
+            }
+            Outcome::Failed(failure) => {
+                self.finish("failed", &failure.to_string(), End::NotServed);
             }
-            Outcome::Refused(refusal) => self.finish("refused", &refusal.reason.to_string(), true),
-            Outcome::Failed(failure) => self.finish("failed", &failure.to_string(), true),
         }
     }
 
-    fn finish(&self, outcome: &str, detail: &str, failed: bool) {
+    fn finish(&self, outcome: &str, detail: &str, end: End) {
         let took = self.shared.now().saturating_sub(self.began);
         // What a failure says of its connection is no label: it has too many values.
         let reason = detail.split(':').next().unwrap_or_default();
@@ -81,8 +109,8 @@
         let request =
             RequestLabels { side: self.side, service: &service, route: &route, outcome, reason };
         self.shared.meters.request(&request, took);
-        if failed || self.is_sampled() {
-            self.write(outcome, detail, took, failed);
+        if end != End::Served || self.is_sampled() {
+            self.write(outcome, detail, took, end);
         }
     }
 
@@ -94,11 +122,14 @@
     }
 
     /// Writes a line for each decision and one for the end, all of them or none.
-    fn write(&self, outcome: &str, detail: &str, took: Duration, failed: bool) {
-        let event = if failed { "request not served" } else { "request served" };
-        let level = if failed { Level::Warn } else { Level::Info };
-        // By the id, so that every daemon that the request passes chooses alike.
-        let whole = failed && hash_key(&self.id).is_multiple_of(WHOLE_SAMPLE);
+    fn write(&self, outcome: &str, detail: &str, took: Duration, end: End) {
+        let event = end.event();
+        let level = if end == End::NotServed { Level::Warn } else { Level::Info };
+        let phase = *self.shared.phase.borrow();
+        // By the id, so that every daemon that the request passes chooses alike; and what fails during a
+        // planned stop, which is to cut nothing.
+        let sampled = hash_key(&self.id).is_multiple_of(WHOLE_SAMPLE);
+        let whole = end != End::Served && (sampled || outcome == "failed" && !phase.is_open());
         let steps = self.steps.borrow();
         if !may_log((event, whole), level, steps.len() as u64 + 1) {
             return;
@@ -110,14 +141,29 @@
                 decision:% = step.name(), detail:% = step; "request decision");
         }
         let (route, service) = (self.route.borrow(), self.service.borrow());
-        if failed {
-            log::warn!(target: GRANTED, id:% = id, side:% = side, route:% = route,
-                service:% = service, outcome:% = outcome, detail:% = detail, took_ms = took;
-                "request not served");
-        } else {
-            log::info!(target: GRANTED, id:% = id, side:% = side, route:% = route,
-                service:% = service, outcome:% = outcome, detail:% = detail, took_ms = took;
-                "request served");
+        match end {
+            End::Served => {
+                log::info!(target: GRANTED, id:% = id, side:% = side, route:% = route,
+                    service:% = service, outcome:% = outcome, detail:% = detail, took_ms = took,
+                    phase:% = phase; "request served");
+            }
+            End::NotServed => {
+                log::warn!(target: GRANTED, id:% = id, side:% = side, route:% = route,
+                    service:% = service, outcome:% = outcome, detail:% = detail, took_ms = took,
+                    phase:% = phase; "request not served");
+            }
+            End::Abandoned => {
+                log::info!(target: GRANTED, id:% = id, side:% = side, route:% = route,
+                    service:% = service, took_ms = took, phase:% = phase; "request abandoned");
+            }
+        }
+    }
+}
+
+impl Drop for Trail {
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            self.finish("abandoned", "sender-gone", End::Abandoned);
         }
     }
 }
--- a/crates/rattanarch_routing/src/silence.rs
+++ b/crates/rattanarch_routing/src/silence.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 /// Time without an answer after which a peer is looked at: longer than most requests take.
 const SILENCE: Duration = Duration::from_millis(350);
 
@@ -13,13 +15,16 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
 
 /// Whether to go on waiting for a peer that was looked at.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Look {
     /// It is there, however slow.
+    #[display("here")]
     Here,
     /// It was not reached: new requests had better go elsewhere, and this one waits.
+    #[display("missed")]
     Missed,
     /// It is gone, and the request may go elsewhere.
+    #[display("gone")]
     Gone,
 }
 
--- a/crates/rattanarchd/tests/mesh_lines.rs
+++ b/crates/rattanarchd/tests/mesh_lines.rs
@@ -2,10 +2,13 @@
 
 mod mesh_support;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use mesh_support::Site;
 use mesh_support::wait_until;
+use rattanarch_adapter_standins::HOST;
 use serde_json::Value;
 
 /// Lines of the request `id` that a daemon of `site` has logged for `side`.
@@ -50,6 +53,32 @@
     wait_until("its lines", || lines_of(&site, 0, "nowhere", "caller") == ["unsent", "refused"]);
 }
 
+/// A request whose sender goes away while it runs has its lines and its count at the daemon that ran it.
+#[test]
+fn abandoned_told() {
+    let site = Site::start(2, 0);
+    let key = site.upstreams[1].held()[0].0;
+    site.upstreams[1].set_work(Duration::from_secs(30));
+    let mut caller = TcpStream::connect(site.daemons[0].addresses.callers).unwrap();
+    write!(
+        caller,
+        "GET /stock/crayfish HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: left\r\n\
+         x-deadline-ms: 4000\r\nx-shard-key: {key}\r\n\r\n"
+    )
+    .unwrap();
+    wait_until("it runs", || site.run_ids().contains(&"left".to_owned()));
+    drop(caller);
+    let abandoned = |daemon: usize, side: &str| {
+        let lines = all_lines(&site, daemon, "left", side);
+        lines.iter().any(|line| line["event"] == "request abandoned")
+    };
+    wait_until("its lines", || abandoned(0, "caller") && abandoned(1, "forwarded"));
+    let decisions = lines_of(&site, 1, "left", "forwarded");
+    assert_eq!(decisions, ["admitted"]);
+    let counted = |line: &str| line.contains("outcome=\"abandoned\"");
+    assert!(site.metrics(1).lines().any(counted), "{}", site.metrics(1));
+}
+
 /// Tries are counted, also where each goes to the owner of the key.
 #[test]
 fn tries_counted() {
