Let the tests of free ports draw addresses one after the other

It draws an address and binds the next port, while `starting_processes`, in a thread of the same process, draws from the same sequence, binds what it gets, and starts processes that hold copies of it.

The tests hold a lock now; assertions, counts and bounds are as they were.

--- a/crates/rattanarch_standins/tests/free_ports.rs
+++ b/crates/rattanarch_standins/tests/free_ports.rs
@@ -7,6 +7,8 @@
 use std::net::UdpSocket;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -14,6 +16,9 @@
 /// Threads that start processes; more than one, since each start is short.
 const STARTERS: usize = 4;
 
+/// Held by each test: all addresses of a process come from one sequence.
+static SEQUENCE: Mutex<()> = Mutex::new(());
+
 /// Addresses taken while processes start; looks that bind fail for about one in fifty.
 const ADDRESSES: usize = 500;
 
@@ -26,6 +31,7 @@
 /// A starting process holds copies of all open sockets until it runs its program.
 #[test]
 fn starting_processes() {
+    let _sequence = SEQUENCE.lock().unwrap_or_else(PoisonError::into_inner);
     let ended = AtomicBool::new(false);
     let failed = thread::scope(|scope| {
         for _ in 0..STARTERS {
@@ -49,6 +55,7 @@
 /// A port on which a server listens is passed over.
 #[test]
 fn taken_ports() {
+    let _sequence = SEQUENCE.lock().unwrap_or_else(PoisonError::into_inner);
     let first = ports::free_address().expect("an address");
     let mut next = first;
     next.set_port(first.port() + 1);
