--- a/crates/rattanarchd/tests/mesh_losses.rs
+++ b/crates/rattanarchd/tests/mesh_losses.rs
@@ -2,15 +2,12 @@
 
 mod mesh_support;
 
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use mesh_support::Site;
+use mesh_support::busy_machine;
 use mesh_support::wait_until;
 use rattanarch_adapter_standins::DESK;
 use rattanarch_adapter_standins::FILES;
@@ -125,28 +122,6 @@
     });
 }
 
-/// A listener whose machine falls silent after the first connection: its queue is full, so that further
-/// ones are not answered.
-fn falling_silent() -> SocketAddr {
-    use rustix::net::AddressFamily;
-    use rustix::net::SocketType;
-    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
-    let socket = socket.expect("a socket");
-    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    rustix::net::bind(&socket, &any).expect("a port");
-    rustix::net::listen(&socket, 0).expect("a listener");
-    let listener = TcpListener::from(socket);
-    let address = listener.local_addr().expect("its address");
-    thread::spawn(move || {
-        let (first, _) = listener.accept().expect("a request");
-        let fill = |_| TcpStream::connect_timeout(&address, Duration::from_millis(100));
-        let filling: Vec<_> = (0..4).map(fill).collect();
-        thread::sleep(Duration::from_secs(10));
-        drop((first, filling, listener));
-    });
-    address
-}
-
 /// A request that waits for a machine which falls silent is not held until its deadline: it goes to
 /// another instance.
 #[test]
@@ -158,7 +133,7 @@
     ghost["boot"] = "5".into();
     ghost["instance"] = "ghost".into();
     ghost["data_centre"] = "centre-0".into();
-    ghost["caller"] = falling_silent().to_string().into();
+    ghost["caller"] = busy_machine(None).to_string().into();
     ghost["witnesses"] = serde_json::json!([]);
     record["version"] = (record["version"].as_u64().expect("a version") + 1).into();
     record["members"].as_array_mut().expect("members").push(ghost);
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -2,9 +2,11 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
+mod busy;
 mod daemon;
 mod site;
 
+pub use busy::busy_machine;
 pub use daemon::Daemon;
 pub use site::Site;
 pub use site::wait_until;
--- a/crates/rattanarchd/tests/mesh_support/site.rs
+++ b/crates/rattanarchd/tests/mesh_support/site.rs
@@ -88,6 +88,20 @@
         });
     }
 
+    /// Lets daemons reach the one beside the upstream `instance` of `service` at `address` instead of its own, and
+    /// waits until they know.
+    pub fn reach_at(&self, service: &str, instance: &str, address: SocketAddr) {
+        let mut record = self.store.record(service).expect("a record");
+        let version = record["version"].as_u64().expect("a version") + 1;
+        let members = record["members"].as_array_mut().expect("members");
+        let member = members.iter_mut().find(|member| member["instance"] == instance);
+        member.expect("the member")["caller"] = address.to_string().into();
+        record["version"] = version.into();
+        self.store.put_record(service, &record);
+        // News reaches every daemon within half a second.
+        std::thread::sleep(Duration::from_millis(500));
+    }
+
     /// Whether every upstream of the desk is a member with keys, and a witness if it is not alone.
     fn is_settled(&self) -> bool {
         let Some(record) = self.store.record(DESK) else { return false };
