Keep a request at a peer that may be gone, and try elsewhere beside it

Cause: the sender of a request that had no answer for 350 ms opened fresh connections to the peer to see whether it was there, and after two that were not open within 250 ms it closed the connection that carried the request. On a full link (11 Mbit/s, packets wait for up to half a second) or beside a busy process that says nothing of the peer. The peer's daemon saw its sender go and dropped the run. If the second try then found no room, or the key no other owner, the caller got the first one's failure.

Now a look that fails, twice in a row, is only a doubt: the try goes on, and another begins beside it if the request may run twice and there is another instance; for a key as soon as a record names the next owner. The first answer counts, and a request fails only when all its tries have, by their own connections or the deadline. For a key whose owner was taken out, and no repeat left in the budget, `silent` stays: the lease, and the run under it, had ended. A second try counts as a repeat, and for the route's attempts, as before.

The four tests of mesh_busy_peers failed before and pass; silent_machine (a lost machine is not waited for) and the unit tests of SilenceWatch are unchanged and pass.

--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -1,6 +1,5 @@
 //! The tries of one request.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +9,7 @@
 
 use crate::control;
 use crate::request::Call;
+use crate::request::Failure;
 use crate::request::GiveUp;
 use crate::request::Outbound;
 use crate::request::Outcome;
@@ -17,7 +17,12 @@
 use crate::request::Refusal;
 use crate::request::Step;
 use crate::request::Trail;
+use crate::request::forward::Forward;
 use crate::request::forward::forward;
+use crate::request::open_tries::Doubt;
+use crate::request::open_tries::TryEvent;
+use crate::request::progress::Next;
+use crate::request::progress::Progress;
 use crate::request::target;
 use crate::request::target::Target;
 use crate::upstream;
@@ -27,7 +32,7 @@
 const MAX_ARRIVALS: u32 = 3;
 
 /// Refusals by instances after which a request is refused: a third one is no better informed.
-const MAX_REFUSALS: usize = 3;
+const MAX_REFUSALS: u32 = 3;
 
 /// The tries of one request.
 pub(crate) struct Attempts<'a> {
@@ -40,84 +45,149 @@
 impl Attempts<'_> {
     /// Sends the request until it is answered, or nothing speaks for another try.
     pub(crate) async fn run(&self) -> Outcome {
-        let shared = &self.outbound.shared;
-        // What earlier tries came to: a request that one of them may have run was not refused.
-        let mut kept: Option<Outcome> = None;
-        let mut tried: Vec<SocketAddr> = Vec::new();
-        let mut arrivals = 0;
-        let mut refusals = 0;
-        let mut tries = 0;
+        let mut progress = Progress::new(self.call);
         // A call of a repeated run counts as a repeat, however often it is sent itself.
-        let repeated = self.call.repeat.get();
-        if repeated {
+        if progress.repeated {
             self.outbound.shares.charge(&self.call.service);
         } else {
             self.outbound.shares.earn(&self.call.service);
         }
         loop {
-            let target = match target::find(shared, self.call, &tried) {
-                Ok(target) => target,
-                Err(refusal) => {
-                    if tries == 0 && self.owner_learned(refusal.reason).await {
-                        continue;
-                    }
-                    self.note_unsent(&refusal);
-                    return match kept {
-                        // No instance is left to try: what the last one said tells more.
-                        Some(kept) if refusal.reason == Reason::NoInstance => kept,
-                        kept => Outcome::Refused(refusal).or_earlier(kept),
-                    };
-                }
+            let changed = self.outbound.shared.changed.notified();
+            if let Some(outcome) = self.begin(&mut progress).await {
+                return outcome;
+            }
+            let event = tokio::select! {
+                biased;
+                event = progress.open.next() => event,
+                () = changed, if progress.next == Next::Beside => continue,
             };
-            self.call.repeat.set(repeated || arrivals > 0);
-            tries += 1;
-            self.note_sent(target, tries);
-            let outcome = self.send(target).await;
-            self.note(target, &outcome);
-            let next = match &outcome {
-                Outcome::Answered(response) => {
-                    arrivals += 1;
-                    if !response.status().is_server_error() {
-                        return outcome;
-                    }
-                    self.may_repeat(arrivals)
+            if let Some(outcome) = self.take(&mut progress, event).await {
+                return outcome;
+            }
+        }
+    }
+
+    /// Begins what is to begin next; returns the request's outcome if nothing can.
+    async fn begin<'s>(&'s self, progress: &mut Progress<'s>) -> Option<Outcome> {
+        match progress.next {
+            Next::Wait => None,
+            Next::Now => self.begin_now(progress).await,
+            Next::Beside => self.begin_beside(progress),
+        }
+    }
+
+    async fn begin_now<'s>(&'s self, progress: &mut Progress<'s>) -> Option<Outcome> {
+        loop {
+            match target::find(&self.outbound.shared, self.call, &progress.tried) {
+                Ok(target) => {
+                    self.send(progress, target);
+                    return None;
                 }
-                Outcome::Failed(_) => {
-                    arrivals += 1;
-                    self.may_repeat(arrivals)
+                Err(refusal) if progress.tries == 0 && self.owner_learned(refusal.reason).await => {
                 }
-                Outcome::Refused(refusal) => {
-                    refusals += 1;
-                    arrivals += u32::from(refusal.arrived);
-                    if refusals < MAX_REFUSALS {
-                        self.may_move(target, refusal, arrivals).await
-                    } else {
-                        Err(GiveUp::Attempts)
-                    }
+                Err(refusal) => {
+                    self.note_unsent(&refusal);
+                    progress.next = Next::Wait;
+                    return progress.open.is_empty().then(|| progress.end_unsent(refusal));
                 }
-            };
-            if let Err(why) = next {
-                let left = self.call.deadline.saturating_sub(shared.now());
-                self.trail.note(Step::GivenUp { why, arrivals, left });
-                return outcome.or_earlier(kept);
             }
-            self.trail.note(Step::Again { arrivals });
-            kept = Some(outcome.or_earlier(kept));
-            tried.push(target.address);
-            if self.call.key.is_some() {
-                // Only the owner can serve it.
-                tried.clear();
+        }
+    }
+
+    /// Begins a try beside one whose peer may be gone, if there is a target by now.
+    fn begin_beside<'s>(&'s self, progress: &mut Progress<'s>) -> Option<Outcome> {
+        let found = target::find(&self.outbound.shared, self.call, &progress.tried);
+        let target = found.ok().filter(|target| !progress.open.has(target.address))?;
+        let arrivals = progress.may_have_run();
+        match self.may_repeat(arrivals) {
+            Ok(()) => {
+                self.trail.note(Step::Again { arrivals });
+                self.send(progress, target);
+                None
+            }
+            Err(why) => {
+                self.note_given_up(why, arrivals);
+                progress.next = Next::Wait;
+                // A key has its next owner only after the lease of the last one, and what ran under it, has ended.
+                let lost = self.call.key.is_some();
+                lost.then(|| progress.end(Outcome::Failed(Failure::Silent)))
             }
         }
     }
 
-    async fn send(&self, target: Target) -> Outcome {
+    fn send<'s>(&'s self, progress: &mut Progress<'s>, target: Target) {
+        self.call.repeat.set(progress.repeated || progress.may_have_run() > 0);
+        progress.tries += 1;
+        progress.next = Next::Wait;
+        self.note_sent(target, progress.tries);
+        let doubt = Doubt::default();
+        progress.open.begin(target, Rc::clone(&doubt), self.exchange(target, doubt));
+    }
+
+    async fn exchange(&self, target: Target, doubt: Doubt) -> Outcome {
         let shared = &self.outbound.shared;
         if target.own {
             return upstream::run(shared, self.call, self.trail).await;
         }
         let peer = shared.peers.get(target.address);
-        forward(shared, &peer, self.call, target.local, self.trail).await
+        forward(shared, &peer, Forward { call: self.call, trail: self.trail, target, doubt }).await
+    }
+
+    /// Takes what has become of a try; returns the request's outcome if nothing more is to come.
+    async fn take(&self, progress: &mut Progress<'_>, event: TryEvent) -> Option<Outcome> {
+        let (target, outcome) = match event {
+            TryEvent::Ended(target, outcome) => (target, outcome),
+            TryEvent::Doubted(target) => {
+                progress.note_tried(target);
+                progress.next = Next::Beside;
+                return None;
+            }
+        };
+        self.note(target, &outcome);
+        if outcome.is_answer() {
+            return Some(outcome);
+        }
+        let may = self.may_go_on(progress, target, &outcome).await;
+        let outcome = progress.end(outcome);
+        match may {
+            Ok(()) => {
+                self.trail.note(Step::Again { arrivals: progress.may_have_run() });
+                progress.note_tried(target);
+                progress.next = Next::Now;
+            }
+            Err(why) => {
+                self.note_given_up(why, progress.may_have_run());
+                if progress.open.is_empty() {
+                    return Some(outcome);
+                }
+            }
+        }
+        progress.kept = Some(outcome);
+        None
+    }
+
+    /// Whether another try may follow one that came to `outcome`.
+    async fn may_go_on(
+        &self,
+        progress: &mut Progress<'_>,
+        target: Target,
+        outcome: &Outcome,
+    ) -> Result<(), GiveUp> {
+        match outcome {
+            Outcome::Answered(_) | Outcome::Failed(_) => {
+                progress.arrivals += 1;
+                self.may_repeat(progress.may_have_run())
+            }
+            Outcome::Refused(refusal) => {
+                progress.refusals += 1;
+                progress.arrivals += u32::from(refusal.arrived);
+                if progress.refusals >= MAX_REFUSALS {
+                    return Err(GiveUp::Attempts);
+                }
+                self.may_move(target, refusal, progress.may_have_run()).await
+            }
+        }
     }
 
     /// Asks for a newer record where the known one names no owner, and waits a moment for one that does.
@@ -144,6 +214,11 @@
         }
     }
 
+    fn note_given_up(&self, why: GiveUp, arrivals: u32) {
+        let left = self.call.deadline.saturating_sub(self.outbound.shared.now());
+        self.trail.note(Step::GivenUp { why, arrivals, left });
+    }
+
     fn note_unsent(&self, refusal: &Refusal) {
         let Refusal { reason, pause, .. } = *refusal;
         let service = self.call.service.clone();
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -32,23 +32,29 @@
 use crate::request::mark::AnswerMark;
 use crate::request::mark::FORWARD;
 use crate::request::mark::ForwardMark;
+use crate::request::open_tries::Doubt;
 use crate::request::peers::Peer;
+use crate::request::target::Target;
 
 /// Time for the answer's way back: the daemon beside the upstream gives up at the deadline, and its
 /// word is better than silence.
 const WAY_BACK: Duration = Duration::from_millis(60);
 
-/// Sends `call` to the daemon `peer`. Dropping the future ends the request there.
-pub(crate) async fn forward(
-    shared: &Rc<Shared>,
-    peer: &Rc<Peer>,
-    call: &Call,
-    local: bool,
-    trail: &Trail,
-) -> Outcome {
+/// A try at another daemon.
+pub(crate) struct Forward<'a> {
+    pub(crate) call: &'a Call,
+    pub(crate) trail: &'a Trail,
+    pub(crate) target: Target,
+    /// Set if the peer may be gone.
+    pub(crate) doubt: Doubt,
+}
+
+/// Sends a request to the daemon `peer`. Dropping the future ends the request there.
+pub(crate) async fn forward(shared: &Rc<Shared>, peer: &Rc<Peer>, sending: Forward<'_>) -> Outcome {
     let _sent = SentGuard::new(peer);
-    let outcome = exchange(shared, peer, call, trail).await;
-    if !local {
+    let outcome = exchange(shared, peer, &sending).await;
+    let call = sending.call;
+    if !sending.target.local {
         shared.meters.crossed(&call.service, bytes_of(call, &outcome));
     }
     match &outcome {
@@ -68,29 +74,22 @@
     outcome
 }
 
-async fn exchange(shared: &Rc<Shared>, peer: &Rc<Peer>, call: &Call, trail: &Trail) -> Outcome {
+async fn exchange(shared: &Rc<Shared>, peer: &Rc<Peer>, sending: &Forward<'_>) -> Outcome {
+    let call = sending.call;
     let unreachable = || Outcome::Refused(Refusal::new(Reason::Unreachable, RETURN_PAUSE));
     let Ok(mut link) = peer.pool.checkout(Checkout::Reuse).await else { return unreachable() };
     let left = call.deadline.saturating_sub(shared.now());
     let Some(request) = request(shared, peer, call, left) else { return unreachable() };
-    let sent = tokio::time::timeout(
-        left + WAY_BACK,
-        watched(shared, peer, (call, trail), link.send(request)),
-    )
-    .await;
+    let answer = watched(shared, peer, sending, link.send(request));
+    let sent = tokio::time::timeout(left + WAY_BACK, answer).await;
     match sent {
         Err(_) => {
             peer.note(shared.now(), false, None);
             Outcome::Failed(Failure::TimedOut)
         }
-        Ok(None) => {
-            peer.note(shared.now(), false, None);
-            peer.note_away(shared.now());
-            Outcome::Failed(Failure::Silent)
-        }
-        Ok(Some(Ok(response))) => read(shared, peer, response, link),
-        Ok(Some(Err(SendError::Unsent(_)))) => unreachable(),
-        Ok(Some(Err(SendError::Broken(reason)))) => {
+        Ok(Ok(response)) => read(shared, peer, response, link),
+        Ok(Err(SendError::Unsent(_))) => unreachable(),
+        Ok(Err(SendError::Broken(reason))) => {
             peer.note(shared.now(), false, None);
             if link.is_reused() {
                 peer.pool.clear();
@@ -100,35 +99,37 @@
     }
 }
 
-/// Waits for `sending`, and looks now and then whether the peer is still there; `None` once it is not, see
-/// [`SilenceWatch`].
+/// Waits for `answer`, and looks now and then whether the peer takes a fresh connection, see [`SilenceWatch`]. A peer
+/// that does not may be gone, or only busy: the request itself ends by its own connection alone.
 async fn watched<T>(
     shared: &Shared,
     peer: &Peer,
-    (call, trail): (&Call, &Trail),
-    sending: impl Future<Output = T>,
-) -> Option<T> {
-    let mut sending = std::pin::pin!(sending);
-    let mut watch = SilenceWatch::new(call.idempotent);
+    sending: &Forward<'_>,
+    answer: impl Future<Output = T>,
+) -> T {
+    let mut answer = std::pin::pin!(answer);
+    let mut watch = SilenceWatch::new(sending.call.idempotent);
     loop {
         tokio::select! {
             biased;
-            sent = &mut sending => return Some(sent),
+            answer = &mut answer => return answer,
             () = tokio::time::sleep(watch.pause()) => {}
         }
         let here = tokio::select! {
             biased;
-            sent = &mut sending => return Some(sent),
+            answer = &mut answer => return answer,
             here = is_here(peer) => here,
         };
         let look = watch.look(here, !shared.phase.borrow().is_open());
         shared.meters.looked(look);
         if look != Look::Here {
-            trail.note(Step::Looked { address: peer.address, look });
+            sending.trail.note(Step::Looked { address: peer.address, look });
             peer.note_away(shared.now());
         }
         if look == Look::Gone {
-            return None;
+            peer.note(shared.now(), false, None);
+            sending.doubt.set(true);
+            return answer.await;
         }
     }
 }
--- /dev/null
+++ b/crates/rattanarch_mesh/src/request/open_tries.rs
@@ -0,0 +1,81 @@
+//! Tries of a request that are under way.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use crate::request::Outcome;
+use crate::request::target::Target;
+
+/// Set by a try whose peer may be gone. The try goes on.
+pub(crate) type Doubt = Rc<Cell<bool>>;
+
+/// Tries of one request that are under way at the same time. Dropping them ends them.
+#[derive(Default)]
+pub(crate) struct OpenTries<'a> {
+    tries: Vec<OpenTry<'a>>,
+}
+
+struct OpenTry<'a> {
+    target: Target,
+    doubt: Doubt,
+    sending: Pin<Box<dyn Future<Output = Outcome> + 'a>>,
+}
+
+/// What happens next to tries that are under way.
+#[derive(Debug)]
+pub(crate) enum TryEvent {
+    /// One has ended.
+    Ended(Target, Outcome),
+    /// The peer of one may be gone.
+    Doubted(Target),
+}
+
+impl<'a> OpenTries<'a> {
+    /// Adds a try at `target`, which sets `doubt` if its peer may be gone.
+    pub(crate) fn begin(
+        &mut self,
+        target: Target,
+        doubt: Doubt,
+        sending: impl Future<Output = Outcome> + 'a,
+    ) {
+        self.tries.push(OpenTry { target, doubt, sending: Box::pin(sending) });
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.tries.is_empty()
+    }
+
+    /// Number of tries, each of which may run.
+    pub(crate) fn count(&self) -> u32 {
+        self.tries.len() as u32
+    }
+
+    /// Whether a try at `address` is under way.
+    pub(crate) fn has(&self, address: SocketAddr) -> bool {
+        self.tries.iter().any(|open| open.target.address == address)
+    }
+
+    /// Waits for the next event; for ever if nothing is under way. Loses nothing if it is dropped.
+    pub(crate) async fn next(&mut self) -> TryEvent {
+        std::future::poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<TryEvent> {
+        for index in 0..self.tries.len() {
+            let open = &mut self.tries[index];
+            if let Poll::Ready(outcome) = open.sending.as_mut().poll(cx) {
+                let ended = self.tries.swap_remove(index);
+                return Poll::Ready(TryEvent::Ended(ended.target, outcome));
+            }
+            if open.doubt.take() {
+                return Poll::Ready(TryEvent::Doubted(open.target));
+            }
+        }
+        Poll::Pending
+    }
+}
--- a/crates/rattanarch_mesh/src/request/outcome.rs
+++ b/crates/rattanarch_mesh/src/request/outcome.rs
@@ -31,11 +31,16 @@
         }
     }
 
+    /// Whether an upstream has answered, other than with a failure of its own.
+    pub(crate) fn is_answer(&self) -> bool {
+        matches!(self, Self::Answered(response) if !response.status().is_server_error())
+    }
+
     fn weight(&self) -> u8 {
         match self {
             Self::Refused(_) => 0,
             Self::Failed(_) => 1,
-            Self::Answered(response) if response.status().is_server_error() => 2,
+            Self::Answered(_) if !self.is_answer() => 2,
             Self::Answered(_) => 3,
         }
     }
@@ -74,7 +79,7 @@
     /// The deadline passed.
     #[display("timed-out")]
     TimedOut,
-    /// The daemon beside the upstream can't be reached any more.
+    /// The owner of its key was lost while it had the request.
     #[display("silent")]
     Silent,
     /// The connection failed, or the answer ended early.
--- a/crates/rattanarch_routing/src/silence.rs
+++ b/crates/rattanarch_routing/src/silence.rs
@@ -1,4 +1,4 @@
-//! What becomes of a request whose peer says nothing.
+//! When a request whose peer says nothing is sent elsewhere too.
 
 use std::time::Duration;
 
@@ -7,14 +7,14 @@
 /// Time without an answer after which a peer is looked at: longer than most requests take.
 const SILENCE: Duration = Duration::from_millis(350);
 
-/// Looks in a row that have to fail before a peer counts as gone: packets wait for up to half a second
+/// Looks in a row that have to fail before a peer may be gone: packets wait for up to half a second
 /// where callers press beyond what a link bears, and each look takes a quarter of one.
 const LOOKS: u32 = 2;
 
 /// Pause between two such looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
 
-/// Whether to go on waiting for a peer that was looked at.
+/// What a look at a peer has shown.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Look {
     /// It is there, however slow.
@@ -23,7 +23,7 @@
     /// It was not reached: new requests had better go elsewhere, and this one waits.
     #[display("missed")]
     Missed,
-    /// It is gone, and the request may go elsewhere.
+    /// It may be gone, and the request may go elsewhere too.
     #[display("gone")]
     Gone,
 }
@@ -31,8 +31,8 @@
 /// Looks at a peer that was sent a request and has not answered.
 ///
 /// Answers the loss of a machine, or of the way to it: it says nothing, and a request that waits for it until its
-/// deadline could have gone elsewhere. One look may fail for a full link alone. A request that must not run twice waits
-/// on, since an answer may still come.
+/// deadline could have gone elsewhere. A look may fail for a full link or a busy machine alone, and an answer may still
+/// come: the request waits on in any case. One that must not run twice goes nowhere else.
 #[derive(Debug)]
 pub struct SilenceWatch {
     /// Whether the request may run once more elsewhere.
