Bound what may come before the head of an answer

Callers saw with interim heads without end (`HTTP/1.1 103` again and again): the codec skips each of them, so that the daemon read until the request's deadline, and other callers of the machine waited 1.17 s for an answer that takes some 10 ms (debug build).

Cause: the codec bounds a head, not how many come before the last one. Connections to upstreams and peers now take 256 KiB at most while a head is awaited, and fail then.

--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! What lives for one connection.
 
 mod body;
+mod head_limit;
 mod pool;
 mod post;
 mod server;
--- a/crates/rattanarch_mesh/src/connection/pool.rs
+++ b/crates/rattanarch_mesh/src/connection/pool.rs
@@ -19,6 +19,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::connection::head_limit::HeadLimit;
+use crate::connection::head_limit::LimitedStream;
+
 /// Largest head and read buffer of an answer, in bytes: a large answer is read in few pieces.
 const MAX_BUFFER: usize = 64 << 10;
 
@@ -60,6 +63,7 @@
 pub(crate) struct Link {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    limit: HeadLimit,
     since: Instant,
     /// Requests that it carried before.
     uses: u32,
@@ -153,13 +157,15 @@
         sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT_MS)?;
         let mut codec = http1::Builder::new();
         codec.max_buf_size(MAX_BUFFER);
+        let limit = HeadLimit::default();
+        let stream = LimitedStream::new(stream, limit.clone());
         let handshake = codec.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             // The same error reaches whoever waits for the answer.
             let _ = connection.await;
         });
-        Ok(Link { sender, driver, since: Instant::now(), uses: 0 })
+        Ok(Link { sender, driver, limit, since: Instant::now(), uses: 0 })
     }
 }
 
@@ -177,7 +183,9 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.limit.begin();
         let sent = self.sender.try_send_request(request).await;
+        self.limit.end();
         sent.map_err(|mut error| {
             let unsent = error.take_message().is_some();
             let reason = error.into_error().to_string();
--- a/crates/rattanarchd/tests/mesh_support/daemon.rs
+++ b/crates/rattanarchd/tests/mesh_support/daemon.rs
@@ -129,6 +129,14 @@
         None
     }
 
+    /// Memory that it has in use, in bytes.
+    pub fn memory(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let kilobytes: usize = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kilobytes << 10
+    }
+
     /// What it has logged.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
