--- a/crates/rattanarch_mesh/src/connection/head_limit.rs
+++ b/crates/rattanarch_mesh/src/connection/limited_stream.rs
@@ -1,53 +1,30 @@
-//! Bytes that may come before the head of an answer.
+//! A connection on which the heads of answers are awaited.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
+use rattanarch_admission::HeadLimit;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// Bytes that may come while a head is awaited: the codec bounds each head, but not how many interim ones (RFC 9110,
-/// section 15.2) come before it.
-const MAX_BEFORE_HEAD: usize = 256 << 10;
-
-/// What may still come before the head of the answer that is awaited; `None` while none is.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct HeadLimit(Rc<Cell<Option<usize>>>);
-
-impl HeadLimit {
-    /// A request is sent: the head of its answer is awaited.
-    pub(crate) fn begin(&self) {
-        self.0.set(Some(MAX_BEFORE_HEAD));
-    }
-
-    /// The head is here.
-    pub(crate) fn end(&self) {
-        self.0.set(None);
-    }
-
-    fn take(&self, bytes: usize) -> io::Result<()> {
-        let Some(left) = self.0.get() else { return Ok(()) };
-        let left = left.checked_sub(bytes);
-        self.0.set(left);
-        left.map(drop).ok_or_else(|| io::Error::other("too many bytes before the answer's head"))
-    }
-}
+/// The limit of a connection, which its requests begin and end.
+pub(crate) type SharedLimit = Rc<RefCell<HeadLimit>>;
 
 /// A connection on which heads have to come within a [`HeadLimit`].
 #[derive(Debug)]
 pub(crate) struct LimitedStream {
     stream: TcpStream,
-    limit: HeadLimit,
+    limit: SharedLimit,
 }
 
 impl LimitedStream {
-    pub(crate) fn new(stream: TcpStream, limit: HeadLimit) -> Self {
+    pub(crate) fn new(stream: TcpStream, limit: SharedLimit) -> Self {
         Self { stream, limit }
     }
 }
@@ -60,7 +37,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        Poll::Ready(self.limit.take(buffer.filled().len() - before))
+        let fits = self.limit.borrow_mut().take(buffer.filled().len() - before);
+        let error = || io::Error::other("too many bytes before the answer's head");
+        Poll::Ready(fits.then_some(()).ok_or_else(error))
     }
 }
 
--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -1,7 +1,7 @@
 //! What lives for one connection.
 
 mod body;
-mod head_limit;
+mod limited_stream;
 mod pool;
 mod post;
 mod server;
--- a/crates/rattanarch_mesh/src/connection/pool.rs
+++ b/crates/rattanarch_mesh/src/connection/pool.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,8 +20,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::connection::head_limit::HeadLimit;
-use crate::connection::head_limit::LimitedStream;
+use crate::connection::limited_stream::LimitedStream;
+use crate::connection::limited_stream::SharedLimit;
 
 /// Largest head and read buffer of an answer, in bytes: a large answer is read in few pieces.
 const MAX_BUFFER: usize = 64 << 10;
@@ -63,7 +64,7 @@
 pub(crate) struct Link {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    limit: HeadLimit,
+    limit: SharedLimit,
     since: Instant,
     /// Requests that it carried before.
     uses: u32,
@@ -157,8 +158,8 @@
         sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT_MS)?;
         let mut codec = http1::Builder::new();
         codec.max_buf_size(MAX_BUFFER);
-        let limit = HeadLimit::default();
-        let stream = LimitedStream::new(stream, limit.clone());
+        let limit = SharedLimit::default();
+        let stream = LimitedStream::new(stream, Rc::clone(&limit));
         let handshake = codec.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
@@ -183,9 +184,9 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.limit.begin();
+        self.limit.borrow_mut().begin();
         let sent = self.sender.try_send_request(request).await;
-        self.limit.end();
+        self.limit.borrow_mut().end();
         sent.map_err(|mut error| {
             let unsent = error.take_message().is_some();
             let reason = error.into_error().to_string();
--- a/crates/rattanarchd/src/connection/link.rs
+++ b/crates/rattanarchd/src/connection/link.rs
@@ -117,6 +117,7 @@
             return Err(SendError::Unsent(Some(Box::new(request))));
         }
         let sent = self.link.sender.try_send_request(request).await;
+        self.link.wire.end_head();
         sent.map_err(|mut error| {
             let message = error.take_message();
             if self.link.wire.shut() {
--- a/crates/rattanarchd/src/connection/wire.rs
+++ b/crates/rattanarchd/src/connection/wire.rs
@@ -10,6 +10,7 @@
 use std::task::Context;
 use std::task::Poll;
 
+use rattanarch_admission::HeadLimit;
 use rustix::net::RecvFlags;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -28,6 +29,7 @@
 #[derive(Debug)]
 struct WireState {
     stream: TcpStream,
+    limit: HeadLimit,
     /// Whether a byte has left since the last [`Wire::begin`].
     written: bool,
     /// Never reset: a wire that was shut writes no more.
@@ -36,13 +38,20 @@
 
 impl Wire {
     pub(crate) fn new(stream: TcpStream) -> Self {
-        let state = WireState { stream, written: false, shut: false };
+        let state = WireState { stream, limit: HeadLimit::default(), written: false, shut: false };
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Starts to watch for bytes of a new request.
+    /// Starts to watch for bytes of a new request, and for the head of its answer.
     pub(crate) fn begin(&self) {
-        self.lock().written = false;
+        let mut state = self.lock();
+        state.written = false;
+        state.limit.begin();
+    }
+
+    /// Notes that the head of the answer is here.
+    pub(crate) fn end_head(&self) {
+        self.lock().limit.end();
     }
 
     /// Stops all writes and says whether a byte has left since [`Wire::begin`].
@@ -94,7 +103,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.lock().stream).poll_read(cx, buffer)
+        let mut state = self.lock();
+        let before = buffer.filled().len();
+        std::task::ready!(Pin::new(&mut state.stream).poll_read(cx, buffer))?;
+        let fits = state.limit.take(buffer.filled().len() - before);
+        let error = || io::Error::other("too many bytes before the answer's head");
+        Poll::Ready(fits.then_some(()).ok_or_else(error))
     }
 }
 
