--- a/crates/rattanarch_mesh/src/connection/post.rs
+++ b/crates/rattanarch_mesh/src/connection/post.rs
@@ -1,6 +1,7 @@
 //! Questions of one daemon to another, apart from requests of callers.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -23,7 +24,7 @@
 /// [`SendError::Unsent`] if the question has not left, [`SendError::Broken`] without an answer to it.
 pub(crate) async fn post<T: DeserializeOwned>(
     shared: &Shared,
-    (pool, address): (&Pool, SocketAddr),
+    (pool, address): (&Rc<Pool>, SocketAddr),
     path: &str,
     body: &impl Serialize,
     limit: usize,
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod site;
 
+pub use busy::busy_for;
 pub use busy::busy_machine;
 pub use daemon::Daemon;
 pub use site::Site;
