--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -161,6 +161,10 @@
                 if progress.open.is_empty() {
                     return Some(outcome);
                 }
+                if why == GiveUp::Owner {
+                    // The next owner may learn of it a moment later.
+                    progress.next = Next::Beside;
+                }
             }
         }
         progress.kept = Some(outcome);
