Show work that is given up while it goes on (known red)

Five cases beside the one in request/forward.rs, found by reading: a request body that a paused peer does not read, an answer that came while the daemon itself was paused, an idle connection that closes at a planned stop under a request, a once-only run whose caller has gone at a planned stop, and a daemon's own pause taken for the loss of its upstream.

--- /dev/null
+++ b/crates/rattanarchd/tests/mesh_giving_up.rs
@@ -0,0 +1,113 @@
+//! Work that goes on while a daemon has reason to think that it does not.
+
+mod mesh_support;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mesh_support::Site;
+use mesh_support::late_machine;
+use mesh_support::wait_until;
+use rattanarch_adapter_standins::Answer;
+use rattanarch_adapter_standins::FILES;
+use rattanarch_adapter_standins::HOST;
+
+/// Lets requests take 4 s, and waits until all daemons know.
+fn allow_long_work(site: &Site) {
+    site.store.configure_timeout(6, "4s");
+    wait_until("the longer time is in force", || {
+        site.daemons.iter().all(|daemon| daemon.log().contains("\"version\":6"))
+    });
+}
+
+/// A daemon that is asked to stop leaves its upstream the time to end what must run once and whole, also
+/// when the caller has gone.
+#[test]
+fn stop_keeps_run() {
+    let mut site = Site::start(1, 0);
+    allow_long_work(&site);
+    let work = Duration::from_millis(3_500);
+    site.upstreams[0].set_work(work);
+    let mut caller = TcpStream::connect(site.daemons[0].addresses.callers).unwrap();
+    write!(
+        caller,
+        "POST /hold/crayfish HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: h1\r\nx-deadline-ms: 4000\r\n\
+         x-shard-key: 9\r\ncontent-length: 1\r\n\r\nx"
+    )
+    .unwrap();
+    wait_until("it runs", || site.upstreams[0].runs().len() == 1);
+    let began = Instant::now();
+    drop(caller);
+    site.daemons[0].stop();
+    site.daemons[0].wait(Duration::from_secs(6)).expect("it ends within its grace");
+    // The run began up to two looks of the wait before.
+    let least = work - Duration::from_millis(100);
+    assert!(began.elapsed() >= least, "cut after {:?}", began.elapsed());
+}
+
+/// A request that a daemon has not read to its end for a while, as it gets no processor time, is served.
+#[test]
+fn body_waits() {
+    let site = Site::start(1, 1);
+    site.wait_members(FILES, 1);
+    allow_long_work(&site);
+    let body = "x".repeat(12 << 20);
+    let answer = thread::scope(|scope| {
+        scope.spawn(|| site.daemons[1].pause(Duration::from_millis(2_600)));
+        thread::sleep(Duration::from_millis(100));
+        site.send(0, "/files/customs", "f1", 0, &body)
+    });
+    assert_eq!((answer.status, answer.stamped), (200, true), "{answer:?}");
+}
+
+/// A daemon that got no processor time for less than its lease does not take its upstream for lost.
+#[test]
+fn late_daemon() {
+    let site = Site::start(2, 0);
+    let before = site.upstreams[0].held();
+    for _ in 0..6 {
+        // Whether a heartbeat waits at its end is up to chance.
+        site.daemons[0].pause(Duration::from_millis(1_200));
+        thread::sleep(Duration::from_millis(800));
+    }
+    let log = site.daemons[0].log();
+    assert!(!log.contains("releasing slices"), "its keys are given up");
+    assert_eq!(site.upstreams[0].held(), before);
+}
+
+/// An answer that came while the daemon got no processor time is delivered, also late.
+#[test]
+fn answer_while_paused() {
+    let site = Site::start(1, 1);
+    site.wait_members(FILES, 1);
+    site.upstreams[1].set_work(Duration::from_millis(400));
+    site.upstreams[1].set_padding(100_000);
+    let answer = thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::sleep(Duration::from_millis(200));
+            site.daemons[1].pause(Duration::from_millis(2_000));
+        });
+        site.ask(1, "/files/customs", "f2", 0)
+    });
+    let Answer { status, stamped, .. } = answer;
+    assert_eq!((status, stamped), (200, true), "{:.80}", answer.body);
+}
+
+/// A request that meets the end of a connection at a planned stop has not run, and its caller is told so.
+#[test]
+fn stop_meets_request() {
+    let site = Site::start(1, 1);
+    site.wait_members(FILES, 1);
+    let late = late_machine(site.daemons[1].addresses.peers, Duration::from_millis(250));
+    site.reach_at(FILES, "files-0", late);
+    assert_eq!(site.ask(0, "/files/customs", "f3", 0).status, 200);
+    site.daemons[1].stop();
+    // It arrives after the daemon, which has nothing to do, begins to close.
+    thread::sleep(Duration::from_millis(2_350));
+    let answer = site.ask(0, "/files/customs", "f4", 0);
+    assert!(site.upstreams[1].runs().iter().all(|run| run.id != "f4"));
+    assert_eq!(answer.status, 503, "{answer:?}");
+}
--- a/crates/rattanarchd/tests/mesh_support/daemon.rs
+++ b/crates/rattanarchd/tests/mesh_support/daemon.rs
@@ -113,8 +113,18 @@
 
     /// Asks it to stop.
     pub fn stop(&self) {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, Signal::TERM).unwrap();
+        self.signal(Signal::TERM);
+    }
+
+    /// Gives it no processor time for `time`.
+    pub fn pause(&self, time: Duration) {
+        self.signal(Signal::STOP);
+        std::thread::sleep(time);
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
     /// Waits for its end.
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -4,9 +4,11 @@
 
 mod busy;
 mod daemon;
+mod late;
 mod site;
 
 pub use busy::busy_machine;
 pub use daemon::Daemon;
+pub use late::late_machine;
 pub use site::Site;
 pub use site::wait_until;
