Wait at a planned stop for runs whose callers have gone

A run that must happen once and whole goes on without its caller, but the daemon counted callers only, and ended 2.4 s after SIGTERM in the middle of it (test stop_keeps_run).

--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -177,10 +177,11 @@
     shared.phase.send_replace(Phase::Stopping(asked));
     let grace = shared.bounds.get().grace;
     loop {
-        let phase = stop::phase(shared.now(), asked, grace, shared.busy.get());
+        let busy = under_way(shared);
+        let phase = stop::phase(shared.now(), asked, grace, busy);
         let before = shared.phase.send_replace(phase);
         if before != phase {
-            log::info!(phase:? = phase, busy = shared.busy.get(); "stopping");
+            log::info!(phase:? = phase, busy = busy; "stopping");
         }
         if phase == Phase::Closing {
             break;
@@ -192,8 +193,14 @@
     loop {
         // Listeners first take what has connected already.
         tokio::time::sleep(CLOSE_LOOK).await;
-        if shared.connections.get() == 0 || shared.now() >= end {
+        if shared.connections.get() == 0 && under_way(shared) == 0 || shared.now() >= end {
             return;
         }
     }
 }
+
+/// Requests under way: those of callers and peers, and those that run on although their callers have gone.
+fn under_way(shared: &Shared) -> usize {
+    let running = shared.upstream.state.borrow().gate.running() as usize;
+    shared.busy.get().max(running)
+}
