Don't take a daemon's own pause for the loss of its upstream

After 1.2 s without processor time a daemon found its upstream's heartbeats missing, barred itself and released half of its keys, before it read the heartbeats that waited in its socket (test late_daemon). As in the duty to follow the store, silence in a gap between two looks is no evidence; the upstream then has three heartbeats from the end of the pause.

--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -207,17 +207,17 @@
 /// Whether the upstream is gone or not heard any more.
 fn is_silent(shared: &Shared) -> bool {
     let beat = shared.settings.heartbeat;
-    shared.upstream.state.borrow().is_lost(shared.now(), beat)
+    shared.upstream.state.borrow_mut().is_lost(shared.now(), beat)
 }
 
 fn is_upstream_out(shared: &Shared) -> bool {
     let now = shared.now();
     let mut state = shared.upstream.state.borrow_mut();
     let beat = shared.settings.heartbeat;
-    let keyed = state.keyed;
+    let lost = state.is_lost(now, beat) && state.keyed;
     let Some(life) = &state.life else { return false };
     let gone = life.refused.is_some();
-    let out = life.leaving.is_some() || gone || keyed && state.is_lost(now, beat);
+    let out = life.leaving.is_some() || gone || lost;
     if gone {
         // A life that has ended holds nothing.
         state.grants.end();
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -29,6 +29,10 @@
 /// Heartbeats that have to be missing before an upstream counts as lost, since single ones come late.
 const LOST_BEATS: u32 = 3;
 
+/// Gap between two looks at whether the upstream is lost, which come each tick, beyond which this process did not run:
+/// silence in it is no evidence.
+const PAUSE: Duration = Duration::from_millis(500);
+
 /// The upstream on this machine.
 pub(crate) struct Upstream {
     pub(crate) pool: Rc<Pool>,
@@ -65,6 +69,10 @@
     runs: HashMap<String, Run>,
     /// Load by slice.
     pub(crate) meter: SliceMeter,
+    /// When it was last looked whether the upstream is lost.
+    looked: Moment,
+    /// When this process last came back from a pause.
+    awake: Moment,
 }
 
 /// Whether a request may be sent to the upstream.
@@ -90,6 +98,8 @@
             running: Vec::new(),
             runs: HashMap::new(),
             meter: SliceMeter::default(),
+            looked: Moment::ZERO,
+            awake: Moment::ZERO,
         };
         let pool = Rc::new(Pool::to_upstream(address));
         Self { pool, state: RefCell::new(state), timer: Cell::new(false) }
@@ -214,9 +224,13 @@
     }
 
     /// Whether the upstream has ended without a word, or is not heard any more.
-    pub(crate) fn is_lost(&self, now: Moment, beat: Duration) -> bool {
+    pub(crate) fn is_lost(&mut self, now: Moment, beat: Duration) -> bool {
+        if now.saturating_sub(self.looked) > PAUSE {
+            self.awake = now;
+        }
+        self.looked = now;
         let Some(life) = &self.life else { return false };
-        life.refused.is_some() || now >= life.heard + beat * LOST_BEATS
+        life.refused.is_some() || now >= life.heard.max(self.awake) + beat * LOST_BEATS
     }
 }
 
