--- a/crates/rattanarchd/tests/mesh_giving_up.rs
+++ b/crates/rattanarchd/tests/mesh_giving_up.rs
@@ -111,3 +111,49 @@
     assert!(site.upstreams[1].runs().iter().all(|run| run.id != "f4"));
     assert_eq!(answer.status, 503, "{answer:?}");
 }
+
+/// A request that was taken by a stopping daemon, whose callers may not have heard of the stop, is told of its end.
+#[test]
+fn told_at_end() {
+    let site = Site::start(2, 0);
+    allow_long_work(&site);
+    site.upstreams[1].set_work(Duration::from_millis(3_900));
+    let key = site.upstreams[1].held()[0].0;
+    site.daemons[0].stop();
+    thread::sleep(Duration::from_millis(2_200));
+    let answer = site.ask(0, "/stock/crayfish", "s1", key);
+    assert!((500..=599).contains(&answer.status), "{answer:?}");
+}
+
+/// What runs at an upstream that leaves, or whose data centre is taken out, is answered.
+#[test]
+fn leaving_keeps_runs() {
+    let site = Site::start(3, 2);
+    site.wait_members(FILES, 2);
+    allow_long_work(&site);
+    let work = Duration::from_millis(1_500);
+    site.upstreams.iter().for_each(|upstream| upstream.set_work(work));
+    let keys: Vec<u16> = site.upstreams[..2].iter().map(|desk| desk.held()[0].0).collect();
+    let answers: Vec<Answer> = thread::scope(|scope| {
+        let ask = |path: &'static str, id: &'static str, key: u16| {
+            let site = &site;
+            scope.spawn(move || site.ask(2, path, id, key))
+        };
+        let asked = [
+            ask("/stock/crayfish", "s1", keys[0]),
+            ask("/hold/crayfish", "s2", keys[0]),
+            ask("/stock/crayfish", "s3", keys[1]),
+            ask("/hold/crayfish", "s4", keys[1]),
+            ask("/files/customs", "f1", 0),
+            ask("/files/customs", "f2", 0),
+        ];
+        wait_until("all run", || site.run_ids().len() == asked.len());
+        site.upstreams[0].drain();
+        site.upstreams[3].drain();
+        site.store.take_out("centre-1");
+        asked.into_iter().map(|asked| asked.join().unwrap()).collect()
+    });
+    let lost: Vec<_> = answers.iter().filter(|a| (a.status, a.stamped) != (200, true)).collect();
+    assert!(lost.is_empty(), "{lost:?}");
+    assert_eq!(site.run_ids().len(), answers.len(), "each once");
+}
