--- a/crates/rattanarchd/tests/mesh_giving_up.rs
+++ b/crates/rattanarchd/tests/mesh_giving_up.rs
@@ -2,6 +2,7 @@
 
 mod mesh_support;
 
+use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
@@ -9,9 +10,11 @@
 use std::time::Instant;
 
 use mesh_support::Site;
+use mesh_support::busy_machine;
 use mesh_support::late_machine;
 use mesh_support::wait_until;
 use rattanarch_adapter_standins::Answer;
+use rattanarch_adapter_standins::DESK;
 use rattanarch_adapter_standins::FILES;
 use rattanarch_adapter_standins::HOST;
 
@@ -157,3 +160,46 @@
     assert!(lost.is_empty(), "{lost:?}");
     assert_eq!(site.run_ids().len(), answers.len(), "each once");
 }
+
+/// A large answer that its caller reads slowly arrives whole, although the daemon is asked to stop meanwhile and
+/// nothing runs any more.
+#[test]
+fn stop_keeps_body() {
+    let mut site = Site::start(1, 1);
+    site.wait_members(FILES, 1);
+    let bytes = 7 << 20;
+    site.upstreams[1].set_padding(bytes);
+    let mut caller = TcpStream::connect(site.daemons[0].addresses.callers).unwrap();
+    rustix::net::sockopt::set_socket_recv_buffer_size(&caller, 64 << 10).unwrap();
+    write!(
+        caller,
+        "GET /maps/danube HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: d1\r\nx-deadline-ms: 4000\r\n\r\n"
+    )
+    .unwrap();
+    wait_until("it ran", || site.upstreams[1].runs().len() == 1);
+    thread::sleep(Duration::from_millis(500));
+    site.daemons[1].stop();
+    site.daemons[0].stop();
+    thread::sleep(Duration::from_millis(3_500));
+    let ended = site.daemons[0].wait(Duration::from_millis(50));
+    assert_eq!(ended, None, "most of the answer is still to be sent");
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).unwrap();
+    assert!(answer.len() > bytes, "{} bytes came", answer.len());
+    for daemon in &mut site.daemons {
+        daemon.wait(Duration::from_secs(3)).expect("it ends within its grace");
+    }
+}
+
+/// A request that must not run twice waits for the answer of an owner that takes no further connection.
+#[test]
+fn once_waits() {
+    let site = Site::start(2, 0);
+    let key = site.upstreams[1].held()[0].0;
+    site.upstreams[1].set_work(Duration::from_millis(1_600));
+    let daemon = site.daemons[1].addresses.peers;
+    site.reach_at(DESK, "desk-1", busy_machine(Some(daemon)));
+    let answer = site.send(0, "/hold/crayfish", "h1", key, "x");
+    assert_eq!((answer.status, answer.stamped), (200, true), "{answer:?}");
+    assert_eq!(site.upstreams[1].runs().len(), 1);
+}
