Tell by the clock what has left of large answers

Cause: an answer counted as unsent, whole, until a timer task of its own had run after its part of the window. Half of an answer that had left still counted, and a daemon that is late counted all of it for so much longer.

`Uplink` now keeps the bytes that wait for their turn, and when the link will be clear of those whose turn has come. That moment is set at the turn; what is left of it is computed from the clock when asked, so nothing has to run for it to fall. An answer that waits has not begun to leave; one that is dropped before its turn is forgotten; idle time is not saved up. The pause told to a refused caller is at least the time of one answer, now that what is ahead may be less than one.

Tests: late_daemon failed before (old code with an empty `leave`): `left: Some(123.529412ms), right: None: three have left`. The new part of pause_of_an_answer fails with the former order of min and max (500 µs). waiting_counted and idle_time_gone hold the rest. late_ones_refused notes that an answer begins to leave where it noted that it had left; bounds as they were.

--- a/crates/rattanarch_admission/src/uplink.rs
+++ b/crates/rattanarch_admission/src/uplink.rs
@@ -19,22 +19,27 @@
 /// connections to the machine can't be opened any more. What can't be sent in time is refused
 /// before it runs.
 ///
+/// What has left is told by the clock when asked, not noted: a process of a tenth of a core would note it late.
+///
 /// ```
 /// use std::time::Duration;
 /// use rattanarch_admission::Uplink;
 ///
 /// let mut uplink = Uplink::new(8.0);
+/// let now = Duration::from_secs(5);
 /// uplink.begin(850_000);
-/// assert_eq!(uplink.wait(), Duration::from_secs(1));
-/// uplink.end(850_000);
-/// assert_eq!(uplink.wait(), Duration::ZERO);
+/// assert_eq!(uplink.wait(now), Duration::from_secs(1));
+/// uplink.leave(now, 850_000);
+/// assert_eq!(uplink.wait(now + Duration::from_millis(400)), Duration::from_millis(600));
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Uplink {
     /// Bytes a second for large answers; `None` if the link's rate is not known.
     rate: Option<f64>,
-    /// Bytes of large answers that have not left yet.
-    unsent: u64,
+    /// Bytes of large answers whose turn has not come: none of them has left.
+    waiting: u64,
+    /// When the link will have carried the answers whose turn has come. Never moves back.
+    clear: Moment,
     /// Mean size of a large answer in bytes; 0 before the first.
     mean: f64,
 }
@@ -46,24 +51,30 @@
     /// A link of `megabits` a second; 0 if its rate is not known, so that it never binds.
     pub fn new(megabits: f64) -> Self {
         let rate = (megabits > 0.0).then_some(megabits * 1e6 / 8.0 * LARGE_PART);
-        Self { rate, unsent: 0, mean: 0.0 }
+        Self { rate, waiting: 0, clear: Moment::ZERO, mean: 0.0 }
     }
 
     /// Notes that an answer of `bytes` is to be sent.
     pub fn begin(&mut self, bytes: usize) {
         let weight = if self.mean == 0.0 { 1.0 } else { SIZE_WEIGHT };
         self.mean += (bytes as f64 - self.mean) * weight;
-        self.unsent += bytes as u64;
+        self.waiting += bytes as u64;
+    }
+
+    /// Notes that the turn of an answer of `bytes` has come: it leaves behind those before it.
+    pub fn leave(&mut self, now: Moment, bytes: usize) {
+        self.forget(bytes);
+        self.clear = self.clear.max(now) + self.time_for(bytes as f64);
     }
 
-    /// Notes that `bytes` of it have left or never will.
-    pub fn end(&mut self, bytes: usize) {
-        self.unsent = self.unsent.saturating_sub(bytes as u64);
+    /// Notes that an answer of `bytes` whose turn has not come won't be sent.
+    pub fn forget(&mut self, bytes: usize) {
+        self.waiting = self.waiting.saturating_sub(bytes as u64);
     }
 
     /// Time until all that is to be sent has left.
-    pub fn wait(&self) -> Duration {
-        self.time_for(self.unsent as f64)
+    pub fn wait(&self, now: Moment) -> Duration {
+        self.clear.saturating_sub(now) + self.time_for(self.waiting as f64)
     }
 
     /// Bytes of large answers that may be in flight at once; `None` if there is no limit.
@@ -77,18 +88,18 @@
     }
 
     /// Time for which a further large answer will be on its way out, behind the others.
-    pub fn expected(&self) -> Duration {
-        self.time_for(self.unsent as f64 + self.mean)
+    pub fn expected(&self, now: Moment) -> Duration {
+        self.wait(now) + self.time_for(self.mean)
     }
 
     /// Whether a further large answer that takes `work` to make will be late for `objective`; then after
     /// what time it is worth coming back.
     pub fn is_late(&self, now: Moment, work: Duration, objective: Moment) -> Option<Duration> {
-        let end = now + work + self.expected();
+        let (wait, end) = (self.wait(now), now + work + self.expected(now));
         // Others come too: sooner than one answer has left, the link is as full as now.
-        let pause = || (end - objective).max(self.time_for(self.mean)).min(self.wait());
+        let pause = || (end - objective).min(wait).max(self.time_for(self.mean));
         // With nothing ahead of it, a refusal would not help it.
-        (self.unsent > 0 && end > objective).then(pause)
+        (!wait.is_zero() && end > objective).then(pause)
     }
 
     fn time_for(&self, bytes: f64) -> Duration {
--- a/crates/rattanarch_admission/tests/uplink.rs
+++ b/crates/rattanarch_admission/tests/uplink.rs
@@ -40,13 +40,15 @@
         }
         let mut room = bytes_a_ms;
         while let Some((came, left)) = sending.front_mut() {
+            if *left == SIZE as f64 {
+                uplink.leave(now, SIZE);
+            }
             let part = room.min(*left);
             *left -= part;
             room -= part;
             if *left > 0.5 {
                 break;
             }
-            uplink.end(SIZE);
             let count = if now <= *came + AIM { &mut in_time } else { &mut late };
             *count += 1;
             sending.pop_front();
@@ -73,16 +75,62 @@
     assert!(in_time > 14 * 20);
 }
 
+/// What has had the time to leave is not counted, also if a late daemon has done nothing since.
+#[test]
+fn late_daemon() {
+    let mut uplink = Uplink::new(MEGABITS);
+    for _ in 0..15 {
+        uplink.begin(SIZE);
+        uplink.leave(MS, SIZE);
+    }
+    assert!(uplink.is_late(MS, WORK, MS + AIM).is_some(), "it is full");
+    let later = MS * 201;
+    assert_eq!(uplink.is_late(later, WORK, later + AIM), None, "three have left");
+}
+
 /// A link whose rate is not known binds nothing.
 #[test]
 fn rate_unknown() {
     let mut uplink = Uplink::new(0.0);
     uplink.begin(SIZE * 1_000);
-    assert_eq!(uplink.wait(), Duration::ZERO);
+    assert_eq!(uplink.wait(MS), Duration::ZERO);
+    uplink.leave(MS, SIZE * 1_000);
+    assert_eq!(uplink.wait(MS), Duration::ZERO);
     assert_eq!(uplink.window(), None);
     assert_eq!(uplink.is_late(MS, WORK, MS + AIM), None);
 }
 
+/// An answer that waits for its turn has not begun to leave, and one that is dropped meanwhile never will.
+#[test]
+fn waiting_counted() {
+    let mut uplink = Uplink::new(MEGABITS);
+    for _ in 0..15 {
+        uplink.begin(SIZE);
+    }
+    let (full, later) = (uplink.wait(MS), MS * 10_001);
+    assert_eq!(uplink.wait(later), full);
+    assert!(uplink.is_late(later, WORK, later + AIM).is_some());
+    for _ in 0..14 {
+        uplink.forget(SIZE);
+    }
+    uplink.leave(later, SIZE);
+    let last = uplink.wait(later);
+    assert!(last * 14 < full && full < last * 16, "{last:?} of {full:?}");
+    assert_eq!(uplink.wait(later + last), Duration::ZERO);
+}
+
+/// A link that has idled carries no more than its rate afterwards.
+#[test]
+fn idle_time_gone() {
+    let mut uplink = Uplink::new(MEGABITS);
+    let waits = [MS, MS * 10_001].map(|now| {
+        uplink.begin(SIZE);
+        uplink.leave(now, SIZE);
+        uplink.wait(now)
+    });
+    assert_eq!(waits[0], waits[1]);
+}
+
 /// What comes a moment too late is told to stay away until an answer has left, not for that moment.
 #[test]
 fn pause_of_an_answer() {
@@ -92,4 +140,10 @@
     }
     let pause = uplink.is_late(MS, WORK, MS + AIM).expect("it is late");
     assert!(pause * 18 >= Duration::from_secs(1), "{pause:?}");
+    let mut uplink = Uplink::new(MEGABITS);
+    uplink.begin(SIZE);
+    uplink.leave(MS, SIZE);
+    let almost = MS + uplink.wait(MS) - MS / 2;
+    let pause = uplink.is_late(almost, AIM, almost + AIM).expect("it is late");
+    assert!(pause * 18 >= Duration::from_secs(1), "{pause:?} when half a millisecond is left");
 }
--- a/crates/rattanarch_mesh/src/connection/turns.rs
+++ b/crates/rattanarch_mesh/src/connection/turns.rs
@@ -12,7 +12,8 @@
 use bytes::Bytes;
 use hyper::body::Frame;
 use rattanarch_admission::Uplink;
-use tokio::sync::OwnedSemaphorePermit;
+use rattanarch_process::Clock;
+use rattanarch_types::Moment;
 use tokio::sync::Semaphore;
 
 /// Smallest answer that waits for a turn, in bytes: a few packets more do not delay others.
@@ -30,6 +31,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LinkTurns {
     pub(crate) uplink: Rc<RefCell<Uplink>>,
+    clock: Clock,
     /// Bytes that may be in flight at once.
     window: usize,
     turns: Arc<Semaphore>,
@@ -44,11 +46,11 @@
 
 impl LinkTurns {
     /// Turns on a link of `megabits` a second; 0 if its rate is not known.
-    pub(crate) fn new(megabits: f64) -> Self {
+    pub(crate) fn new(megabits: f64, clock: Clock) -> Self {
         let uplink = Uplink::new(megabits);
         let window = uplink.window().unwrap_or(Semaphore::MAX_PERMITS);
         let turns = Arc::new(Semaphore::new(window));
-        Self { uplink: Rc::new(RefCell::new(uplink)), window, turns }
+        Self { uplink: Rc::new(RefCell::new(uplink)), clock, window, turns }
     }
 
     /// The body `bytes` in its turn; `None` if it is small enough to go at once.
@@ -58,18 +60,23 @@
         }
         let room = bytes.len().min(self.window) as u32;
         let turn = Arc::clone(&self.turns).acquire_many_owned(room);
-        let share = Share::new(&self.uplink, bytes.len());
+        let (share, clock) = (Share::new(&self.uplink, bytes.len()), self.clock);
         let wait = async move {
             let turn = tokio::time::timeout(PATIENCE, turn).await;
-            tokio::task::spawn_local(share.leave(turn.ok().and_then(Result::ok)));
+            let hold = share.leave(clock.now());
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(hold).await;
+                drop(turn);
+            });
         };
         Some(TurnBody { rest: bytes.clone(), wait: Some(Box::pin(wait)) })
     }
 }
 
-/// An answer's share of the link, until it has left or never will.
+/// What an answer takes of the link; forgotten if it is dropped before its turn.
 struct Share {
     uplink: Rc<RefCell<Uplink>>,
+    /// Bytes that wait for their turn.
     bytes: usize,
 }
 
@@ -79,17 +86,18 @@
         Self { uplink: Rc::clone(uplink), bytes }
     }
 
-    /// Ends once the link has had the time to carry the answer.
-    async fn leave(self, turn: Option<OwnedSemaphorePermit>) {
-        let hold = self.uplink.borrow().hold(self.bytes);
-        tokio::time::sleep(hold).await;
-        drop(turn);
+    /// Notes that the turn of the answer has come; how long it lasts.
+    fn leave(mut self, now: Moment) -> Duration {
+        let bytes = std::mem::take(&mut self.bytes);
+        let mut uplink = self.uplink.borrow_mut();
+        uplink.leave(now, bytes);
+        uplink.hold(bytes)
     }
 }
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.uplink.borrow_mut().end(self.bytes);
+        self.uplink.borrow_mut().forget(self.bytes);
     }
 }
 
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -132,7 +132,7 @@
         control: RefCell::new(Control::new(timing, clock.now())),
         socket,
         peers: Peers::default(),
-        turns: LinkTurns::new(settings.link),
+        turns: LinkTurns::new(settings.link, clock),
         phase,
         lag: Lag::default(),
         busy: Tally::default(),
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -114,7 +114,7 @@
         mean: state.gate.mean(),
         cold: state.gate.is_cold(now),
         used: (state.used() * 100.0) as u32,
-        sending: shared.turns.uplink.borrow().expected(),
+        sending: shared.turns.uplink.borrow().expected(now),
         lag: shared.lag.get(),
     }
 }
--- a/crates/rattanarch_mesh/src/request/target.rs
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -120,7 +120,7 @@
         mean: state.gate.mean(),
         failing: if usable { 0.0 } else { 1.0 },
         cold: state.gate.is_cold(now),
-        sending: shared.turns.uplink.borrow().expected(),
+        sending: shared.turns.uplink.borrow().expected(now),
         lag: shared.lag.get(),
     }
 }
