--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -4,9 +4,11 @@
 
 mod busy;
 mod daemon;
+mod peers;
 mod site;
 
 pub use busy::busy_machine;
 pub use daemon::Daemon;
+pub use peers::Peers;
 pub use site::Site;
 pub use site::wait_until;
