Fetch a configuration from one peer at a time, as long as it goes on

Cause: a daemon fetched from each peer that knew more, up to ten at a time, and each fetch ended after 0.8 s, so that on a shared link none of them became whole.

`Fetches` (pure, tested with the load of ten versions 440 ms apart) decides: two fetches at a time with different peers, one of them with a configuration; the other one leaves it out, so that records and data centres taken out do not wait behind it. What comes next is asked of the peer that knows most, of one that has failed last. Versions in between are passed over. A fetch ends after 0.8 s of silence, or after a time that follows the announced length and the narrower link (an eighth of it). `Outlet`: a daemon puts off the configuration (not the rest of its answer) while those that it sends fill its link for 0.4 s; with thirty askers at a follower's link all would be late, so two get it and pass it on.

`slow_but_steady` (one fetch of 1.5 s) and `silent_peer` (given up midway for another) are new. `state not fetched in time` is now a reason of `state not fetched`; `rattanarch_state_fetches` counts fetches by outcome.

--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) use pool::Pool;
 pub(crate) use pool::SendError;
 pub(crate) use post::post;
+pub(crate) use post::post_paced;
 pub(crate) use post::read_question;
 pub(crate) use server::Handler;
 pub(crate) use server::ServerOptions;
--- a/crates/rattanarch_mesh/src/connection/post.rs
+++ b/crates/rattanarch_mesh/src/connection/post.rs
@@ -1,18 +1,23 @@
 //! Questions of one daemon to another, apart from requests of callers.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::connection::Checkout;
+use crate::connection::Link;
 use crate::connection::Pool;
 use crate::connection::SendError;
 use crate::process::Shared;
@@ -28,8 +33,64 @@
     body: &impl Serialize,
     limit: usize,
 ) -> Result<T, SendError> {
-    let unsent = |reason: &dyn std::fmt::Display| SendError::Unsent(reason.to_string());
-    let broken = |reason: &dyn std::fmt::Display| SendError::Broken(reason.to_string());
+    let (link, answer) = ask((pool, address), path, body).await?;
+    let body = Limited::new(answer.into_body(), limit).collect().await;
+    let body = body.map_err(|error| broken(&error))?.to_bytes();
+    finish(shared, pool, link, &body)
+}
+
+/// The same for an answer that may be large: it takes what `time` allows for its announced length, and no longer than
+/// `silence` for its head and between two pieces.
+///
+/// # Errors
+/// As [`post`]; an answer that is late is broken off.
+pub(crate) async fn post_paced<T: DeserializeOwned>(
+    shared: &Shared,
+    there: (&Pool, SocketAddr),
+    path: &str,
+    body: &impl Serialize,
+    limit: usize,
+    silence: Duration,
+    time: impl Fn(u64) -> Duration,
+) -> Result<T, SendError> {
+    let asked = tokio::time::timeout(silence, ask(there, path, body)).await;
+    let (link, answer) = asked.map_err(|_| broken(&"no head in time"))??;
+    let mut rest = answer.into_body();
+    let size = rest.size_hint().exact().unwrap_or_default();
+    let reading = async {
+        let mut whole = Vec::with_capacity(limit.min(size as usize));
+        loop {
+            let piece = tokio::time::timeout(silence, rest.frame()).await;
+            let piece = piece.map_err(|_| {
+                broken(&format_args!("silent after {} of {size} bytes", whole.len()))
+            })?;
+            let Some(piece) = piece else { return Ok(whole) };
+            let piece = piece.map_err(|error| broken(&error))?.into_data().unwrap_or_default();
+            if whole.len() + piece.len() > limit {
+                return Err(broken(&"longer than allowed"));
+            }
+            whole.extend_from_slice(&piece);
+        }
+    };
+    let whole = tokio::time::timeout(time(size), reading).await;
+    let whole = whole.map_err(|_| broken(&format_args!("{size} bytes not in time")))??;
+    finish(shared, there.0, link, &whole)
+}
+
+fn unsent(reason: &dyn Display) -> SendError {
+    SendError::Unsent(reason.to_string())
+}
+
+fn broken(reason: &dyn Display) -> SendError {
+    SendError::Broken(reason.to_string())
+}
+
+/// Sends a question and waits for the head of its answer.
+async fn ask(
+    (pool, address): (&Pool, SocketAddr),
+    path: &str,
+    body: &impl Serialize,
+) -> Result<(Link, Response<Incoming>), SendError> {
     let body = serde_json::to_vec(body).map_err(|error| unsent(&error))?;
     let request = Request::post(path)
         .header(header::HOST, address.to_string())
@@ -38,11 +99,19 @@
     let link = pool.checkout(Checkout::Reuse).await;
     let mut link = link.map_err(|error| unsent(&error))?;
     let answer = link.send(request).await?;
-    let body = Limited::new(answer.into_body(), limit).collect().await;
-    let body = body.map_err(|error| broken(&error))?.to_bytes();
+    Ok((link, answer))
+}
+
+/// Reads an answer that has come whole.
+fn finish<T: DeserializeOwned>(
+    shared: &Shared,
+    pool: &Pool,
+    link: Link,
+    body: &[u8],
+) -> Result<T, SendError> {
     pool.put_back(link);
     shared.meters.fetched(body.len());
-    serde_json::from_slice(&body).map_err(|error| broken(&error))
+    serde_json::from_slice(body).map_err(|error| broken(&error))
 }
 
 /// The question that `request` asks; `None` if it is cut short, malformed or longer than `limit` bytes.
--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -9,15 +9,20 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use rattanarch_adapter::StoredRecord;
+use rattanarch_dissemination::Fetch;
+use rattanarch_dissemination::Lack;
 use rattanarch_dissemination::PATIENCE;
+use rattanarch_dissemination::SILENCE;
+use rattanarch_dissemination::fetch_time;
 use rattanarch_process::draw_index;
 use rattanarch_types::Record;
+use rattanarch_types::Version;
 use rattanarch_types::hash_key;
 use rattanarch_wire::Digest;
 
 use crate::connection::AnswerBody;
 use crate::connection::SendError;
-use crate::connection::post;
+use crate::connection::post_paced;
 use crate::connection::read_question;
 use crate::process::Shared;
 use crate::process::learn_changes;
@@ -38,9 +43,6 @@
 /// Peers that are told at once of something new.
 const FANOUT: usize = 2;
 
-/// Longest time that an exchange with a peer may take.
-const PULL_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Largest state that is taken from a peer, in bytes: the values that the store holds.
 const MAX_STATE: usize = 8 << 20;
 
@@ -130,7 +132,7 @@
     }
     if theirs.is_newer(&own) {
         if theirs.is_urgent(&own) || takes_records(shared) {
-            pull_soon(shared, theirs.state);
+            want(shared, theirs.state, Word::Told(theirs.clone()));
         }
     } else if own.is_newer(theirs) {
         shared.socket.tell(&own, from);
@@ -179,34 +181,101 @@
         if peers.is_empty() || shared.knowledge.borrow().is_informed() {
             return;
         }
-        pull(shared, peers[draw_index(peers.len())]).await;
+        let peer = peers[draw_index(peers.len())];
+        let Some(fetch) = shared.control.borrow_mut().fetches.begin(peer) else { return };
+        pull(shared, fetch).await;
     }
 }
 
-/// Fetches what the daemon at `peer` knows and this one does not, unless that is under way.
-pub(crate) fn pull_soon(shared: &Rc<Shared>, peer: SocketAddr) {
-    let (shared, known) = (Rc::clone(shared), shared.peers.get(peer));
-    if known.pulling.replace(true) {
-        return;
+/// Why a peer is to be asked.
+#[derive(Clone, Debug)]
+pub(crate) enum Word {
+    /// It has told what it knows.
+    Told(Digest),
+    /// It has acted by a newer record than this daemon knows.
+    Ahead,
+}
+
+impl Word {
+    fn lack(&self, own: &Digest) -> Lack {
+        match self {
+            Self::Told(theirs) => Lack {
+                configuration: newer(theirs.configuration, own.configuration),
+                evacuated: newer(theirs.evacuated, own.evacuated),
+                records: theirs.newer_records(own),
+            },
+            Self::Ahead => Lack { records: 1, ..Lack::default() },
+        }
     }
-    tokio::task::spawn_local(async move {
-        pull(&shared, peer).await;
-        known.pulling.set(false);
-    });
 }
 
-async fn pull(shared: &Rc<Shared>, peer: SocketAddr) {
-    match tokio::time::timeout(PULL_TIMEOUT, fetch(shared, peer)).await {
-        Ok(Ok(snapshot)) => take(shared, snapshot),
-        Ok(Err(reason)) => log::warn!(peer:% = peer, reason:% = reason; "state not fetched"),
-        Err(_) => log::warn!(peer:% = peer; "state not fetched in time"),
+fn newer(theirs: u64, own: u64) -> u64 {
+    if theirs > own { theirs } else { 0 }
+}
+
+/// Fetches records that the daemon at `peer` knows and this one does not, once there is a place for it.
+pub(crate) fn pull_soon(shared: &Rc<Shared>, peer: SocketAddr) {
+    want(shared, peer, Word::Ahead);
+}
+
+fn want(shared: &Rc<Shared>, peer: SocketAddr, word: Word) {
+    shared.control.borrow_mut().fetches.hear(peer, word);
+    begin_fetches(shared);
+}
+
+fn begin_fetches(shared: &Rc<Shared>) {
+    let own = digest(shared);
+    let next = || shared.control.borrow_mut().fetches.next(|word| word.lack(&own));
+    while let Some(fetch) = next() {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move { pull(&shared, fetch).await });
     }
 }
 
-async fn fetch(shared: &Shared, peer: SocketAddr) -> Result<Snapshot, SendError> {
-    let versions = shared.knowledge.borrow().versions();
+/// Carries out a fetch, and begins those that wait for its place.
+async fn pull(shared: &Rc<Shared>, asked: Fetch) {
+    let peer = asked.peer;
+    let outcome = match fetch(shared, asked).await {
+        // The peer sends as many as its link bears.
+        Ok(snapshot) if asked.configuration && snapshot.configuration.is_none() => {
+            log::info!(peer:% = peer; "configuration put off");
+            take(shared, snapshot);
+            "put-off"
+        }
+        Ok(snapshot) => {
+            take(shared, snapshot);
+            "taken"
+        }
+        Err(reason) => {
+            log::warn!(peer:% = peer, reason:% = reason; "state not fetched");
+            "failed"
+        }
+    };
+    shared.meters.state_fetch(outcome);
+    shared.control.borrow_mut().fetches.end(peer, outcome == "taken");
+    begin_fetches(shared);
+}
+
+async fn fetch(shared: &Shared, asked: Fetch) -> Result<Snapshot, SendError> {
+    let mut versions = shared.knowledge.borrow().versions();
+    if !asked.configuration {
+        versions.configuration = Version::MAX;
+    }
+    let peer = asked.peer;
+    let megabits = narrower(shared, peer);
     let pool = Rc::clone(&shared.peers.get(peer).pool);
-    post(shared, (&pool, peer), STATE_PATH, &versions, MAX_STATE).await
+    let time = |bytes| fetch_time(bytes, megabits);
+    post_paced(shared, (&pool, peer), STATE_PATH, &versions, MAX_STATE, SILENCE, time).await
+}
+
+/// Rate of the narrower of this machine's link and that of the daemon at `peer`, in megabits a second; 0 if neither
+/// is known.
+fn narrower(shared: &Shared, peer: SocketAddr) -> f64 {
+    let knowledge = shared.knowledge.borrow();
+    let member = knowledge.members().find(|member| member.caller == peer);
+    let theirs = member.map(|member| f64::from(member.link)).filter(|link| *link > 0.0);
+    let own = Some(shared.settings.link).filter(|link| *link > 0.0);
+    own.into_iter().chain(theirs).reduce(f64::min).unwrap_or_default()
 }
 
 fn take(shared: &Rc<Shared>, snapshot: Snapshot) {
@@ -235,5 +304,12 @@
     let Some(versions) = read_question::<Versions>(request, MAX_STATE).await else {
         return answers::plain(StatusCode::BAD_REQUEST, String::new());
     };
-    answers::told(&shared.knowledge.borrow().newer(&versions))
+    let mut newer = shared.knowledge.borrow().newer(&versions);
+    let body = answers::written(&newer);
+    let (now, link) = (shared.now(), shared.settings.link);
+    if shared.control.borrow_mut().outlet.takes(now, body.len(), link) {
+        return answers::json(StatusCode::OK, body);
+    }
+    newer.configuration = None;
+    answers::told(&newer)
 }
--- a/crates/rattanarch_mesh/src/control/state.rs
+++ b/crates/rattanarch_mesh/src/control/state.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use rattanarch_dissemination::Fetches;
+use rattanarch_dissemination::Outlet;
 use rattanarch_dissemination::RecordInterest;
 use rattanarch_ownership::Gatherer;
 use rattanarch_ownership::Node;
@@ -16,6 +18,8 @@
 use rattanarch_types::Record;
 use rattanarch_types::SliceId;
 
+use crate::control::gossip::Word;
+
 /// This daemon's part in the ownership of its service.
 #[derive(Debug)]
 pub(crate) struct Control {
@@ -48,6 +52,10 @@
     pub(crate) relieved: Moment,
     /// When records that do not concern this daemon are fetched from a peer.
     pub(crate) interest: RecordInterest,
+    /// Fetches of newer state.
+    pub(crate) fetches: Fetches<Word>,
+    /// Answers to other daemons' fetches.
+    pub(crate) outlet: Outlet,
     /// Version of the record that grants follow.
     pub(crate) followed: u64,
 }
@@ -71,6 +79,8 @@
             leased: false,
             relieved: Moment::ZERO,
             interest: RecordInterest::default(),
+            fetches: Fetches::default(),
+            outlet: Outlet::default(),
             followed: 0,
         }
     }
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -91,6 +91,12 @@
         self.metrics.add("rattanarch_state_bytes", help, &Labels::new(), bytes as u64);
     }
 
+    /// Counts a fetch of state by its outcome.
+    pub(crate) fn state_fetch(&self, outcome: &str) {
+        let labels = labels(&[("outcome", outcome)]);
+        self.metrics.add("rattanarch_state_fetches", "Fetches of state", &labels, 1);
+    }
+
     /// Counts a heartbeat of the upstream.
     pub(crate) fn heartbeat(&self, outcome: &str) {
         let labels = labels(&[("outcome", outcome)]);
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -39,8 +39,6 @@
 pub(crate) struct Peer {
     pub(crate) address: SocketAddr,
     pub(crate) pool: Rc<Pool>,
-    /// Whether what it knows is being fetched.
-    pub(crate) pulling: Cell<bool>,
     /// Requests sent there and not answered.
     pub(crate) sent: Cell<u32>,
     load: Cell<Option<(Moment, LoadMark)>>,
@@ -75,7 +73,6 @@
         Self {
             address,
             pool: Rc::new(Pool::to_peer(address)),
-            pulling: Cell::new(false),
             sent: Cell::new(0),
             load: Cell::new(None),
             failing: Cell::new(0.0),
--- a/crates/rattanarch_wire/src/digest.rs
+++ b/crates/rattanarch_wire/src/digest.rs
@@ -65,8 +65,12 @@
 
     /// Whether this one has anything newer than `other`.
     pub fn is_newer(&self, other: &Self) -> bool {
+        self.wants_more(other) || self.newer_records(other) > 0
+    }
+
+    /// Number of records that are newer here than in `other`.
+    pub fn newer_records(&self, other: &Self) -> usize {
         let known = |service: &u64| other.records.get(service).copied().unwrap_or_default();
-        self.wants_more(other)
-            || self.records.iter().any(|(service, version)| *version > known(service))
+        self.records.iter().filter(|(service, version)| **version > known(service)).count()
     }
 }
--- a/crates/rattanarchd/tests/mesh_state_fetch.rs
+++ b/crates/rattanarchd/tests/mesh_state_fetch.rs
@@ -80,6 +80,40 @@
     assert_ne!(site.ask(0, "/v15/a", "n", 1).status, 404);
 }
 
+/// Version 8 with many routes, told by `peers`: how long until it is in force.
+fn one_large(site: &Site, peers: &Peers) -> Duration {
+    peers.learn(large_configuration(LARGE, "/v8/", ROUTES));
+    peers.tell(site.daemons[0].addresses.datagrams);
+    let in_force = || {
+        site.daemons[0].log().lines().any(|line| is_in_force(line, &format!("version\":{LARGE}")))
+    };
+    repeat(peers, site, APPLY_BOUND * 2, in_force)
+}
+
+/// A fetch that takes long, but never pauses, is not broken off: 250 kB take 1.5 s on this link.
+#[test]
+fn slow_but_steady() {
+    let site = cut_off();
+    let peers = Peers::start(PEERS, &NarrowLink::new(1.35));
+    let took = one_large(&site, &peers);
+    assert!(took < APPLY_BOUND, "not in force for {took:?}");
+    assert_eq!(peers.fetches(), 1);
+}
+
+/// A peer that falls silent in the midst of its answer is given up for another one.
+#[test]
+fn silent_peer() {
+    let site = cut_off();
+    let peers = Peers::start(2, &NarrowLink::new(LINK));
+    peers.silence_first();
+    peers.learn(large_configuration(LARGE, "/v8/", ROUTES));
+    peers.tell_from(0, site.daemons[0].addresses.datagrams);
+    mesh_support::wait_until("it is asked", || peers.fetches() == 1);
+    let took = one_large(&site, &peers);
+    assert!(took < APPLY_BOUND, "not in force for {took:?}");
+    assert!(site.daemons[0].log().contains("silent after"), "{}", site.daemons[0].log());
+}
+
 fn is_in_force(line: &str, version: &str) -> bool {
     line.contains("configuration in force") && line.contains(version)
 }
--- a/crates/rattanarchd/tests/mesh_support/peers.rs
+++ b/crates/rattanarchd/tests/mesh_support/peers.rs
@@ -10,6 +10,7 @@
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -30,6 +31,8 @@
     codec: Codec,
     known: Arc<Mutex<Value>>,
     fetches: Arc<Fetches>,
+    /// Whether the first peer falls silent in the midst of each answer.
+    silent: Arc<AtomicBool>,
 }
 
 /// Fetches that have begun.
@@ -45,9 +48,12 @@
     pub fn start(count: usize, link: &NarrowLink) -> Self {
         let known = Arc::default();
         let fetches = Arc::default();
-        let ways = (0..count).map(|_| link.way_to(serve(&known, &fetches))).collect();
+        let silent: Arc<AtomicBool> = Arc::default();
+        let falls_silent = |index| if index == 0 { Arc::clone(&silent) } else { Arc::default() };
+        let serve = |index| serve(&known, &fetches, &falls_silent(index));
+        let ways = (0..count).map(|index| link.way_to(serve(index))).collect();
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        Self { ways, socket, codec: Codec::new(SECRET), known, fetches }
+        Self { ways, socket, codec: Codec::new(SECRET), known, fetches, silent }
     }
 
     /// Lets all know `configuration`.
@@ -55,6 +61,11 @@
         *self.known.lock().unwrap() = configuration;
     }
 
+    /// Lets the first fall silent in the midst of each answer.
+    pub fn silence_first(&self) {
+        self.silent.store(true, Ordering::SeqCst);
+    }
+
     /// Lets all tell the daemon at `daemon` what they know.
     pub fn tell(&self, daemon: SocketAddr) {
         (0..self.ways.len()).for_each(|index| self.tell_from(index, daemon));
@@ -87,20 +98,25 @@
 }
 
 /// Serves what is known at the address that is returned.
-fn serve(known: &Arc<Mutex<Value>>, fetches: &Arc<Fetches>) -> SocketAddr {
+fn serve(
+    known: &Arc<Mutex<Value>>,
+    fetches: &Arc<Fetches>,
+    silent: &Arc<AtomicBool>,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let (known, fetches) = (Arc::clone(known), Arc::clone(fetches));
+    let (known, fetches, silent) = (Arc::clone(known), Arc::clone(fetches), Arc::clone(silent));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (known, fetches) = (Arc::clone(&known), Arc::clone(&fetches));
-            thread::spawn(move || converse(stream, &known, &fetches));
+            let silent = Arc::clone(&silent);
+            thread::spawn(move || converse(stream, &known, &fetches, &silent));
         }
     });
     address
 }
 
-fn converse(mut stream: TcpStream, known: &Mutex<Value>, fetches: &Fetches) {
+fn converse(mut stream: TcpStream, known: &Mutex<Value>, fetches: &Fetches, silent: &AtomicBool) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Some(asked) = read_question(&mut reader) {
         fetches.all.fetch_add(1, Ordering::SeqCst);
@@ -113,7 +129,10 @@
         });
         let body = told.to_string();
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
-        let sent = stream.write_all((head + &body).as_bytes());
+        let answer = head + &body;
+        let is_silent = silent.load(Ordering::SeqCst);
+        let end = if is_silent { answer.len() / 2 } else { answer.len() };
+        let sent = stream.write_all(&answer.as_bytes()[..end]);
         fetches.now.fetch_sub(1, Ordering::SeqCst);
         if sent.is_err() {
             return;
