--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -5,11 +5,13 @@
 mod busy;
 mod daemon;
 mod late;
+mod peers;
 mod site;
 
 pub use busy::busy_for;
 pub use busy::busy_machine;
 pub use daemon::Daemon;
 pub use late::late_machine;
+pub use peers::Peers;
 pub use site::Site;
 pub use site::wait_until;
