Show that a planned stop cuts a write whose caller has gone (known red)

In the product's own daemon and only for services without keys: those with keys release them once nothing runs for them. Nothing waits for Running::idle.

--- /dev/null
+++ b/crates/rattanarch_standins/tests/stopped_writes.rs
@@ -0,0 +1,58 @@
+//! A planned stop waits for writes whose callers have gone.
+
+#![allow(clippy::unwrap_used, reason = "as in test functions")]
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use rattanarch_standins::Fleet;
+use rattanarch_standins::Happening;
+use rattanarch_standins::Outcome;
+use rattanarch_standins::ServicePlan;
+use rattanarch_standins::UpstreamFaults;
+
+/// Longest start or stop on a busy machine.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// How a write to `path` ended whose caller has gone when the daemon is asked to stop.
+fn write_and_stop(plan: ServicePlan, path: &str) -> Option<Outcome> {
+    let mut fleet = Fleet::start(&[plan]).unwrap();
+    fleet.wait_serving(LIMIT).unwrap();
+    let faults = UpstreamFaults { delay_ms: Some(1_500), ..UpstreamFaults::default() };
+    fleet.slots[0].set_faults(faults).unwrap();
+    let mut caller = TcpStream::connect(fleet.slots[0].caller_address()).unwrap();
+    write!(
+        caller,
+        "POST {path} HTTP/1.1\r\nhost: x\r\nrattanarch-key: a\r\ncontent-length: 1\r\n\r\nx"
+    )
+    .unwrap();
+    thread::sleep(Duration::from_millis(300));
+    drop(caller);
+    fleet.slots[0].stop_daemon(LIMIT).unwrap();
+    thread::sleep(Duration::from_secs(2));
+    let journal = fleet.slots[0].journal().unwrap();
+    let run = journal.entries.iter().find_map(|entry| match &entry.happening {
+        Happening::Started { run, method, .. } if method == "POST" => Some(*run),
+        _ => None,
+    })?;
+    journal.entries.iter().find_map(|entry| match &entry.happening {
+        Happening::Ended { run: ended, outcome } if *ended == run => Some(*outcome),
+        _ => None,
+    })
+}
+
+/// A write for a key takes effect.
+#[test]
+fn keyed_write() {
+    let ended = write_and_stop(ServicePlan::trade_desk(1), "/trade-desk/reservations/a");
+    assert_eq!(ended, Some(Outcome::Done));
+}
+
+/// So does one to a service without keys.
+#[test]
+fn unkeyed_write() {
+    let ended = write_and_stop(ServicePlan::pound_files(1), "/pound-files/certificates/a");
+    assert_eq!(ended, Some(Outcome::Done));
+}
