Revert the trial that kept connections which open late

The trial kept a connection that opened after the 250 ms for which a request waits, and let it end the time for which the peer counts as away. Its test (a peer that misses three requests and takes connections 3 s later) passed, and failed without it.

Late connections come when links are full, and more requests then go to upstreams whose answers they can't carry.

--- a/crates/rattanarch_mesh/src/connection/pool.rs
+++ b/crates/rattanarch_mesh/src/connection/pool.rs
@@ -30,14 +30,10 @@
 /// shortest deadline that is worth waiting for, and many round trips.
 const USER_TIMEOUT_MS: u32 = 2_000;
 
-/// Longest time that a connection may take to open, however long anyone waits for it: with its first packet lost it
-/// takes a second and a round trip (RFC 6298, section 2).
-const LATE_OPEN: Duration = Duration::from_secs(2);
-
 /// How a pool opens and keeps connections.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PoolOptions {
-    /// Longest time that a request waits for one to open.
+    /// Longest time to open one.
     pub(crate) connect_timeout: Duration,
     /// Time after which an idle one is not used again.
     pub(crate) idle_limit: Duration,
@@ -52,7 +48,6 @@
     options: PoolOptions,
     idle: RefCell<Vec<Link>>,
     opened: Cell<u64>,
-    reached: Cell<u64>,
 }
 
 /// How to choose a connection.
@@ -116,13 +111,7 @@
     }
 
     fn new(address: SocketAddr, options: PoolOptions) -> Self {
-        Self {
-            address,
-            options,
-            idle: RefCell::default(),
-            opened: Cell::new(0),
-            reached: Cell::new(0),
-        }
+        Self { address, options, idle: RefCell::default(), opened: Cell::new(0) }
     }
 
     /// Connections opened so far.
@@ -130,17 +119,11 @@
         self.opened.get()
     }
 
-    /// Connections that were opened, also those that opened too late for the request that wanted them.
-    pub(crate) fn reached(&self) -> u64 {
-        self.reached.get()
-    }
-
-    /// Takes an idle connection, the last used first, or opens one. One that opens too late is kept for the next
-    /// request.
+    /// Takes an idle connection, the last used first, or opens one.
     ///
     /// # Errors
-    /// If none can be opened in time; then no byte has left.
-    pub(crate) async fn checkout(self: &Rc<Self>, checkout: Checkout) -> io::Result<Link> {
+    /// If none can be opened; then no byte has left.
+    pub(crate) async fn checkout(&self, checkout: Checkout) -> io::Result<Link> {
         if checkout == Checkout::Reuse {
             loop {
                 let Some(mut link) = self.idle.borrow_mut().pop() else { break };
@@ -154,12 +137,8 @@
 
     /// Takes a connection back after its answer was read to the end.
     pub(crate) fn put_back(&self, mut link: Link) {
-        link.uses += 1;
-        self.keep(link);
-    }
-
-    fn keep(&self, mut link: Link) {
         link.since = Instant::now();
+        link.uses += 1;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < self.options.max_idle && !link.sender.is_closed() {
             idle.push(link);
@@ -171,28 +150,10 @@
         self.idle.borrow_mut().clear();
     }
 
-    async fn connect(self: &Rc<Self>) -> io::Result<Link> {
+    async fn connect(&self) -> io::Result<Link> {
         self.opened.set(self.opened.get() + 1);
-        let mut opening = tokio::task::spawn_local(Rc::clone(self).open());
-        match tokio::time::timeout(self.options.connect_timeout, &mut opening).await {
-            Ok(opened) => opened.map_err(io::Error::other)?,
-            Err(late) => {
-                tokio::task::spawn_local(Rc::clone(self).keep_late(opening));
-                Err(late.into())
-            }
-        }
-    }
-
-    async fn keep_late(self: Rc<Self>, opening: JoinHandle<io::Result<Link>>) {
-        // One that did not open was an error to the request that wanted it.
-        if let Ok(Ok(link)) = opening.await {
-            self.keep(link);
-        }
-    }
-
-    async fn open(self: Rc<Self>) -> io::Result<Link> {
         let opening = TcpStream::connect(self.address);
-        let stream = tokio::time::timeout(LATE_OPEN, opening).await??;
+        let stream = tokio::time::timeout(self.options.connect_timeout, opening).await??;
         stream.set_nodelay(true)?;
         sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT_MS)?;
         let mut codec = http1::Builder::new();
@@ -205,7 +166,6 @@
             // The same error reaches whoever waits for the answer.
             let _ = connection.await;
         });
-        self.reached.set(self.reached.get() + 1);
         Ok(Link { sender, driver, limit, since: Instant::now(), uses: 0 })
     }
 }
--- a/crates/rattanarch_mesh/src/connection/post.rs
+++ b/crates/rattanarch_mesh/src/connection/post.rs
@@ -2,7 +2,6 @@
 
 use std::fmt::Display;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,7 +28,7 @@
 /// [`SendError::Unsent`] if the question has not left, [`SendError::Broken`] without an answer to it.
 pub(crate) async fn post<T: DeserializeOwned>(
     shared: &Shared,
-    (pool, address): (&Rc<Pool>, SocketAddr),
+    (pool, address): (&Pool, SocketAddr),
     path: &str,
     body: &impl Serialize,
     limit: usize,
@@ -47,7 +46,7 @@
 /// As [`post`]; an answer that is late is broken off.
 pub(crate) async fn post_paced<T: DeserializeOwned>(
     shared: &Shared,
-    there: (&Rc<Pool>, SocketAddr),
+    there: (&Pool, SocketAddr),
     path: &str,
     body: &impl Serialize,
     limit: usize,
@@ -88,7 +87,7 @@
 
 /// Sends a question and waits for the head of its answer.
 async fn ask(
-    (pool, address): (&Rc<Pool>, SocketAddr),
+    (pool, address): (&Pool, SocketAddr),
     path: &str,
     body: &impl Serialize,
 ) -> Result<(Link, Response<Incoming>), SendError> {
@@ -106,7 +105,7 @@
 /// Reads an answer that has come whole.
 fn finish<T: DeserializeOwned>(
     shared: &Shared,
-    pool: &Rc<Pool>,
+    pool: &Pool,
     link: Link,
     body: &[u8],
 ) -> Result<T, SendError> {
--- a/crates/rattanarch_mesh/src/process/store_relay.rs
+++ b/crates/rattanarch_mesh/src/process/store_relay.rs
@@ -180,7 +180,7 @@
 }
 
 async fn ask(shared: &Shared, peer: &Peer, call: &StoreCall) -> Result<StoreReply, StoreError> {
-    let there = (&peer.pool, peer.address);
+    let there = (&*peer.pool, peer.address);
     match connection::post::<Relayed>(shared, there, STORE_PATH, call, MAX_CALL).await {
         Ok(relayed) => relayed.into(),
         Err(SendError::Unsent(reason)) => Err(StoreError::NotTaken(reason)),
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -44,10 +44,8 @@
     load: Cell<Option<(Moment, LoadMark)>>,
     /// Part of the last requests that failed or were refused, 0 to 1.
     failing: Cell<f64>,
-    /// Until when it is taken to be away, unless a connection to it opens before.
+    /// Until when it is taken to be away.
     away: Cell<Moment>,
-    /// Connections to it that had opened when it was last taken to be away.
-    reached: Cell<u64>,
     /// Times in a row that it could not be reached.
     missed: Cell<u32>,
 }
@@ -79,7 +77,6 @@
             load: Cell::new(None),
             failing: Cell::new(0.0),
             away: Cell::new(Moment::ZERO),
-            reached: Cell::new(0),
             missed: Cell::new(0),
         }
     }
@@ -106,14 +103,12 @@
         }
         self.away.set(now + AWAY_TIME * (1 << self.missed.get().min(MAX_DOUBLINGS)));
         self.missed.set(self.missed.get() + 1);
-        self.reached.set(self.pool.reached());
         self.pool.clear();
     }
 
     /// Until when it is taken to be away; `None` if it is not.
     pub(crate) fn away(&self, now: Moment) -> Option<Duration> {
-        let left = self.away.get().checked_sub(now).filter(|left| !left.is_zero());
-        left.filter(|_| self.pool.reached() == self.reached.get())
+        self.away.get().checked_sub(now).filter(|left| !left.is_zero())
     }
 
     /// Part of its capacity in use, and the part that one request a second takes, if it has said so
