Meet no closing connection with a request to a stopping daemon

Daemons kept idle connections to each other for 8 s, while one that stops closes them after 2.4 s. It ends those that it answers on before, so one that was idle for less than that is safe: peers now use idle ones for 1.8 s at most, which leaves 0.6 s for the way over a full link. A new connection without a request is kept for as long (50 ms before). Tried and left: a linger of 0.6 s for all connections, which passes too but lengthens each stop.

--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -20,3 +20,7 @@
 pub(crate) use server::serve;
 pub(crate) use turns::LinkTurns;
 pub(crate) use turns::TurnBody;
+
+/// Longest time that a request is on its way to a machine that counts as sound: packets wait for up to half a second
+/// at its link (users' rules, "choked").
+pub(crate) const LONGEST_WAY: std::time::Duration = std::time::Duration::from_millis(600);
--- a/crates/rattanarch_mesh/src/connection/pool.rs
+++ b/crates/rattanarch_mesh/src/connection/pool.rs
@@ -20,8 +20,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::connection::LONGEST_WAY;
 use crate::connection::limited_stream::LimitedStream;
 use crate::connection::limited_stream::SharedLimit;
+use crate::process::LINGER;
 
 /// Largest head and read buffer of an answer, in bytes: a large answer is read in few pieces.
 const MAX_BUFFER: usize = 64 << 10;
@@ -104,7 +106,9 @@
         let options = PoolOptions {
             // Some eighty round trips between data centres of a region.
             connect_timeout: Duration::from_millis(250),
-            idle_limit: Duration::from_secs(8),
+            // A stopping daemon closes idle connections after its linger, and those that it answers on before: what is
+            // sent on one that is idle for less does not meet the end.
+            idle_limit: LINGER.saturating_sub(LONGEST_WAY),
             max_idle: 32,
         };
         Self::new(address, options)
--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 
 use crate::connection::AnswerBody;
+use crate::connection::LONGEST_WAY;
 use crate::process::Phase;
 use crate::process::Shared;
 
@@ -125,9 +126,8 @@
     let _ = connection.await;
 }
 
-/// How long a connection without any request yet stays open when the process closes: a caller sends
-/// its request within a round trip.
-const FIRST_LINGER: Duration = Duration::from_millis(50);
+/// How long a connection without any request yet stays open when the process closes: its first one may be on its way.
+const FIRST_LINGER: Duration = LONGEST_WAY;
 
 /// Smallest read buffer that the codec takes, in bytes.
 const MIN_BUFFER: usize = 8 << 10;
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -29,6 +29,7 @@
 pub use settings::Settings;
 pub use settings::SettingsError;
 pub(crate) use shared::Shared;
+pub(crate) use stop::LINGER;
 pub(crate) use stop::Phase;
 pub(crate) use store_relay::STORE_PATH;
 pub(crate) use store_relay::answer_store_call;
--- a/crates/rattanarch_mesh/src/process/stop.rs
+++ b/crates/rattanarch_mesh/src/process/stop.rs
@@ -7,7 +7,7 @@
 
 /// How long a stopping process lets requests go to its upstream: callers ask once a second whether
 /// it is ready, and go elsewhere after two refusals.
-const LINGER: Duration = Duration::from_millis(2_400);
+pub(crate) const LINGER: Duration = Duration::from_millis(2_400);
 
 /// How much longer it takes requests of callers: its upstream makes calls for requests that run.
 const CALL_LINGER: Duration = Duration::from_millis(1_000);
