Tell callers when a stopping daemon has to end before their answers

Callers saw their connection closed without an answer when the daemon that they had asked ended by force, with requests still at work (told_at_end: a request that came 2.2 s after SIGTERM and runs for 3.9 s, grace of 6 s; failed each time).

A process closes while requests are under way only 0.4 s before its grace is over. A tenth of a second later those that still wait are now answered 502 (`ended`): they may have run.

--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -24,8 +25,10 @@
 
 use crate::connection::AnswerBody;
 use crate::connection::Handler;
+use crate::process::Phase;
 use crate::process::Shared;
 use crate::request::Call;
+use crate::request::Failure;
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Step;
@@ -45,6 +48,10 @@
 /// request that holds a slot already.
 const CALL_RANK: Rank = 0;
 
+/// Time that requests under way still get when the process closes by force, 0.4 s before its grace is over: it
+/// ends a quarter of a second later.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
 /// Takes the requests of the callers on this machine.
 pub(crate) struct Outbound {
     pub(crate) shared: Rc<Shared>,
@@ -83,8 +90,12 @@
         if !self.may_end(&call) {
             return end(&trail, Outcome::Refused(Reason::Stopping.into()));
         }
-        let outcome =
-            Attempts { outbound: &self, call: &call, rule: &rule, trail: &trail }.run().await;
+        let attempts = Attempts { outbound: &self, call: &call, rule: &rule, trail: &trail };
+        let outcome = tokio::select! {
+            biased;
+            outcome = attempts.run() => outcome,
+            () = self.last_moment() => Outcome::Failed(Failure::Ended),
+        };
         end(&trail, outcome)
     }
 }
@@ -166,6 +177,15 @@
         phase.takes(grace, call.deadline, self.is_call(&call.id))
     }
 
+    /// Waits until the process has to end, with just the time left to tell callers so: it closes while requests are
+    /// under way only then.
+    async fn last_moment(&self) {
+        let mut phase = self.shared.phase.subscribe();
+        // The sender lives as long as the process.
+        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+        tokio::time::sleep(LAST_ANSWERS).await;
+    }
+
     /// Whether the own upstream makes this call for a request that it runs.
     fn is_call(&self, id: &str) -> bool {
         self.shared.upstream.state.borrow().run_of(id).is_some()
--- a/crates/rattanarch_mesh/src/request/outcome.rs
+++ b/crates/rattanarch_mesh/src/request/outcome.rs
@@ -85,6 +85,9 @@
     /// The connection failed, or the answer ended early.
     #[display("cut: {_0}")]
     Cut(String),
+    /// The daemon had to end.
+    #[display("ended")]
+    Ended,
     /// The answer belongs to another request.
     #[display("crossed")]
     Crossed,
@@ -98,7 +101,9 @@
     pub(crate) fn status(&self) -> StatusCode {
         match self {
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::Silent | Self::Cut(_) | Self::Crossed | Self::Spoilt => StatusCode::BAD_GATEWAY,
+            Self::Silent | Self::Cut(_) | Self::Ended | Self::Crossed | Self::Spoilt => {
+                StatusCode::BAD_GATEWAY
+            }
         }
     }
 }
