Tell peers what differs between two configurations in place of the whole

Cause: only records had changes; the configuration was sent whole.

A daemon names the configuration that it knows by number and hash. A peer that still has the changes since then (20 versions, 512 kB at most) sends them, unless the whole is smaller; else it sends the whole. A change is one of the object's JSON: routes, services and limits that are added, removed, moved or changed, exact to the letter, since its outcome must have the hash that it names. New items are written as changes of the one before them. What does not fit, or comes malformed or cut short, changes nothing, is counted (`rattanarch_configuration_changes`, `rattanarch_state_fetches`), and the whole is fetched at once. Changes that were received are kept for the next peers, so that chains do not break where a daemon has passed over versions.

Whether to put a configuration off is now decided by its known size before it is copied and written, and said in the answer (`put_off`), so that one that has nothing newer is not taken for one that is full.

Edge cases in `configuration_changes` (unknown base, just started, fork, rolled back, broken chain, altered, cut at each byte, too large, bounds) and, on a process, in `mesh_changes` (taken, other base, altered, malformed, cut short, put off, passed on, restarted).

--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) use pool::Link;
 pub(crate) use pool::Pool;
 pub(crate) use pool::SendError;
+pub(crate) use post::FetchError;
 pub(crate) use post::post;
 pub(crate) use post::post_paced;
 pub(crate) use post::read_question;
--- a/crates/rattanarch_mesh/src/connection/post.rs
+++ b/crates/rattanarch_mesh/src/connection/post.rs
@@ -36,7 +36,20 @@
     let (link, answer) = ask((pool, address), path, body).await?;
     let body = Limited::new(answer.into_body(), limit).collect().await;
     let body = body.map_err(|error| broken(&error))?.to_bytes();
-    finish(shared, pool, link, &body)
+    pool.put_back(link);
+    shared.meters.fetched(body.len());
+    serde_json::from_slice(&body).map_err(|error| broken(&error))
+}
+
+/// How a question failed whose answer may be large.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum FetchError {
+    /// There is no answer.
+    #[error(transparent)]
+    Failed(#[from] SendError),
+    /// Its answer was cut short or is malformed.
+    #[error("the answer was cut short or is malformed: {0}")]
+    Spoilt(String),
 }
 
 /// The same for an answer that may be large: it takes what `time` allows for its announced length, and no longer than
@@ -52,7 +65,7 @@
     limit: usize,
     silence: Duration,
     time: impl Fn(u64) -> Duration,
-) -> Result<T, SendError> {
+) -> Result<T, FetchError> {
     let asked = tokio::time::timeout(silence, ask(there, path, body)).await;
     let (link, answer) = asked.map_err(|_| broken(&"no head in time"))??;
     let mut rest = answer.into_body();
@@ -65,16 +78,22 @@
                 broken(&format_args!("silent after {} of {size} bytes", whole.len()))
             })?;
             let Some(piece) = piece else { return Ok(whole) };
-            let piece = piece.map_err(|error| broken(&error))?.into_data().unwrap_or_default();
+            let piece = piece.map_err(|error| spoilt(&error))?.into_data().unwrap_or_default();
             if whole.len() + piece.len() > limit {
-                return Err(broken(&"longer than allowed"));
+                return Err(spoilt(&"longer than allowed"));
             }
             whole.extend_from_slice(&piece);
         }
     };
     let whole = tokio::time::timeout(time(size), reading).await;
     let whole = whole.map_err(|_| broken(&format_args!("{size} bytes not in time")))??;
-    finish(shared, there.0, link, &whole)
+    there.0.put_back(link);
+    shared.meters.fetched(whole.len());
+    serde_json::from_slice(&whole).map_err(|error| spoilt(&error))
+}
+
+fn spoilt(reason: &dyn Display) -> FetchError {
+    FetchError::Spoilt(reason.to_string())
 }
 
 fn unsent(reason: &dyn Display) -> SendError {
@@ -102,18 +121,6 @@
     Ok((link, answer))
 }
 
-/// Reads an answer that has come whole.
-fn finish<T: DeserializeOwned>(
-    shared: &Shared,
-    pool: &Pool,
-    link: Link,
-    body: &[u8],
-) -> Result<T, SendError> {
-    pool.put_back(link);
-    shared.meters.fetched(body.len());
-    serde_json::from_slice(body).map_err(|error| broken(&error))
-}
-
 /// The question that `request` asks; `None` if it is cut short, malformed or longer than `limit` bytes.
 pub(crate) async fn read_question<T: DeserializeOwned>(
     request: Request<Incoming>,
--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use rattanarch_adapter::StoredRecord;
+use rattanarch_dissemination::Base;
 use rattanarch_dissemination::Fetch;
 use rattanarch_dissemination::Lack;
 use rattanarch_dissemination::PATIENCE;
@@ -21,12 +22,13 @@
 use rattanarch_wire::Digest;
 
 use crate::connection::AnswerBody;
-use crate::connection::SendError;
+use crate::connection::FetchError;
 use crate::connection::post_paced;
 use crate::connection::read_question;
 use crate::process::Shared;
 use crate::process::learn_changes;
 use crate::process::learn_configuration;
+use crate::process::learn_configuration_changes;
 use crate::process::learn_evacuated;
 use crate::process::learn_record;
 use crate::request::answers;
@@ -194,6 +196,8 @@
     Told(Digest),
     /// It has acted by a newer record than this daemon knows.
     Ahead,
+    /// What it told of a configuration after this version was of no use; it is asked for the whole.
+    Whole(Version),
 }
 
 impl Word {
@@ -205,6 +209,8 @@
                 records: theirs.newer_records(own),
             },
             Self::Ahead => Lack { records: 1, ..Lack::default() },
+            Self::Whole(known) if own.configuration > *known => Lack::default(),
+            Self::Whole(known) => Lack { configuration: *known + 1, ..Lack::default() },
         }
     }
 }
@@ -234,29 +240,27 @@
 
 /// Carries out a fetch, and begins those that wait for its place.
 async fn pull(shared: &Rc<Shared>, asked: Fetch) {
-    let peer = asked.peer;
+    let (peer, base) = (asked.peer, shared.knowledge.borrow().base());
     let outcome = match fetch(shared, asked).await {
-        // The peer sends as many as its link bears.
-        Ok(snapshot) if asked.configuration && snapshot.configuration.is_none() => {
-            log::info!(peer:% = peer; "configuration put off");
-            take(shared, snapshot);
-            "put-off"
-        }
-        Ok(snapshot) => {
-            take(shared, snapshot);
-            "taken"
-        }
+        Ok(snapshot) => take(shared, snapshot, asked, base),
         Err(reason) => {
             log::warn!(peer:% = peer, reason:% = reason; "state not fetched");
-            "failed"
+            match reason {
+                FetchError::Failed(_) => "failed",
+                FetchError::Spoilt(_) => "spoilt",
+            }
         }
     };
     shared.meters.state_fetch(outcome);
+    if matches!(outcome, "spoilt" | "misfit") && asked.configuration && base.hash != 0 {
+        shared.knowledge.borrow_mut().distrust_changes();
+        shared.control.borrow_mut().fetches.hear(peer, Word::Whole(base.version));
+    }
     shared.control.borrow_mut().fetches.end(peer, outcome == "taken");
     begin_fetches(shared);
 }
 
-async fn fetch(shared: &Shared, asked: Fetch) -> Result<Snapshot, SendError> {
+async fn fetch(shared: &Shared, asked: Fetch) -> Result<Snapshot, FetchError> {
     let mut versions = shared.knowledge.borrow().versions();
     if !asked.configuration {
         versions.configuration = Version::MAX;
@@ -278,9 +282,20 @@
     own.into_iter().chain(theirs).reduce(f64::min).unwrap_or_default()
 }
 
-fn take(shared: &Rc<Shared>, snapshot: Snapshot) {
+/// Takes what was fetched by one who knew the configuration `base`; returns the outcome.
+fn take(shared: &Rc<Shared>, snapshot: Snapshot, asked: Fetch, base: Base) -> &'static str {
+    let mut outcome = "taken";
     if let Some(spec) = snapshot.configuration {
         learn_configuration(shared, spec, "peer");
+    } else if !snapshot.configuration_changes.is_empty() {
+        if !learn_configuration_changes(shared, snapshot.configuration_changes, base) {
+            log::warn!(peer:% = asked.peer, version = base.version;
+                "changes of the configuration do not fit");
+            outcome = "misfit";
+        }
+    } else if snapshot.put_off {
+        log::info!(peer:% = asked.peer; "configuration put off");
+        outcome = "put-off";
     }
     if let Some(evacuated) = snapshot.evacuated {
         learn_evacuated(shared, evacuated, "peer");
@@ -294,6 +309,7 @@
     for (revision, changes) in snapshot.changes {
         learn_changes(shared, changes, revision);
     }
+    outcome
 }
 
 /// Answers a peer that asks for what is newer than its versions.
@@ -301,15 +317,15 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let Some(versions) = read_question::<Versions>(request, MAX_STATE).await else {
+    let Some(mut versions) = read_question::<Versions>(request, MAX_STATE).await else {
         return answers::plain(StatusCode::BAD_REQUEST, String::new());
     };
-    let mut newer = shared.knowledge.borrow().newer(&versions);
-    let body = answers::written(&newer);
     let (now, link) = (shared.now(), shared.settings.link);
-    if shared.control.borrow_mut().outlet.takes(now, body.len(), link) {
-        return answers::json(StatusCode::OK, body);
+    let size = shared.knowledge.borrow().configuration_size(&versions);
+    let put_off = !shared.control.borrow_mut().outlet.takes(now, size, link);
+    if put_off {
+        versions.configuration = Version::MAX;
     }
-    newer.configuration = None;
-    answers::told(&newer)
+    let newer = shared.knowledge.borrow().newer(&versions);
+    answers::told(&Snapshot { put_off, ..newer })
 }
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -97,6 +97,13 @@
         self.metrics.add("rattanarch_state_fetches", "Fetches of state", &labels, 1);
     }
 
+    /// Counts changes of the configuration that a peer told in place of the whole, by what became of them.
+    pub(crate) fn configuration_change(&self, outcome: &str) {
+        let labels = labels(&[("outcome", outcome)]);
+        let help = "Changes of the configuration told by peers";
+        self.metrics.add("rattanarch_configuration_changes", help, &labels, 1);
+    }
+
     /// Counts a heartbeat of the upstream.
     pub(crate) fn heartbeat(&self, outcome: &str) {
         let labels = labels(&[("outcome", outcome)]);
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) use meters::RequestLabels;
 pub(crate) use records::learn_changes;
 pub(crate) use records::learn_configuration;
+pub(crate) use records::learn_configuration_changes;
 pub(crate) use records::learn_evacuated;
 pub(crate) use records::learn_record;
 pub(crate) use records::read_record;
--- a/crates/rattanarch_mesh/src/process/records.rs
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -4,8 +4,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use rattanarch_adapter::DecodeError;
 use rattanarch_adapter::StoreError;
 use rattanarch_adapter::StoredRecord;
+use rattanarch_dissemination::Base;
+use rattanarch_dissemination::ConfigurationChange;
 use rattanarch_ownership::Event;
 use rattanarch_ownership::WriteOutcome;
 use rattanarch_types::BootId;
@@ -22,10 +25,32 @@
 use crate::process::store_relay::Stored;
 use crate::process::store_relay::call_store;
 use crate::version::Evacuated;
+use crate::version::Fit;
 
 /// Takes a configuration from `source`.
 pub(crate) fn learn_configuration(shared: &Rc<Shared>, spec: Value, source: &str) {
     let learned = shared.knowledge.borrow_mut().learn_configuration(spec);
+    learned_configuration(shared, learned, source);
+}
+
+/// Takes changes of the configuration `asked` from a peer; returns whether they fit.
+pub(crate) fn learn_configuration_changes(
+    shared: &Rc<Shared>,
+    changes: Vec<ConfigurationChange>,
+    asked: Base,
+) -> bool {
+    let fit = shared.knowledge.borrow_mut().learn_configuration_changes(changes, asked);
+    let outcome = match fit {
+        Ok(Fit::Taken) => "taken",
+        Ok(Fit::Overtaken) => "overtaken",
+        Ok(Fit::Misfit) | Err(_) => "misfit",
+    };
+    shared.meters.configuration_change(outcome);
+    learned_configuration(shared, fit.map(|fit| fit == Fit::Taken), "peer's changes");
+    outcome != "misfit"
+}
+
+fn learned_configuration(shared: &Rc<Shared>, learned: Result<bool, DecodeError>, source: &str) {
     match learned {
         Ok(false) => {}
         Ok(true) => {
--- a/crates/rattanarch_mesh/src/request/answers.rs
+++ b/crates/rattanarch_mesh/src/request/answers.rs
@@ -30,13 +30,8 @@
 
 /// What this daemon tells another that has asked it.
 pub(crate) fn told(what: &impl Serialize) -> Response<AnswerBody> {
-    json(StatusCode::OK, written(what))
-}
-
-/// The same as the body of an answer.
-pub(crate) fn written(what: &impl Serialize) -> Vec<u8> {
     // Strings, numbers and lists always have a JSON form.
-    serde_json::to_vec(what).unwrap_or_default()
+    json(StatusCode::OK, serde_json::to_vec(what).unwrap_or_default())
 }
 
 /// An answer with `status` and a body in JSON.
--- a/crates/rattanarch_mesh/src/version/knowledge.rs
+++ b/crates/rattanarch_mesh/src/version/knowledge.rs
@@ -8,7 +8,11 @@
 use rattanarch_adapter::DecodeError;
 use rattanarch_adapter::StoredRecord;
 use rattanarch_adapter::read_configuration;
+use rattanarch_dissemination::Base;
+use rattanarch_dissemination::ConfigurationChange;
+use rattanarch_dissemination::ConfigurationHistory;
 use rattanarch_dissemination::RecordHistory;
+use rattanarch_dissemination::apply_all;
 use rattanarch_routing::RouteTable;
 use rattanarch_types::BootId;
 use rattanarch_types::Member;
@@ -30,13 +34,35 @@
     history: RecordHistory,
 }
 
+/// What became of changes of the configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fit {
+    /// They are in force.
+    Taken,
+    /// Another version has come meanwhile than the one that they were asked for.
+    Overtaken,
+    /// They do not make what they say; the whole is to be fetched.
+    Misfit,
+}
+
+/// The configuration in force, as the store holds it.
+#[derive(Debug, Default)]
+struct KnownConfiguration {
+    spec: Rc<Value>,
+    base: Base,
+    /// Bytes that it takes to send.
+    size: usize,
+    history: ConfigurationHistory,
+    /// Whether changes that were told of it did not fit, so that the whole is asked for.
+    distrusted: bool,
+}
+
 /// Newest configuration, data centres taken out, and records. Versions only rise, wherever they are
 /// learned from.
 #[derive(Debug, Default)]
 pub(crate) struct Knowledge {
     routes: Option<Rc<RouteTable>>,
-    /// The configuration in force, as the store holds it.
-    configuration: Rc<Value>,
+    configuration: KnownConfiguration,
     evacuated: Rc<Evacuated>,
     records: BTreeMap<ServiceName, KnownRecord>,
     /// Members of the first record that was known of each service.
@@ -116,11 +142,68 @@
         if self.routes.as_ref().is_some_and(|known| known.version >= routes.version) {
             return Ok(false);
         }
-        self.routes = Some(Rc::new(routes));
-        self.configuration = Rc::new(spec);
+        let text = spec.to_string();
+        let base = Base::of(routes.version, &text);
+        let known = &mut self.configuration;
+        let change = ConfigurationChange::between((known.base, &known.spec), (base, &spec));
+        known.history.push(change);
+        self.adopt(routes, base, spec, text.len());
         Ok(true)
     }
 
+    /// Takes changes of the configuration that were asked for by one who knew `asked`.
+    ///
+    /// # Errors
+    /// If what they make can't be understood; then the one in force stays, as it does if they do not fit.
+    pub(crate) fn learn_configuration_changes(
+        &mut self,
+        changes: Vec<ConfigurationChange>,
+        asked: Base,
+    ) -> Result<Fit, DecodeError> {
+        let known = &mut self.configuration;
+        if known.base != asked {
+            return Ok(Fit::Overtaken);
+        }
+        let Some((base, spec)) = apply_all(&changes, known.base, &known.spec) else {
+            return Ok(Fit::Misfit);
+        };
+        let routes = read_configuration(&spec)?;
+        if routes.version != base.version {
+            return Ok(Fit::Misfit);
+        }
+        changes.into_iter().for_each(|change| known.history.push(Some(change)));
+        let size = spec.to_string().len();
+        self.adopt(routes, base, spec, size);
+        Ok(Fit::Taken)
+    }
+
+    fn adopt(&mut self, routes: RouteTable, base: Base, spec: Value, size: usize) {
+        self.routes = Some(Rc::new(routes));
+        let known = &mut self.configuration;
+        (known.spec, known.base, known.size) = (Rc::new(spec), base, size);
+        known.distrusted = false;
+    }
+
+    /// Bytes of the configuration in [`Knowledge::newer`] than `asked`; 0 if it is not newer.
+    pub(crate) fn configuration_size(&self, asked: &Versions) -> usize {
+        let known = &self.configuration;
+        if known.base.version <= asked.configuration {
+            return 0;
+        }
+        known.history.size_since(asked.base(), known.size)
+    }
+
+    /// Asks for the whole configuration next: changes of it did not fit.
+    pub(crate) fn distrust_changes(&mut self) {
+        self.configuration.distrusted = true;
+    }
+
+    /// The configuration in force; its hash is 0 if the whole is to be asked for.
+    pub(crate) fn base(&self) -> Base {
+        let known = &self.configuration;
+        if known.distrusted { Base { hash: 0, ..known.base } } else { known.base }
+    }
+
     /// Takes the data centres that are out; returns whether they are newer.
     pub(crate) fn learn_evacuated(&mut self, now: Moment, evacuated: Evacuated) -> bool {
         if evacuated.revision <= self.evacuated.revision {
@@ -175,7 +258,8 @@
     pub(crate) fn versions(&self) -> Versions {
         let records = self.records().map(|record| (record.service.clone(), record.version));
         Versions {
-            configuration: self.routes().map(|routes| routes.version).unwrap_or_default(),
+            configuration: self.configuration.base.version,
+            hash: self.base().hash,
             evacuated: self.evacuated.revision,
             records: records.collect(),
         }
@@ -196,9 +280,15 @@
                 None => records.push((known.revision, StoredRecord::write(&known.record))),
             }
         }
+        let configuration = &self.configuration;
+        let is_newer = own.configuration > asked.configuration;
+        let changes_since = || configuration.history.since(asked.base(), configuration.size);
+        let configuration_changes = is_newer.then(changes_since).flatten().unwrap_or_default();
+        let sends_whole = is_newer && configuration_changes.is_empty();
         Snapshot {
-            configuration: (own.configuration > asked.configuration)
-                .then(|| Value::clone(&self.configuration)),
+            configuration: sends_whole.then(|| Value::clone(&configuration.spec)),
+            configuration_changes,
+            put_off: false,
             evacuated: (own.evacuated > asked.evacuated).then(|| Evacuated::clone(&self.evacuated)),
             records,
             changes,
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -10,5 +10,6 @@
 pub use busy::busy_machine;
 pub use daemon::Daemon;
 pub use peers::Peers;
+pub use peers::Told;
 pub use site::Site;
 pub use site::wait_until;
--- a/crates/rattanarchd/tests/mesh_support/peers.rs
+++ b/crates/rattanarchd/tests/mesh_support/peers.rs
@@ -24,6 +24,20 @@
 /// Key of the datagrams between daemons.
 const SECRET: &[u8] = b"rattanarch datagrams";
 
+/// What a peer that knows a newer configuration answers to one that knows an earlier one.
+#[derive(Clone, Debug, Default)]
+pub enum Told {
+    /// All of it.
+    #[default]
+    Whole,
+    /// Changes, in the form in which they travel.
+    Changes(Value),
+    /// Changes that break off, in an answer of the right length.
+    Malformed,
+    /// An answer that ends with its connection.
+    CutShort,
+}
+
 /// Stand-ins for daemons that tell one daemon of configurations, and answer its fetches over one link.
 pub struct Peers {
     ways: Vec<SocketAddr>,
@@ -31,6 +45,7 @@
     codec: Codec,
     known: Arc<Mutex<Value>>,
     fetches: Arc<Fetches>,
+    told: Arc<Mutex<Told>>,
     /// Whether the first peer falls silent in the midst of each answer.
     silent: Arc<AtomicBool>,
 }
@@ -41,6 +56,8 @@
     now: AtomicUsize,
     most: AtomicUsize,
     all: AtomicUsize,
+    /// Answers with a whole configuration.
+    whole: AtomicUsize,
 }
 
 impl Peers {
@@ -49,11 +66,12 @@
         let known = Arc::default();
         let fetches = Arc::default();
         let silent: Arc<AtomicBool> = Arc::default();
+        let told = Arc::default();
         let falls_silent = |index| if index == 0 { Arc::clone(&silent) } else { Arc::default() };
-        let serve = |index| serve(&known, &fetches, &falls_silent(index));
+        let serve = |index| serve(&known, &fetches, &told, &falls_silent(index));
         let ways = (0..count).map(|index| link.way_to(serve(index))).collect();
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        Self { ways, socket, codec: Codec::new(SECRET), known, fetches, silent }
+        Self { ways, socket, codec: Codec::new(SECRET), known, fetches, told, silent }
     }
 
     /// Lets all know `configuration`.
@@ -61,6 +79,16 @@
         *self.known.lock().unwrap() = configuration;
     }
 
+    /// Lets all answer daemons that know an earlier configuration with `told`.
+    pub fn answer(&self, told: Told) {
+        *self.told.lock().unwrap() = told;
+    }
+
+    /// Whole configurations that were sent.
+    pub fn wholes(&self) -> usize {
+        self.fetches.whole.load(Ordering::SeqCst)
+    }
+
     /// Lets the first fall silent in the midst of each answer.
     pub fn silence_first(&self) {
         self.silent.store(true, Ordering::SeqCst);
@@ -101,22 +129,30 @@
 fn serve(
     known: &Arc<Mutex<Value>>,
     fetches: &Arc<Fetches>,
+    told: &Arc<Mutex<Told>>,
     silent: &Arc<AtomicBool>,
 ) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let (known, fetches, silent) = (Arc::clone(known), Arc::clone(fetches), Arc::clone(silent));
+    let told = Arc::clone(told);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (known, fetches) = (Arc::clone(&known), Arc::clone(&fetches));
-            let silent = Arc::clone(&silent);
-            thread::spawn(move || converse(stream, &known, &fetches, &silent));
+            let (told, silent) = (Arc::clone(&told), Arc::clone(&silent));
+            thread::spawn(move || converse(stream, &known, &fetches, &told, &silent));
         }
     });
     address
 }
 
-fn converse(mut stream: TcpStream, known: &Mutex<Value>, fetches: &Fetches, silent: &AtomicBool) {
+fn converse(
+    mut stream: TcpStream,
+    known: &Mutex<Value>,
+    fetches: &Fetches,
+    told: &Mutex<Told>,
+    silent: &AtomicBool,
+) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Some(asked) = read_question(&mut reader) {
         fetches.all.fetch_add(1, Ordering::SeqCst);
@@ -124,17 +160,29 @@
         fetches.most.fetch_max(now, Ordering::SeqCst);
         let known = known.lock().unwrap().clone();
         let newer = known["version"].as_u64() > asked["configuration"].as_u64();
-        let told = json!({
-            "configuration": newer.then_some(known), "evacuated": null, "records": [], "changes": [],
-        });
-        let body = told.to_string();
+        let based = newer && asked["hash"].as_u64().unwrap_or_default() != 0;
+        let told = if based { told.lock().unwrap().clone() } else { Told::Whole };
+        let mut snapshot =
+            json!({ "configuration": null, "evacuated": null, "records": [], "changes": [] });
+        match &told {
+            Told::Changes(changes) => snapshot["configuration_changes"] = changes.clone(),
+            Told::Whole if !newer => {}
+            _ => {
+                fetches.whole.fetch_add(1, Ordering::SeqCst);
+                snapshot["configuration"] = known;
+            }
+        }
+        let mut body = snapshot.to_string();
+        if matches!(told, Told::Malformed) {
+            body.truncate(body.len() / 2);
+        }
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
         let answer = head + &body;
-        let is_silent = silent.load(Ordering::SeqCst);
-        let end = if is_silent { answer.len() / 2 } else { answer.len() };
+        let breaks_off = silent.load(Ordering::SeqCst) || matches!(told, Told::CutShort);
+        let end = if breaks_off { answer.len() / 2 } else { answer.len() };
         let sent = stream.write_all(&answer.as_bytes()[..end]);
         fetches.now.fetch_sub(1, Ordering::SeqCst);
-        if sent.is_err() {
+        if sent.is_err() || matches!(told, Told::CutShort) {
             return;
         }
     }
