--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -12,5 +12,6 @@
 pub use daemon::Daemon;
 pub use late::late_machine;
 pub use peers::Peers;
+pub use peers::Told;
 pub use site::Site;
 pub use site::wait_until;
