Give turns on the link by the clock

Callers of downloads of some 50 to 90 KB waited for a link that idled: on 8 Mbit/s, downloads of 50 KB at the rate that it bears had a median of 390 ms, which is the patience of an answer that waits for its turn (400 ms).

Cause: a turn held its bytes of the window for 100 ms at least, by a timer of its own, also if the link had carried them in 59 ms; and two answers of more than half of the window never shared it. A late timer gave the turn back late on top.

The answer whose turn is next waits until it fits into the window behind what is still leaving by the clock (`Uplink::turn`), and the one after it looks then; no turn has to be given back. What is in flight fills the link for 100 ms at most, as before, or is one larger answer. Answers that go out of turn after 400 ms count for those behind them.

An answer larger than the window still starts only when the link is clear, so that it idles while a daemon is late.

--- a/crates/rattanarch_admission/src/uplink.rs
+++ b/crates/rattanarch_admission/src/uplink.rs
@@ -77,14 +77,10 @@
         self.clear.saturating_sub(now) + self.time_for(self.waiting as f64)
     }
 
-    /// Bytes of large answers that may be in flight at once; `None` if there is no limit.
-    pub fn window(&self) -> Option<usize> {
-        self.rate.map(|rate| (rate * WINDOW.as_secs_f64()) as usize)
-    }
-
-    /// How long an answer of `bytes` fills its part of the window.
-    pub fn hold(&self, bytes: usize) -> Duration {
-        self.rate.map_or(Duration::ZERO, |_| self.time_for(bytes as f64).max(WINDOW))
+    /// Time until an answer of `bytes` fits into the window behind those that are leaving; a larger one goes alone.
+    pub fn turn(&self, now: Moment, bytes: usize) -> Duration {
+        let own = self.time_for(bytes as f64).min(WINDOW);
+        (self.clear.saturating_sub(now) + own).saturating_sub(WINDOW)
     }
 
     /// Time for which a further large answer will be on its way out, behind the others.
--- a/crates/rattanarch_admission/tests/uplink.rs
+++ b/crates/rattanarch_admission/tests/uplink.rs
@@ -88,6 +88,38 @@
     assert_eq!(uplink.is_late(later, WORK, later + AIM), None, "three have left");
 }
 
+/// Lets answers of `size` that wait have their turns for 20 s; each is noticed `late`. Returns the part of the link
+/// that they fill, and the longest time that those in flight fill it for.
+fn take_turns(size: usize, late: Duration) -> (f64, Duration) {
+    let mut uplink = Uplink::new(MEGABITS);
+    let (mut now, mut count, mut longest) = (Duration::ZERO, 0, Duration::ZERO);
+    while now < Duration::from_secs(20) {
+        uplink.begin(size);
+        let pause = uplink.turn(now, size);
+        if !pause.is_zero() {
+            now += pause + late;
+        }
+        uplink.leave(now, size);
+        longest = longest.max(uplink.wait(now));
+        count += 1;
+    }
+    let bytes = f64::from(count) * size as f64;
+    (bytes / (MEGABITS * 1e6 / 8.0 * 0.85 * now.as_secs_f64()), longest)
+}
+
+/// Answers that wait fill the link, also if their turns are noticed late, and no more than the window.
+#[test]
+fn turns_fill_link() {
+    for (size, late) in [(SIZE, 0), (SIZE, 40), (SIZE / 2, 0), (SIZE / 2, 70)] {
+        let (filled, longest) = take_turns(size, MS * late);
+        assert!(filled > 0.99, "{filled} filled by {size} bytes, {late} ms late");
+        assert!(longest <= MS * 100, "{longest:?} with {size} bytes, {late} ms late");
+    }
+    let (filled, longest) = take_turns(SIZE * 4, Duration::ZERO);
+    assert!(filled > 0.99, "{filled} filled by answers that are larger than the window");
+    assert!(longest < MS * 227, "{longest:?}: one at a time");
+}
+
 /// A link whose rate is not known binds nothing.
 #[test]
 fn rate_unknown() {
@@ -96,7 +128,7 @@
     assert_eq!(uplink.wait(MS), Duration::ZERO);
     uplink.leave(MS, SIZE * 1_000);
     assert_eq!(uplink.wait(MS), Duration::ZERO);
-    assert_eq!(uplink.window(), None);
+    assert_eq!(uplink.turn(MS, SIZE * 1_000), Duration::ZERO);
     assert_eq!(uplink.is_late(MS, WORK, MS + AIM), None);
 }
 
--- a/crates/rattanarch_mesh/src/connection/turns.rs
+++ b/crates/rattanarch_mesh/src/connection/turns.rs
@@ -4,7 +4,6 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -32,9 +31,8 @@
 pub(crate) struct LinkTurns {
     pub(crate) uplink: Rc<RefCell<Uplink>>,
     clock: Clock,
-    /// Bytes that may be in flight at once.
-    window: usize,
-    turns: Arc<Semaphore>,
+    /// One permit, for the answer whose turn is next.
+    next: Rc<Semaphore>,
 }
 
 /// A large answer, whole in memory, that is sent when its turn comes.
@@ -47,10 +45,8 @@
 impl LinkTurns {
     /// Turns on a link of `megabits` a second; 0 if its rate is not known.
     pub(crate) fn new(megabits: f64, clock: Clock) -> Self {
-        let uplink = Uplink::new(megabits);
-        let window = uplink.window().unwrap_or(Semaphore::MAX_PERMITS);
-        let turns = Arc::new(Semaphore::new(window));
-        Self { uplink: Rc::new(RefCell::new(uplink)), clock, window, turns }
+        let uplink = Rc::new(RefCell::new(Uplink::new(megabits)));
+        Self { uplink, clock, next: Rc::new(Semaphore::new(1)) }
     }
 
     /// The body `bytes` in its turn; `None` if it is small enough to go at once.
@@ -58,19 +54,30 @@
         if bytes.len() < LARGE {
             return None;
         }
-        let room = bytes.len().min(self.window) as u32;
-        let turn = Arc::clone(&self.turns).acquire_many_owned(room);
-        let (share, clock) = (Share::new(&self.uplink, bytes.len()), self.clock);
-        let wait = async move {
-            let turn = tokio::time::timeout(PATIENCE, turn).await;
-            let hold = share.leave(clock.now());
-            tokio::task::spawn_local(async move {
-                tokio::time::sleep(hold).await;
-                drop(turn);
-            });
-        };
+        let share = Share::new(&self.uplink, bytes.len());
+        let wait = self.clone().pass(share);
         Some(TurnBody { rest: bytes.clone(), wait: Some(Box::pin(wait)) })
     }
+
+    /// Ends when the answer of `share` is to be sent.
+    async fn pass(self, share: Share) {
+        // One that has waited long enough goes out of turn.
+        let _ = tokio::time::timeout(PATIENCE, self.turn(share.bytes)).await;
+        share.leave(self.clock.now());
+    }
+
+    /// Waits until those before have had their turn and an answer of `bytes` fits.
+    async fn turn(&self, bytes: usize) {
+        let _next = self.next.acquire().await;
+        loop {
+            let pause = self.uplink.borrow().turn(self.clock.now(), bytes);
+            if pause.is_zero() {
+                break;
+            }
+            // Those that go out of turn make it longer.
+            tokio::time::sleep(pause).await;
+        }
+    }
 }
 
 /// What an answer takes of the link; forgotten if it is dropped before its turn.
@@ -86,12 +93,10 @@
         Self { uplink: Rc::clone(uplink), bytes }
     }
 
-    /// Notes that the turn of the answer has come; how long it lasts.
-    fn leave(mut self, now: Moment) -> Duration {
+    /// Notes that the turn of the answer has come.
+    fn leave(mut self, now: Moment) {
         let bytes = std::mem::take(&mut self.bytes);
-        let mut uplink = self.uplink.borrow_mut();
-        uplink.leave(now, bytes);
-        uplink.hold(bytes)
+        self.uplink.borrow_mut().leave(now, bytes);
     }
 }
 
--- a/crates/rattanarchd/tests/mesh_link.rs
+++ b/crates/rattanarchd/tests/mesh_link.rs
@@ -52,3 +52,32 @@
     assert_eq!(site.upstreams[1].runs().len(), served.len());
     assert!(small < AIM, "{small:?}");
 }
+
+/// Bytes of a download that fills more than half of what may be in flight at once: 0.059 s on the link.
+const PART: usize = 50_000;
+
+/// Downloads at the rate that the link bears hardly wait: their turns leave no gaps.
+#[test]
+fn link_kept_busy() {
+    let site = Site::start(1, 1);
+    site.upstreams[1].set_padding(PART);
+    let downloads = thread::scope(|scope| {
+        let downloads: Vec<_> = (0..40)
+            .map(|index| {
+                thread::sleep(PAUSE / 2);
+                let site = &site;
+                scope.spawn(move || {
+                    let began = Instant::now();
+                    let answer = site.ask(1, "/maps/fjord", &format!("m{index}"), 0);
+                    (answer.status, began.elapsed())
+                })
+            })
+            .collect();
+        downloads.into_iter().map(|d| d.join().unwrap()).collect::<Vec<_>>()
+    });
+    let mut times: Vec<_> =
+        downloads.iter().filter(|(status, _)| *status == 200).map(|(_, took)| *took).collect();
+    times.sort();
+    assert!(times.len() * 10 >= downloads.len() * 9, "{} served", times.len());
+    assert!(times[times.len() / 2] < AIM / 2, "{times:?}");
+}
