Mend what the review of tries beside each other found

A target counts as tried from its send on, and the owner of a key that has the request is not sent it again. - next_owner_fails: the next owner's answer (500) came at 2.4 s and was told at 4.1 s, since the try at the lost owner was waited for, though its lease and what ran under it had ended. What the next owner says now ends the request; a refusal by it is told as 502, since the first try may have run.

The share is now asked again each 250 ms; what remains of that is open.

once_owner_busy, last_attempt_busy and replaced_share_used pass on the code before too; each fails on a mutant that no test caught (a second try for what must run once, beyond the route's attempts, without a share). All nine of mesh_busy_peers pass now, and mesh_losses and mesh_serving.

--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -20,7 +20,6 @@
 use crate::request::forward::Forward;
 use crate::request::forward::forward;
 use crate::request::open_tries::Doubt;
-use crate::request::open_tries::TryEvent;
 use crate::request::progress::Next;
 use crate::request::progress::Progress;
 use crate::request::target;
@@ -34,6 +33,10 @@
 /// Refusals by instances after which a request is refused: a third one is no better informed.
 const MAX_REFUSALS: u32 = 3;
 
+/// Time until the share of repeats is asked again for a try beside one whose peer may be gone: some requests have
+/// earned more of it by then.
+const SHARE_PAUSE: Duration = Duration::from_millis(250);
+
 /// The tries of one request.
 pub(crate) struct Attempts<'a> {
     pub(crate) outbound: &'a Outbound,
@@ -57,12 +60,17 @@
             if let Some(outcome) = self.begin(&mut progress).await {
                 return outcome;
             }
-            let event = tokio::select! {
+            let ended = tokio::select! {
                 biased;
-                event = progress.open.next() => event,
+                ended = progress.open.next() => ended,
                 () = changed, if progress.next == Next::Beside => continue,
+                () = tokio::time::sleep(SHARE_PAUSE), if progress.next == Next::Later => None,
+            };
+            let Some((target, outcome)) = ended else {
+                progress.next = Next::Beside;
+                continue;
             };
-            if let Some(outcome) = self.take(&mut progress, event).await {
+            if let Some(outcome) = self.take(&mut progress, target, outcome).await {
                 return outcome;
             }
         }
@@ -71,7 +79,7 @@
     /// Begins what is to begin next; returns the request's outcome if nothing can.
     async fn begin<'s>(&'s self, progress: &mut Progress<'s>) -> Option<Outcome> {
         match progress.next {
-            Next::Wait => None,
+            Next::Wait | Next::Later => None,
             Next::Now => self.begin_now(progress).await,
             Next::Beside => self.begin_beside(progress),
         }
@@ -80,6 +88,10 @@
     async fn begin_now<'s>(&'s self, progress: &mut Progress<'s>) -> Option<Outcome> {
         loop {
             match target::find(&self.outbound.shared, self.call, &progress.tried) {
+                Ok(target) if progress.open.has(target.address) => {
+                    progress.next = Next::Wait;
+                    return None;
+                }
                 Ok(target) => {
                     self.send(progress, target);
                     return None;
@@ -106,6 +118,10 @@
                 self.send(progress, target);
                 None
             }
+            Err(GiveUp::Share) if self.call.key.is_none() => {
+                progress.next = Next::Later;
+                None
+            }
             Err(why) => {
                 self.note_given_up(why, arrivals);
                 progress.next = Next::Wait;
@@ -120,6 +136,7 @@
         self.call.repeat.set(progress.repeated || progress.may_have_run() > 0);
         progress.tries += 1;
         progress.next = Next::Wait;
+        progress.note_tried(target);
         self.note_sent(target, progress.tries);
         let doubt = Doubt::default();
         progress.open.begin(target, Rc::clone(&doubt), self.exchange(target, doubt));
@@ -134,16 +151,13 @@
         forward(shared, &peer, Forward { call: self.call, trail: self.trail, target, doubt }).await
     }
 
-    /// Takes what has become of a try; returns the request's outcome if nothing more is to come.
-    async fn take(&self, progress: &mut Progress<'_>, event: TryEvent) -> Option<Outcome> {
-        let (target, outcome) = match event {
-            TryEvent::Ended(target, outcome) => (target, outcome),
-            TryEvent::Doubted(target) => {
-                progress.note_tried(target);
-                progress.next = Next::Beside;
-                return None;
-            }
-        };
+    /// Takes what a try has come to; returns the request's outcome if nothing more is to come.
+    async fn take(
+        &self,
+        progress: &mut Progress<'_>,
+        target: Target,
+        outcome: Outcome,
+    ) -> Option<Outcome> {
         self.note(target, &outcome);
         if outcome.is_answer() {
             return Some(outcome);
@@ -153,7 +167,6 @@
         match may {
             Ok(()) => {
                 self.trail.note(Step::Again { arrivals: progress.may_have_run() });
-                progress.note_tried(target);
                 progress.next = Next::Now;
             }
             Err(why) => {
@@ -164,6 +177,9 @@
                 if why == GiveUp::Owner {
                     // The next owner may learn of it a moment later.
                     progress.next = Next::Beside;
+                } else if self.call.key.is_some() {
+                    // It was the next owner's, and what ran at the last one has ended with its lease.
+                    return Some(outcome.or_earlier(Some(Outcome::Failed(Failure::Silent))));
                 }
             }
         }
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -124,10 +124,10 @@
         shared.meters.looked(look);
         if look != Look::Here {
             sending.trail.note(Step::Looked { address: peer.address, look });
-            peer.note_away(shared.now());
         }
         if look == Look::Gone {
             peer.note(shared.now(), false, None);
+            peer.note_away(shared.now());
             sending.doubt.set(true);
             return answer.await;
         }
--- a/crates/rattanarch_mesh/src/request/open_tries.rs
+++ b/crates/rattanarch_mesh/src/request/open_tries.rs
@@ -26,15 +26,6 @@
     sending: Pin<Box<dyn Future<Output = Outcome> + 'a>>,
 }
 
-/// What happens next to tries that are under way.
-#[derive(Debug)]
-pub(crate) enum TryEvent {
-    /// One has ended.
-    Ended(Target, Outcome),
-    /// The peer of one may be gone.
-    Doubted(Target),
-}
-
 impl<'a> OpenTries<'a> {
     /// Adds a try at `target`, which sets `doubt` if its peer may be gone.
     pub(crate) fn begin(
@@ -60,20 +51,21 @@
         self.tries.iter().any(|open| open.target.address == address)
     }
 
-    /// Waits for the next event; for ever if nothing is under way. Loses nothing if it is dropped.
-    pub(crate) async fn next(&mut self) -> TryEvent {
+    /// Waits until a try has ended, and returns what it came to, or until the peer of one may be gone (`None`); for ever
+    /// if nothing is under way. Loses nothing if it is dropped.
+    pub(crate) async fn next(&mut self) -> Option<(Target, Outcome)> {
         std::future::poll_fn(|cx| self.poll_next(cx)).await
     }
 
-    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<TryEvent> {
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<(Target, Outcome)>> {
         for index in 0..self.tries.len() {
             let open = &mut self.tries[index];
             if let Poll::Ready(outcome) = open.sending.as_mut().poll(cx) {
                 let ended = self.tries.swap_remove(index);
-                return Poll::Ready(TryEvent::Ended(ended.target, outcome));
+                return Poll::Ready(Some((ended.target, outcome)));
             }
             if open.doubt.take() {
-                return Poll::Ready(TryEvent::Doubted(open.target));
+                return Poll::Ready(None);
             }
         }
         Poll::Pending
--- a/crates/rattanarch_mesh/src/request/progress.rs
+++ b/crates/rattanarch_mesh/src/request/progress.rs
@@ -18,6 +18,8 @@
     Now,
     /// A try beside one whose peer may be gone, as soon as there is a target for it.
     Beside,
+    /// The same, once the share of repeats may have grown.
+    Later,
 }
 
 /// What has become of the tries of one request.
@@ -27,7 +29,7 @@
     pub(crate) next: Next,
     /// What ended tries came to: a request that one of them may have run was not refused.
     pub(crate) kept: Option<Outcome>,
-    /// Where it went, if another instance may serve it.
+    /// Where it went, if other instances may serve it too.
     pub(crate) tried: Vec<SocketAddr>,
     /// Ended tries that reached an upstream, or may have.
     pub(crate) arrivals: u32,
@@ -62,7 +64,7 @@
         self.arrivals + self.open.count()
     }
 
-    /// Notes that the next try had better go elsewhere.
+    /// Notes that a further try goes elsewhere.
     pub(crate) fn note_tried(&mut self, target: Target) {
         if !self.keyed {
             self.tried.push(target.address);
--- a/crates/rattanarch_routing/src/silence.rs
+++ b/crates/rattanarch_routing/src/silence.rs
@@ -20,10 +20,10 @@
     /// It is there, however slow.
     #[display("here")]
     Here,
-    /// It was not reached: new requests had better go elsewhere, and this one waits.
+    /// It was not reached, which a full link alone may do.
     #[display("missed")]
     Missed,
-    /// It may be gone, and the request may go elsewhere too.
+    /// It may be gone: new requests had better go elsewhere, and this one may too.
     #[display("gone")]
     Gone,
 }
