Let a configuration for another daemon go before downloads on the link

Cause: downloads go in turns and fill the link whatever else is sent.

No large answer begins before the link has carried a configuration that is being sent, and its bytes count on the link, so that downloads that would be late are refused before they run. Answers of less than 32 kB are not concerned.

`control_first` checks the accounts of the link.

--- a/crates/rattanarch_admission/src/uplink.rs
+++ b/crates/rattanarch_admission/src/uplink.rs
@@ -53,6 +53,11 @@
     pub fn begin(&mut self, bytes: usize) {
         let weight = if self.mean == 0.0 { 1.0 } else { SIZE_WEIGHT };
         self.mean += (bytes as f64 - self.mean) * weight;
+        self.begin_control(bytes);
+    }
+
+    /// Notes that `bytes` that are no answer to a caller are to be sent: large answers wait for them.
+    pub fn begin_control(&mut self, bytes: usize) {
         self.unsent += bytes as u64;
     }
 
--- a/crates/rattanarch_admission/tests/uplink.rs
+++ b/crates/rattanarch_admission/tests/uplink.rs
@@ -93,3 +93,21 @@
     let pause = uplink.is_late(MS, WORK, MS + AIM).expect("it is late");
     assert!(pause * 18 >= Duration::from_secs(1), "{pause:?}");
 }
+
+/// What daemons tell each other takes its part of the link from large answers, and does not count as one of them.
+#[test]
+fn control_first() {
+    let mut uplink = Uplink::new(MEGABITS);
+    uplink.begin(SIZE);
+    let one = uplink.wait();
+    uplink.begin_control(SIZE * 10);
+    assert_eq!(uplink.wait().as_millis(), (one * 11).as_millis());
+    assert_eq!(
+        uplink.expected().as_millis(),
+        (one * 12).as_millis(),
+        "the mean answer is as large as before"
+    );
+    assert!(uplink.is_late(MS, WORK, MS + one * 11).is_some());
+    uplink.end(SIZE * 10);
+    assert_eq!(uplink.wait(), one);
+}
--- a/crates/rattanarch_mesh/src/connection/turns.rs
+++ b/crates/rattanarch_mesh/src/connection/turns.rs
@@ -1,5 +1,6 @@
 //! Turns of large answers on the link of this machine.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::future::Future;
 use std::pin::Pin;
@@ -14,6 +15,7 @@
 use rattanarch_admission::Uplink;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 /// Smallest answer that waits for a turn, in bytes: a few packets more do not delay others.
 const LARGE: usize = 32 << 10;
@@ -33,6 +35,8 @@
     /// Bytes that may be in flight at once.
     window: usize,
     turns: Arc<Semaphore>,
+    /// Until when what daemons tell each other fills the link.
+    control: Rc<Cell<Instant>>,
 }
 
 /// A large answer, whole in memory, that is sent when its turn comes.
@@ -48,7 +52,24 @@
         let uplink = Uplink::new(megabits);
         let window = uplink.window().unwrap_or(Semaphore::MAX_PERMITS);
         let turns = Arc::new(Semaphore::new(window));
-        Self { uplink: Rc::new(RefCell::new(uplink)), window, turns }
+        let control = Rc::new(Cell::new(Instant::now()));
+        Self { uplink: Rc::new(RefCell::new(uplink)), window, turns, control }
+    }
+
+    /// Lets `bytes` for another daemon go first: no large answer begins before the link has carried them. Without
+    /// that, downloads that ask for twice the link leave a configuration a quarter of it.
+    pub(crate) fn precede(&self, bytes: usize) {
+        if bytes >= LARGE {
+            let begin = self.control.get().max(Instant::now());
+            let hold = self.uplink.borrow().hold(bytes);
+            self.control.set(begin + hold);
+            self.uplink.borrow_mut().begin_control(bytes);
+            let share = Share { uplink: Rc::clone(&self.uplink), bytes };
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep_until(begin + hold).await;
+                drop(share);
+            });
+        }
     }
 
     /// The body `bytes` in its turn; `None` if it is small enough to go at once.
@@ -58,6 +79,14 @@
         }
         let room = bytes.len().min(self.window) as u32;
         let turn = Arc::clone(&self.turns).acquire_many_owned(room);
+        let control = Rc::clone(&self.control);
+        let turn = async move {
+            let turn = turn.await;
+            while Instant::now() < control.get() {
+                tokio::time::sleep_until(control.get()).await;
+            }
+            turn
+        };
         let share = Share::new(&self.uplink, bytes.len());
         let wait = async move {
             let turn = tokio::time::timeout(PATIENCE, turn).await;
