--- a/crates/rattanarch_admission/src/uplink.rs
+++ b/crates/rattanarch_admission/src/uplink.rs
@@ -64,6 +64,11 @@
     /// Notes that the turn of an answer of `bytes` has come: it leaves behind those before it.
     pub fn leave(&mut self, now: Moment, bytes: usize) {
         self.forget(bytes);
+        self.precede(now, bytes);
+    }
+
+    /// Notes that `bytes` for another daemon are sent: large answers whose turn has not come leave behind them.
+    pub fn precede(&mut self, now: Moment, bytes: usize) {
         self.clear = self.clear.max(now) + self.time_for(bytes as f64);
     }
 
--- a/crates/rattanarch_admission/tests/uplink.rs
+++ b/crates/rattanarch_admission/tests/uplink.rs
@@ -179,3 +179,21 @@
     let pause = uplink.is_late(almost, AIM, almost + AIM).expect("it is late");
     assert!(pause * 18 >= Duration::from_secs(1), "{pause:?} when half a millisecond is left");
 }
+
+/// What daemons tell each other takes its part of the link from large answers, and does not count as one of them.
+#[test]
+fn control_first() {
+    let mut uplink = Uplink::new(MEGABITS);
+    uplink.begin(SIZE);
+    let one = uplink.wait(MS);
+    uplink.precede(MS, SIZE * 10);
+    assert_eq!(uplink.wait(MS).as_millis(), (one * 11).as_millis());
+    assert_eq!(
+        uplink.expected(MS).as_millis(),
+        (one * 12).as_millis(),
+        "the mean answer is as large as before"
+    );
+    assert!(uplink.is_late(MS, WORK, MS + one * 11).is_some());
+    assert!(uplink.turn(MS, SIZE) > one * 8, "it waits for them");
+    assert_eq!(uplink.wait(MS + one * 10).as_millis(), one.as_millis());
+}
