Count all answers on the machine's link

Cause: only large answers of the own upstream counted on the link, and filled 85 % of it; answers passed on to callers (a download crosses two machines' links) and small ones went beside, without a count. Now all count, and large ones wait behind them or are refused before they run. relayed_counted fails without it. A configuration for another daemon needs no count of its own any more.

--- a/crates/rattanarch_admission/src/uplink.rs
+++ b/crates/rattanarch_admission/src/uplink.rs
@@ -67,7 +67,7 @@
         self.precede(now, bytes);
     }
 
-    /// Notes that `bytes` for another daemon are sent: large answers whose turn has not come leave behind them.
+    /// Notes that `bytes` are sent at once: large answers whose turn has not come leave behind them.
     pub fn precede(&mut self, now: Moment, bytes: usize) {
         self.clear = self.clear.max(now) + self.time_for(bytes as f64);
     }
--- a/crates/rattanarch_mesh/src/connection/body.rs
+++ b/crates/rattanarch_mesh/src/connection/body.rs
@@ -46,6 +46,14 @@
         turns.queue(&bytes).map_or_else(|| Self::full(bytes), Self::InTurn)
     }
 
+    /// Bytes that wait for no turn on the link, as far as their number is known.
+    pub(crate) fn untimed(&self) -> usize {
+        match self {
+            Self::InTurn(_) => 0,
+            body => body.size_hint().exact().unwrap_or_default() as usize,
+        }
+    }
+
     pub(crate) fn relayed(incoming: Incoming, link: Link, pool: std::rc::Rc<Pool>) -> Self {
         let mut relayed = Relayed { incoming, link: Some(link), pool };
         relayed.finish();
--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -101,6 +101,7 @@
         let shared = Rc::clone(&shared);
         async move {
             let mut answer = answer.await;
+            shared.turns.pass_by(answer.body().untimed());
             if !shared.phase.borrow().is_open() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/rattanarch_mesh/src/connection/turns.rs
+++ b/crates/rattanarch_mesh/src/connection/turns.rs
@@ -49,12 +49,10 @@
         Self { uplink, clock, next: Rc::new(Semaphore::new(1)) }
     }
 
-    /// Lets `bytes` for another daemon go first: no large answer begins before the link has carried them, so that
-    /// downloads leave a configuration more than a part of it.
-    pub(crate) fn precede(&self, bytes: usize) {
-        if bytes >= LARGE {
-            self.uplink.borrow_mut().precede(self.clock.now(), bytes);
-        }
+    /// Notes that `bytes` of an answer go at once: what waits for its turn leaves behind them. That holds for small
+    /// answers, for those that are passed on, and for configurations of other daemons.
+    pub(crate) fn pass_by(&self, bytes: usize) {
+        self.uplink.borrow_mut().precede(self.clock.now(), bytes);
     }
 
     /// The body `bytes` in its turn; `None` if it is small enough to go at once.
--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -325,8 +325,6 @@
     let put_off = !shared.control.borrow_mut().outlet.takes(now, size, link);
     if put_off {
         versions.configuration = Version::MAX;
-    } else {
-        shared.turns.precede(size);
     }
     let newer = shared.knowledge.borrow().newer(&versions);
     answers::told(&Snapshot { put_off, ..newer })
--- a/crates/rattanarchd/tests/mesh_link.rs
+++ b/crates/rattanarchd/tests/mesh_link.rs
@@ -81,3 +81,24 @@
     assert!(times.len() * 10 >= downloads.len() * 9, "{} served", times.len());
     assert!(times[times.len() / 2] < AIM / 2, "{times:?}");
 }
+
+/// Answers that a daemon passes on to its callers count on its link too: large ones of its upstream leave behind them.
+#[test]
+fn relayed_counted() {
+    let site = Site::start(1, 1);
+    site.upstreams[1].set_padding(PART * 4);
+    let wait = || {
+        let metrics = site.metrics(0);
+        let line = metrics.lines().find(|line| line.starts_with("rattanarch_link_wait_ms"));
+        let value = line.and_then(|line| line.split_whitespace().last()).unwrap();
+        value.parse::<i64>().unwrap()
+    };
+    assert_eq!(wait(), 0);
+    let downloads: Vec<_> = thread::scope(|scope| {
+        let ask = |index| site.ask(0, "/maps/fjord", &format!("r{index}"), 0).status;
+        let asked: Vec<_> = (0..2).map(|index| scope.spawn(move || ask(index))).collect();
+        asked.into_iter().map(|asked| asked.join().unwrap()).collect()
+    });
+    assert_eq!(downloads, [200, 200]);
+    assert!(wait() > 0, "{}", wait());
+}
