Keep what the next owner of a key runs when the connection to the last one ends

Found on reading once more: the end of a try at the lost owner was taken for the next owner's word, so that a run at the next owner was given up and its caller told 502. next_owner_runs failed so; now only a try by a newer record than all others under way ends the request.

--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -177,7 +177,7 @@
                 if why == GiveUp::Owner {
                     // The next owner may learn of it a moment later.
                     progress.next = Next::Beside;
-                } else if self.call.key.is_some() {
+                } else if self.call.key.is_some() && progress.open.precede(target.version) {
                     // It was the next owner's, and what ran at the last one has ended with its lease.
                     return Some(outcome.or_earlier(Some(Outcome::Failed(Failure::Silent))));
                 }
--- a/crates/rattanarch_mesh/src/request/open_tries.rs
+++ b/crates/rattanarch_mesh/src/request/open_tries.rs
@@ -8,6 +8,8 @@
 use std::task::Context;
 use std::task::Poll;
 
+use rattanarch_types::Version;
+
 use crate::request::Outcome;
 use crate::request::target::Target;
 
@@ -51,6 +53,11 @@
         self.tries.iter().any(|open| open.target.address == address)
     }
 
+    /// Whether all tries went by an older record than `version`.
+    pub(crate) fn precede(&self, version: Version) -> bool {
+        self.tries.iter().all(|open| open.target.version < version)
+    }
+
     /// Waits until a try has ended, and returns what it came to, or until the peer of one may be gone (`None`); for ever
     /// if nothing is under way. Loses nothing if it is dropped.
     pub(crate) async fn next(&mut self) -> Option<(Target, Outcome)> {
--- a/crates/rattanarchd/tests/mesh_busy_peers.rs
+++ b/crates/rattanarchd/tests/mesh_busy_peers.rs
@@ -8,12 +8,15 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use mesh_support::Site;
 use mesh_support::busy_machine;
+use mesh_support::busy_until;
+use mesh_support::wait_until;
 use rattanarch_adapter_standins::DESK;
 use rattanarch_adapter_standins::FILES;
 use serde_json::json;
@@ -207,3 +210,24 @@
     });
     address
 }
+
+/// What the next owner runs is not given up when the connection to the lost one ends.
+#[test]
+fn next_owner_runs() {
+    let mut site = Site::start(3, 0);
+    site.store.configure_timeout(6, "4s");
+    let key = site.upstreams[1].held()[0].0;
+    site.upstreams[0].set_work(Duration::from_millis(500));
+    site.upstreams[2].set_work(Duration::from_millis(500));
+    let (end, ended) = mpsc::channel();
+    site.reach_at(DESK, "desk-1", busy_until(ended));
+    site.daemons[1].kill();
+    site.upstreams[1].end();
+    let answer = thread::scope(|scope| {
+        let asked = scope.spawn(|| site.ask(0, "/stock/crayfish", "n1", key));
+        wait_until("the next owner runs it", || site.run_ids().contains(&"n1".to_owned()));
+        end.send(()).unwrap();
+        asked.join().unwrap()
+    });
+    assert_eq!((answer.status, answer.stamped), (200, true), "{answer:?}");
+}
--- a/crates/rattanarchd/tests/mesh_support/busy.rs
+++ b/crates/rattanarchd/tests/mesh_support/busy.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
 
@@ -18,6 +19,19 @@
 /// A listener that passes its first connection on to `server`, if there is one, and does not answer
 /// further ones: its queue is full.
 pub fn busy_machine(server: Option<SocketAddr>) -> SocketAddr {
+    busy(server, || thread::sleep(BUSY_TIME))
+}
+
+/// A listener that takes one connection, says nothing on it, and ends it once `end` is told, or has no sender any more.
+pub fn busy_until(end: Receiver<()>) -> SocketAddr {
+    busy(None, move || {
+        // Its end is told by either.
+        let _ = end.recv_timeout(BUSY_TIME);
+    })
+}
+
+/// A listener that takes one connection and passes it on to `server`, if there is one, until `wait` has ended.
+fn busy(server: Option<SocketAddr>, wait: impl FnOnce() + Send + 'static) -> SocketAddr {
     let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
     let socket = socket.expect("a socket");
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -32,7 +46,7 @@
         }
         let fill = |_| TcpStream::connect_timeout(&address, Duration::from_millis(100));
         let filling: Vec<_> = (0..4).map(fill).collect();
-        thread::sleep(BUSY_TIME);
+        wait();
         drop((first, filling, listener));
     });
     address
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -9,6 +9,7 @@
 mod site;
 
 pub use busy::busy_machine;
+pub use busy::busy_until;
 pub use daemon::Daemon;
 pub use late::late_machine;
 pub use peers::Peers;
