Have stand-ins try the store in turns, so that someone finds it soon after its return

The store was down for all from 9.6 to 14.1 s, and turned the two followers and two others away from 12.6 to 21.6. By the lines of all daemons each stand-in had tried it at 13.7 to 14.2, and then rested for 6 s: nobody followed from 14.2 to 19.7, although the store answered other calls from 14.17 on.

Cause: a stand-in that did not reach the store left it to others for 3, 6 and 12 s, and all of them did so together.

--- a/crates/rattanarch_dissemination/src/duty.rs
+++ b/crates/rattanarch_dissemination/src/duty.rs
@@ -24,8 +24,12 @@
 /// Least time that a stand-in follows the store, so that a follower that comes and goes is not relied on at once.
 const TERM: Duration = Duration::from_secs(3);
 
-/// Pause of a stand-in that could not reach the store, doubled each time: while it is down for all, the calls of a
-/// group must not rise with its size.
+/// Time between the tries of two stand-ins of a group while none of them reaches the store: they take turns, so that
+/// the calls of a group do not rise with its size, and one of the next six finds a store that has come back for two
+/// in three of them, within the bound of a configuration (2 s).
+const TRY_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Pause of a daemon without a place that could not reach the store, doubled each time.
 const FIRST_REST: Duration = Duration::from_secs(3);
 const LONGEST_REST: Duration = Duration::from_secs(12);
 
@@ -51,6 +55,7 @@
     placed: Option<Moment>,
     /// Until when a stand-in that did not reach the store leaves it to others.
     rests: Moment,
+    /// Its last such pause; zero if the store has answered since.
     rest: Duration,
 }
 
@@ -73,7 +78,13 @@
     /// Notes that the store has answered this daemon itself.
     pub fn reach(&mut self, at: Moment) {
         self.confirm(at);
+        self.answered();
+    }
+
+    /// Notes that the store has answered some call of this daemon: it need not leave it to others any more.
+    pub fn answered(&mut self) {
         self.rest = Duration::ZERO;
+        self.rests = Moment::ZERO;
     }
 
     /// Notes word at `now` of a follower at `place` of the group, as this daemon at `own` sees it.
@@ -88,12 +99,17 @@
         }
     }
 
-    /// Notes that a stand-in did not reach the store.
-    pub fn fail(&mut self, now: Moment, place: Option<usize>) {
+    /// Notes that a stand-in at `place` of a group of `members` did not reach the store.
+    pub fn fail(&mut self, now: Moment, place: Option<usize>, members: usize) {
         if is_designated(place) || self.follows.is_none() {
             return;
         }
-        self.rest = (self.rest * 2).clamp(FIRST_REST, LONGEST_REST);
+        self.rest = match place {
+            // All have tried at the same time: from here on they take turns.
+            Some(place) if self.rest.is_zero() => turns(place + 1),
+            Some(_) => turns(members),
+            None => (self.rest * 2).clamp(FIRST_REST, LONGEST_REST),
+        };
         self.rests = now + self.rest;
         self.follows = None;
     }
@@ -141,6 +157,11 @@
     }
 }
 
+/// Time of the tries of those stand-ins that have a place below `places`.
+fn turns(places: usize) -> Duration {
+    TRY_INTERVAL * places.saturating_sub(FOLLOWERS) as u32
+}
+
 fn is_designated(place: Option<usize>) -> bool {
     place.is_some_and(|place| place < FOLLOWERS)
 }
--- a/crates/rattanarch_dissemination/tests/store_followers.rs
+++ b/crates/rattanarch_dissemination/tests/store_followers.rs
@@ -102,7 +102,8 @@
         }
         self.calls += usize::from(!before);
         if !self.reaches[place] {
-            return self.duties[place].fail(self.now, Some(place));
+            let members = self.duties.len();
+            return self.duties[place].fail(self.now, Some(place), members);
         }
         self.duties[place].reach(self.now);
         for other in (0..self.duties.len()).filter(|other| *other != place) {
@@ -191,6 +192,22 @@
     assert!(play.oldest() < BOUND);
 }
 
+/// The store comes back for two daemons in three, and for no follower: someone finds it within the bound, however long it
+/// was away.
+#[test]
+fn back_for_others() {
+    for (count, away) in [(13, 2), (13, 5), (13, 9), (13, 30), (MAX_GROUP, 5), (MAX_GROUP, 30)] {
+        let mut play = Play::new(count);
+        play.run(Duration::from_secs(10));
+        play.reaches.fill(false);
+        play.run(Duration::from_secs(away));
+        let back = |place: usize| place >= FOLLOWERS && !place.is_multiple_of(3);
+        play.reaches = (0..count).map(back).collect();
+        play.run(BOUND);
+        assert!(play.oldest() < BOUND, "{count} daemons, {away} s: {:?}", play.oldest());
+    }
+}
+
 /// A process that was frozen does not take its own pause for the silence of others.
 #[test]
 fn frozen_daemon() {
--- a/crates/rattanarch_mesh/src/process/following.rs
+++ b/crates/rattanarch_mesh/src/process/following.rs
@@ -91,8 +91,14 @@
 
     /// Notes that the store did not answer a call.
     pub(crate) fn fail(&self, shared: &Shared) {
-        let own = self.group.borrow().place(shared.settings.listen.datagrams);
-        self.duty.borrow_mut().fail(shared.now(), own);
+        let group = self.group.borrow();
+        let own = group.place(shared.settings.listen.datagrams);
+        self.duty.borrow_mut().fail(shared.now(), own, group.order.len());
+    }
+
+    /// Notes that the store has answered some call.
+    pub(crate) fn answered(&self) {
+        self.duty.borrow_mut().answered();
     }
 
     /// The group, worked out anew if members have changed.
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -90,6 +90,7 @@
         let lasted = now.saturating_sub(before.since).as_millis() as u64;
         self.contact.set(StoreContact { reachable, since: now, tried: now });
         if reachable {
+            self.following.answered();
             log::info!(lasted_ms = lasted; "store reached");
         } else {
             log::warn!(reason:% = reason, lasted_ms = lasted; "store lost");
