Log and count what upstreams say of their rate

No logic changes: the adapter reads the limit and the notice of leaving from responses, a change of the limit is a line, admitted requests are counted by retry and waited, and a gauge has the limit in force.

--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -57,6 +57,13 @@
         self.metrics.observe("rattanarch_queue_seconds", help, &service, waited.as_secs_f64());
     }
 
+    /// Counts a request that may be sent to the upstream: whether it is a retry, and whether it had to wait.
+    pub(crate) fn admitted(&self, retry: bool, waited: bool) {
+        let yes_or_no = |flag| if flag { "yes" } else { "no" };
+        let labels = labels(&[("retry", yes_or_no(retry)), ("waited", yes_or_no(waited))]);
+        self.metrics.add("rattanarch_admitted", "Requests admitted to the upstream", &labels, 1);
+    }
+
     /// Records how long the upstream took for a response.
     pub(crate) fn served(&self, service: &str, took: Duration) {
         let help = "Time that the upstream took to respond";
@@ -140,7 +147,7 @@
     }
 }
 
-fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 19] {
+fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 20] {
     let now = shared.now();
     let state = shared.upstream.state.borrow();
     let knowledge = shared.knowledge.borrow();
@@ -197,6 +204,15 @@
             "Utilization of the upstream in percent",
             (state.utilization() * 100.0) as i64,
         ),
+        (
+            "rattanarch_upstream_rate_limit_milli",
+            "Requests that the upstream takes in 1000 s; -1 without a limit",
+            state
+                .life
+                .as_ref()
+                .and_then(|life| life.rate_limit)
+                .map_or(-1, |rate| (rate * 1e3) as i64),
+        ),
         (
             "rattanarch_upstream_connections",
             "Connections opened to the upstream so far",
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -80,6 +80,7 @@
         if readiness(shared, call.key) == Readiness::Ready {
             let waited = shared.now().saturating_sub(arrived);
             shared.meters.queued(&call.service, waited);
+            shared.meters.admitted(call.retry.get(), !waited.is_zero());
             trace.add(Decision::Admitted { waited, view: UpstreamSnapshot::of(shared) });
             return Ok(permit);
         }
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -35,6 +35,8 @@
 use crate::upstream::Permit;
 use crate::upstream::UpstreamSnapshot;
 use crate::upstream::admit;
+use crate::upstream::life::LifeKey;
+use crate::upstream::notices::apply_notices;
 
 /// Largest response that is buffered, in bytes. Responses are buffered whole; the largest known ones have a tenth.
 const MAX_RESPONSE: usize = 8 << 20;
@@ -81,7 +83,7 @@
     if left < MIN_SEND_TIME {
         return Outcome::Refused(Refusal::new(Reason::Overloaded, Duration::ZERO));
     }
-    let Some(request) = build_request(&shared, &call, left) else {
+    let Some((request, life)) = build_request(&shared, &call, left) else {
         return Outcome::Refused(Refusal::from(Reason::NoUpstream));
     };
     let reused = connection.is_reused();
@@ -99,7 +101,8 @@
             return Outcome::Failed(Failure::Cut(reason));
         }
     };
-    read_response(&shared, &call, (response, connection), &mut permit).await
+    let sent = SentCall { call: &call, life };
+    read_response(&shared, &sent, (response, connection), &mut permit).await
 }
 
 async fn checkout(shared: &Shared, call: &Call) -> Result<PooledConnection, Refusal> {
@@ -126,21 +129,32 @@
     }
 }
 
-fn build_request(shared: &Shared, call: &Call, left: Duration) -> Option<Request<Full<Bytes>>> {
+/// A call and the life of the upstream that it was sent to.
+struct SentCall<'a> {
+    call: &'a Call,
+    life: LifeKey,
+}
+
+/// Builds the request to the upstream's present life, if there is one.
+fn build_request(
+    shared: &Shared,
+    call: &Call,
+    left: Duration,
+) -> Option<(Request<Full<Bytes>>, LifeKey)> {
     let state = shared.upstream.state.borrow();
-    let life = &state.life.as_ref()?.id;
+    let life = state.life.as_ref()?;
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
-    UpstreamHeaders { life, origin_service: &call.origin_service, wait_time: left }
+    UpstreamHeaders { life: &life.id, origin_service: &call.origin_service, wait_time: left }
         .apply(request.headers_mut());
-    Some(request)
+    Some((request, life.key()))
 }
 
 async fn read_response(
     shared: &Shared,
-    call: &Call,
+    SentCall { call, life }: &SentCall<'_>,
     (response, connection): (Response<Incoming>, PooledConnection),
     permit: &mut Permit,
 ) -> Outcome {
@@ -150,6 +164,7 @@
         shared.upstream.pool.clear();
         return Outcome::Failed(Failure::Crossed);
     }
+    apply_notices(shared, life, &head);
     let left = call.deadline.saturating_sub(shared.now());
     let body = match within(left, Limited::new(body, MAX_RESPONSE).collect()).await {
         None => return Outcome::Failed(Failure::TimedOut),
--- a/crates/rattanarch_mesh/src/upstream/life.rs
+++ b/crates/rattanarch_mesh/src/upstream/life.rs
@@ -4,7 +4,7 @@
 use rattanarch_types::Moment;
 
 /// One life of the upstream, from its first heartbeat to the first one of the next life.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Life {
     /// Id of the life. Requests carry it, so that no other life runs them.
     pub(crate) id: String,
@@ -18,8 +18,13 @@
     pub(crate) leaving: Option<Moment>,
     /// When a connection to it was first refused since its last heartbeat.
     pub(crate) refused: Option<Moment>,
+    /// Requests a second that it takes, by its last response; `None` without a limit.
+    pub(crate) rate_limit: Option<f64>,
 }
 
+/// What tells a life from all others: its id, and its start as in [`Life::started_at_ms`].
+pub(crate) type LifeKey = (String, u64);
+
 /// Order of a heartbeat relative to those received before.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum HeartbeatOrder {
@@ -44,9 +49,20 @@
             last_heartbeat: now,
             leaving: None,
             refused: None,
+            rate_limit: None,
         }
     }
 
+    /// What tells this life from all others.
+    pub(crate) fn key(&self) -> LifeKey {
+        (self.id.clone(), self.started_at_ms)
+    }
+
+    /// Whether this life has the given key.
+    pub(crate) fn is(&self, (id, started_at_ms): &LifeKey) -> bool {
+        self.id == *id && self.started_at_ms == *started_at_ms
+    }
+
     /// Order of the heartbeat `beat` of the life `id` relative to this life's heartbeats.
     pub(crate) fn order_of(&self, id: &str, beat: &Heartbeat) -> HeartbeatOrder {
         if beat.started_at_ms < self.started_at_ms {
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod heartbeat;
 mod life;
+mod notices;
 mod state;
 mod upstream_snapshot;
 
