--- a/crates/rattanarchd/tests/mesh_changes.rs
+++ b/crates/rattanarchd/tests/mesh_changes.rs
@@ -63,9 +63,7 @@
 
 /// Returns the value of the first metric of `daemon` that begins with `name`; 0 if there is none.
 fn metric(site: &Site, daemon: usize, name: &str) -> u64 {
-    let metrics = site.metrics(daemon);
-    let line = metrics.lines().find(|line| line.starts_with(name));
-    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or_default()
+    site.metric(daemon, name).unwrap_or_default() as u64
 }
 
 fn change_count(site: &Site, daemon: usize, outcome: &str) -> u64 {
--- a/crates/rattanarchd/tests/mesh_support/site.rs
+++ b/crates/rattanarchd/tests/mesh_support/site.rs
@@ -138,6 +138,13 @@
         self.caller.metrics(self.daemons[daemon].addresses.metrics)
     }
 
+    /// Returns the value of the first of a daemon's metrics whose name and labels begin with `name`.
+    pub fn metric(&self, daemon: usize, name: &str) -> Option<i64> {
+        let metrics = self.metrics(daemon);
+        let line = metrics.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+    }
+
     /// Sends a GET request for `path` to `daemon`, as a caller on its machine does; `id` is the attempt id.
     pub fn get(&self, daemon: usize, path: &str, id: &str, key: u16) -> Response {
         self.caller.get(self.daemons[daemon].addresses.callers, path, id, key)
