Ask the upstream's health path for what it says while no response does

A daemon that started beside an upstream with a limit sent it up to a slot's worth of requests with each start before the first response named the limit; and an upstream that takes nothing had no response left in which to lift its limit. Cause: what an upstream says of itself was learnt from responses to requests only.

The health path answers at once and says the same. It is asked once at the start of each life, for which requests wait half a second at most, and each second without a response while a limit is in force. Each daemon asks its own upstream only, so that there is no herd.

--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -27,6 +27,7 @@
 use crate::process::Shared;
 use crate::process::read_record;
 use crate::process::write_record;
+use crate::upstream::check_if_due;
 use crate::upstream::slices_within;
 
 /// Number of slices of a service that is divided by key: 16 neighbouring keys each, so that busy keys close to
@@ -48,6 +49,7 @@
             step(&shared, Event::PlatformReached { call_sent: at });
         }
         step(&shared, Event::Tick);
+        check_if_due(&shared);
         write_due_requests(&shared);
         maintain(&shared);
     }
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -18,6 +18,7 @@
 use crate::request::RequestTrace;
 use crate::upstream::Readiness;
 use crate::upstream::UpstreamSnapshot;
+use crate::upstream::health_check::awaits_first_response;
 use crate::upstream::state::PermitSender;
 
 /// Ratio of the time to its deadline that a request may wait until its key is served here: the rest has to suffice
@@ -103,12 +104,16 @@
     if !shared.phase.borrow().admits_to_upstream() {
         return Readiness::Refused(Reason::Stopping);
     }
+    let now = shared.now();
+    if awaits_first_response(shared) {
+        return Readiness::NotYet(Reason::NoUpstream, now);
+    }
     let centre = &shared.settings.data_centre;
     let evacuated = shared.knowledge.borrow().evacuated().since(centre);
     let bounds = shared.bounds.get();
     let beat = shared.settings.heartbeat;
     let state = shared.upstream.state.borrow();
-    state.readiness(shared.now(), key, evacuated, (&bounds, beat))
+    state.readiness(now, key, evacuated, (&bounds, beat))
 }
 
 async fn wait_for_key(
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -153,7 +153,7 @@
 }
 
 async fn read_response(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     SentCall { call, life }: &SentCall<'_>,
     (response, connection): (Response<Incoming>, PooledConnection),
     permit: &mut Permit,
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -26,6 +26,7 @@
 use crate::request::responses;
 use crate::upstream::Life;
 use crate::upstream::UpstreamState;
+use crate::upstream::check_if_due;
 use crate::upstream::life::HeartbeatOrder;
 use crate::upstream::start_waiting;
 
@@ -81,6 +82,7 @@
     }
     shared.meters.heartbeat("taken");
     apply(shared, &beat, now);
+    check_if_due(shared);
     control::handle_heartbeat(shared, &beat);
     control::open_release_window(shared);
     shared.state_changed.notify_waiters();
--- a/crates/rattanarch_mesh/src/upstream/life.rs
+++ b/crates/rattanarch_mesh/src/upstream/life.rs
@@ -12,6 +12,8 @@
     pub(crate) started_at_ms: u64,
     /// Highest sequence number of its heartbeats.
     pub(crate) sequence: u64,
+    /// When its first heartbeat arrived at this process.
+    pub(crate) began: Moment,
     /// When its last heartbeat arrived.
     pub(crate) last_heartbeat: Moment,
     /// When the daemon first acknowledged that it leaves.
@@ -20,6 +22,10 @@
     pub(crate) refused: Option<Moment>,
     /// Requests a second that it takes, by its last response; `None` without a limit.
     pub(crate) rate_limit: Option<f64>,
+    /// When its last response began to arrive.
+    pub(crate) heard: Option<Moment>,
+    /// When its health was last checked.
+    pub(crate) checked: Option<Moment>,
 }
 
 /// What tells a life from all others: its id, and its start as in [`Life::started_at_ms`].
@@ -46,10 +52,13 @@
             id: id.to_owned(),
             started_at_ms,
             sequence,
+            began: now,
             last_heartbeat: now,
             leaving: None,
             refused: None,
             rate_limit: None,
+            heard: None,
+            checked: None,
         }
     }
 
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod exchange;
+mod health_check;
 mod heartbeat;
 mod life;
 mod notices;
@@ -12,6 +13,7 @@
 pub(crate) use admission::admit;
 pub(crate) use admission::start_waiting;
 pub(crate) use exchange::run;
+pub(crate) use health_check::check_if_due;
 pub(crate) use heartbeat::HeartbeatHandler;
 pub(crate) use heartbeat::slices_within;
 pub(crate) use life::Life;
--- a/crates/rattanarch_routing/src/service.rs
+++ b/crates/rattanarch_routing/src/service.rs
@@ -11,6 +11,8 @@
     pub name: ServiceName,
     /// Whether each key has one owner; if not, any instance may serve any request.
     pub keyed: bool,
+    /// Path at which an upstream answers health checks.
+    pub health_path: Option<String>,
     /// Connections that one upstream accepts from all callers together.
     pub max_connections: u32,
     /// How long an upstream stays cold after its start.
