Take a response that says its upstream is leaving as a notice

An upstream that leaves says so in all its responses, sooner or later than in its heartbeats, or in them alone. Nothing read it: requests went on reaching it for as long as heartbeats said nothing. Now it is one state with several sources (heartbeat, deregistration, response, peer), logged with the source of the first word, and keys and requests go elsewhere as after a heartbeat that says so.

A daemon that has passed on such a response is bound by it even if nobody else knows: the daemon beside the upstream names the life in its response, and the other one sends it along with each further request there, with the time since. A daemon that has started anew beside that life so has the same bound; the life's id and start tell it from a later one.

--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -15,6 +15,7 @@
 use rattanarch_adapter::headers;
 use rattanarch_routing::ProbeResult;
 use rattanarch_routing::ProbeTracker;
+use rattanarch_types::BootId;
 use rattanarch_types::Verdict;
 
 use crate::connection::Checkout;
@@ -94,7 +95,7 @@
             peer.record_outcome(shared.now(), false, None);
             Outcome::Failed(Failure::TimedOut)
         }
-        Some(Ok(response)) => read(shared, peer, response, connection),
+        Some(Ok(response)) => read(shared, (peer, attempt.target.member), response, connection),
         Some(Err(SendError::Unsent(_))) => unreachable(),
         Some(Err(SendError::Broken(reason))) => {
             peer.record_outcome(shared.now(), false, None);
@@ -189,6 +190,7 @@
         key: call.key,
         size: call.size,
         retry: call.retry.get(),
+        leaving: peer.leaving_notice(shared.now()),
     };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
@@ -204,7 +206,7 @@
 
 fn read(
     shared: &Shared,
-    peer: &Rc<Peer>,
+    (peer, member): (&Rc<Peer>, BootId),
     response: Response<Incoming>,
     connection: PooledConnection,
 ) -> Outcome {
@@ -215,6 +217,9 @@
     };
     let good = meta.verdict == Verdict::Done && !parts.status.is_server_error();
     peer.record_outcome(shared.now(), good, meta.load);
+    if let Some(life) = meta.leaving {
+        peer.record_leaving(shared.now(), life, member);
+    }
     let retry_after = headers::retry_after(&parts.headers);
     let body = ResponseBody::relayed(body, connection, Rc::clone(&peer.pool));
     match meta.verdict {
--- a/crates/rattanarch_mesh/src/request/forward_headers.rs
+++ b/crates/rattanarch_mesh/src/request/forward_headers.rs
@@ -19,14 +19,17 @@
 /// Why it was refused or failed.
 const REASON: HeaderName = HeaderName::from_static("rattanarch-reason");
 
+/// Life of the upstream that responded, if it says that it is leaving.
+const LEAVING: HeaderName = HeaderName::from_static("rattanarch-leaving");
+
 /// Load of the upstream that responded.
 const LOAD: HeaderName = HeaderName::from_static("rattanarch-load");
 
 /// Metadata of a forwarded request, written as
-/// `service origin rank objective-ms left-ms once|safe key|- large|small again|first`.
+/// `service origin rank objective-ms left-ms once|safe key|- large|small again|first [life@age-ms]`.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[display(
-    "{service} {origin_service} {rank} {} {} {} {} {} {}",
+    "{service} {origin_service} {rank} {} {} {} {} {} {}{}",
     objective.as_millis(),
     left.as_millis(),
     if *idempotent { IDEMPOTENT } else { AT_MOST_ONCE },
@@ -35,7 +38,8 @@
         ResponseSize::Small => SMALL,
         ResponseSize::Large => LARGE,
     },
-    if *retry { RETRY } else { FIRST_RUN }
+    if *retry { RETRY } else { FIRST_RUN },
+    leaving.as_ref().map(|notice| format!(" {notice}")).unwrap_or_default()
 )]
 pub(crate) struct ForwardHeader {
     pub(crate) service: String,
@@ -50,6 +54,25 @@
     pub(crate) size: ResponseSize,
     /// Whether the run counts as a retry; see [`Call::retry`](crate::request::Call::retry).
     pub(crate) retry: bool,
+    /// What the sender knows of the upstream's leaving; the receiver may have started since.
+    pub(crate) leaving: Option<LeavingNotice>,
+}
+
+/// A life of an upstream that has said that it is leaving, written as `life@age-ms`.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{life}@{}", age.as_millis())]
+pub(crate) struct LeavingNotice {
+    /// Written form of the life's key.
+    pub(crate) life: String,
+    /// Time since the sender passed on the first response that says so.
+    pub(crate) age: Duration,
+}
+
+impl LeavingNotice {
+    fn read(text: &str) -> Option<Self> {
+        let (life, age) = text.rsplit_once('@')?;
+        Some(Self { life: life.to_owned(), age: Duration::from_millis(age.parse().ok()?) })
+    }
 }
 
 const IDEMPOTENT: &str = "safe";
@@ -86,6 +109,7 @@
                 _ => ResponseSize::Small,
             },
             retry: next() == Some(RETRY),
+            leaving: next().and_then(LeavingNotice::read),
         })
     }
 }
@@ -150,6 +174,8 @@
     /// Whether the upstream itself refused the request.
     pub(crate) by_upstream: bool,
     pub(crate) load: Option<LoadHeader>,
+    /// Written form of the key of the life that responded, if that says that it is leaving.
+    pub(crate) leaving: Option<String>,
 }
 
 /// Suffix of the reason if the upstream itself refused the request.
@@ -158,10 +184,10 @@
 impl ResponseHeaders {
     /// Adds these fields to a response's header.
     pub(crate) fn write(&self, headers: &mut HeaderMap) {
-        let mut set = |name: HeaderName, text: String| {
-            // Words, digits and spaces are always valid in a header value.
-            if let Ok(value) = HeaderValue::from_str(&text) {
-                headers.insert(name, value);
+        let mut set = |name: HeaderName, text: String| match HeaderValue::from_str(&text) {
+            Ok(value) => drop(headers.insert(name, value)),
+            Err(error) => {
+                log::warn!(name:% = name, reason:% = error; "header value cannot be sent");
             }
         };
         set(VERDICT, self.verdict.to_string());
@@ -172,6 +198,9 @@
         if let Some(load) = self.load {
             set(LOAD, load.to_string());
         }
+        if let Some(life) = &self.leaving {
+            set(LEAVING, life.clone());
+        }
     }
 
     /// Removes these fields from a response's header; `None` if the verdict is missing or malformed.
@@ -185,6 +214,10 @@
             Some(reason) => (reason, true),
             None => (reason, false),
         };
-        Some(Self { verdict, reason: reason.to_owned(), by_upstream, load })
+        let leaving = headers.remove(LEAVING);
+        let leaving = leaving.as_ref().and_then(|value| value.to_str().ok());
+        // The life becomes one item of a list separated by spaces.
+        let leaving = leaving.filter(|life| !life.contains(' ')).map(str::to_owned);
+        Some(Self { verdict, reason: reason.to_owned(), by_upstream, load, leaving })
     }
 }
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -28,6 +28,8 @@
 use crate::request::request_trace::RequestTrace;
 use crate::request::responses;
 use crate::upstream;
+use crate::upstream::FromLeaving;
+use crate::upstream::LeavingSource;
 
 /// Handles forwarded requests and control requests of other daemons.
 pub(crate) struct Inbound(pub(crate) Rc<Shared>);
@@ -49,6 +51,10 @@
         let Some(header) = ForwardHeader::read(request.headers()) else {
             return responses::plain(StatusCode::BAD_REQUEST, "no forwarded request".to_owned());
         };
+        if let Some(notice) = &header.leaving {
+            let since = shared.now().saturating_sub(notice.age);
+            upstream::learn_leaving(shared, &notice.life, since, LeavingSource::Peer);
+        }
         let outcome = match read(shared, header, request).await {
             Some(call) => run(shared, &Rc::new(call)).await,
             None => return responses::plain(StatusCode::BAD_REQUEST, "body cut short".to_owned()),
@@ -101,7 +107,9 @@
             (responses::failed(&failure), Verdict::MayHaveRun, failure.to_string(), false)
         }
     };
-    let meta = ResponseHeaders { verdict, reason, by_upstream, load: Some(load_header(shared)) };
+    let leaving = response.extensions().get::<FromLeaving>().map(|mark| mark.0.to_string());
+    let load = Some(load_header(shared));
+    let meta = ResponseHeaders { verdict, reason, by_upstream, load, leaving };
     meta.write(response.headers_mut());
     response
 }
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use rattanarch_routing::Candidate;
+use rattanarch_types::BootId;
 use rattanarch_types::Moment;
 
 use crate::connection::Pool;
+use crate::request::forward_headers::LeavingNotice;
 use crate::request::forward_headers::LoadHeader;
 
 /// EWMA weight of one outcome in the failure ratio: a mean over some eight requests.
@@ -48,6 +50,19 @@
     backoff_until: Cell<Moment>,
     /// Number of consecutive times that it could not be reached.
     unreachable_count: Cell<u32>,
+    /// The last life of its upstream that has said that it is leaving.
+    leaving: RefCell<Option<LeavingLife>>,
+}
+
+/// A life of a peer's upstream that has said that it is leaving in a response which this daemon has passed on.
+#[derive(Clone, Debug)]
+struct LeavingLife {
+    /// Written form of the life's key.
+    life: String,
+    /// Member whose upstream it was.
+    member: BootId,
+    /// When the first such response arrived.
+    since: Moment,
 }
 
 impl Peers {
@@ -80,7 +95,32 @@
             failure_ratio: Cell::new(0.0),
             backoff_until: Cell::new(Moment::ZERO),
             unreachable_count: Cell::new(0),
+            leaving: RefCell::new(None),
+        }
+    }
+
+    /// Records that the life `life` of this peer's upstream, while the peer is `member`, has said that it is leaving.
+    pub(crate) fn record_leaving(&self, now: Moment, life: String, member: BootId) {
+        let mut leaving = self.leaving.borrow_mut();
+        let known = leaving.as_ref().filter(|known| known.life == life);
+        let since = known.map_or(now, |known| known.since);
+        if known.is_none() {
+            log::info!(peer:% = self.address, life:% = life; "upstream of a peer is leaving");
         }
+        *leaving = Some(LeavingLife { life, member, since });
+    }
+
+    /// Whether the upstream of this peer has said that it is leaving, and the peer is still `member`.
+    pub(crate) fn is_leaving(&self, member: BootId) -> bool {
+        self.leaving.borrow().as_ref().is_some_and(|leaving| leaving.member == member)
+    }
+
+    /// What the peer has to be told of its upstream's leaving, since it may have started after it passed on the
+    /// response that says so.
+    pub(crate) fn leaving_notice(&self, now: Moment) -> Option<LeavingNotice> {
+        let leaving = self.leaving.borrow();
+        let LeavingLife { life, since, .. } = leaving.as_ref()?;
+        Some(LeavingNotice { life: life.clone(), age: now.saturating_sub(*since) })
     }
 
     /// Counts the end of a request at this peer, and ends its backoff if it reported its load.
--- a/crates/rattanarch_mesh/src/request/target.rs
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -86,8 +86,9 @@
 ) -> Option<(BootId, &'a Member)> {
     let now = shared.now();
     let evacuated = Rc::clone(shared.knowledge.borrow().evacuated());
-    let is_eligible = |(_, member): &(BootId, &Member)| {
+    let is_eligible = |(id, member): &(BootId, &Member)| {
         !member.leaving
+            && !shared.peers.get(member.caller).is_leaving(*id)
             && !evacuated.contains(&member.data_centre)
             && !tried.contains(&member.caller)
     };
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -36,6 +36,7 @@
 use crate::upstream::UpstreamSnapshot;
 use crate::upstream::admit;
 use crate::upstream::life::LifeKey;
+use crate::upstream::notices::FromLeaving;
 use crate::upstream::notices::apply_notices;
 
 /// Largest response that is buffered, in bytes. Responses are buffered whole; the largest known ones have a tenth.
@@ -182,6 +183,9 @@
     permit.record_response();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
+    if head.leaving {
+        parts.extensions.insert(FromLeaving(life.clone()));
+    }
     Outcome::Answered(Response::from_parts(parts, ResponseBody::scheduled(&shared.uplink, body)))
 }
 
--- a/crates/rattanarch_mesh/src/upstream/health_check.rs
+++ b/crates/rattanarch_mesh/src/upstream/health_check.rs
@@ -68,7 +68,7 @@
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
         if within(CHECK_TIMEOUT, check(&shared, &path, &key)).await.is_none() {
-            log::info!(life:% = key.0; "upstream health check timed out");
+            log::info!(life:% = key.id; "upstream health check timed out");
         }
         shared.state_changed.notify_waiters();
     });
@@ -83,7 +83,7 @@
 /// Sends a health check and applies what the response says about the life `key` of the upstream.
 async fn check(shared: &Rc<Shared>, path: &str, key: &LifeKey) {
     let failed = |reason: &dyn std::fmt::Display| {
-        log::info!(life:% = key.0, reason:% = reason; "upstream health check failed");
+        log::info!(life:% = key.id, reason:% = reason; "upstream health check failed");
     };
     let request = match request(shared, path) {
         Ok(request) => request,
@@ -99,7 +99,7 @@
         Err(error) => return failed(&error),
     };
     let (parts, body) = response.into_parts();
-    if !headers::is_from_life(&parts.headers, &key.0) {
+    if !headers::is_from_life(&parts.headers, &key.id) {
         return failed(&"another life of the upstream answered");
     }
     apply_notices(shared, key, &ResponseHead::read(parts.status.as_u16(), &parts.headers));
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -28,6 +28,7 @@
 use crate::upstream::UpstreamState;
 use crate::upstream::check_if_due;
 use crate::upstream::life::HeartbeatOrder;
+use crate::upstream::life::LeavingSource;
 use crate::upstream::start_waiting;
 
 /// Largest heartbeat that is read, in bytes: enough for a row for each slice and more.
@@ -161,9 +162,8 @@
         life.sequence = beat.sequence;
         life.last_heartbeat = now;
         life.refused = None;
-        if beat.leaving && life.leaving.is_none() {
-            life.leaving = Some(now);
-            log::info!(life:% = life.id; "upstream is leaving");
+        if beat.leaving {
+            life.leave(now, LeavingSource::Heartbeat);
         }
     }
     let slices = state.slices();
@@ -214,11 +214,8 @@
 fn deregister(shared: &Rc<Shared>, id: &str) -> Response<ResponseBody> {
     let now = shared.now();
     let mut state = shared.upstream.state.borrow_mut();
-    if let Some(life) = state.life.as_mut().filter(|life| life.id == id)
-        && life.leaving.is_none()
-    {
-        life.leaving = Some(now);
-        log::info!(life:% = id; "upstream deregistered");
+    if let Some(life) = state.life.as_mut().filter(|life| life.id == id) {
+        life.leave(now, LeavingSource::Deregistration);
     }
     drop(state);
     control::maintain(shared);
--- a/crates/rattanarch_mesh/src/upstream/life.rs
+++ b/crates/rattanarch_mesh/src/upstream/life.rs
@@ -1,5 +1,6 @@
 //! One life of the upstream, from a start to the next.
 
+use derive_more::Display;
 use rattanarch_adapter::Heartbeat;
 use rattanarch_types::Moment;
 
@@ -16,7 +17,7 @@
     pub(crate) began: Moment,
     /// When its last heartbeat arrived.
     pub(crate) last_heartbeat: Moment,
-    /// When the daemon first acknowledged that it leaves.
+    /// When the daemon first acknowledged that it leaves, or passed on a response that says so.
     pub(crate) leaving: Option<Moment>,
     /// When a connection to it was first refused since its last heartbeat.
     pub(crate) refused: Option<Moment>,
@@ -28,8 +29,29 @@
     pub(crate) checked: Option<Moment>,
 }
 
-/// What tells a life from all others: its id, and its start as in [`Life::started_at_ms`].
-pub(crate) type LifeKey = (String, u64);
+/// What tells a life from all others.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{id}/{started_at_ms}")]
+pub(crate) struct LifeKey {
+    /// As [`Life::id`].
+    pub(crate) id: String,
+    /// As [`Life::started_at_ms`].
+    pub(crate) started_at_ms: u64,
+}
+
+/// From what a daemon learns that the upstream is leaving.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(crate) enum LeavingSource {
+    #[display("heartbeat")]
+    Heartbeat,
+    #[display("deregistration")]
+    Deregistration,
+    #[display("response")]
+    Response,
+    /// Another daemon, which has passed on such a response.
+    #[display("peer")]
+    Peer,
+}
 
 /// Order of a heartbeat relative to those received before.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -64,12 +86,17 @@
 
     /// What tells this life from all others.
     pub(crate) fn key(&self) -> LifeKey {
-        (self.id.clone(), self.started_at_ms)
+        LifeKey { id: self.id.clone(), started_at_ms: self.started_at_ms }
     }
 
-    /// Whether this life has the given key.
-    pub(crate) fn is(&self, (id, started_at_ms): &LifeKey) -> bool {
-        self.id == *id && self.started_at_ms == *started_at_ms
+    /// Records that this life has been leaving since `since`, as `source` tells; returns whether this was not known.
+    pub(crate) fn leave(&mut self, since: Moment, source: LeavingSource) -> bool {
+        let is_news = self.leaving.is_none();
+        self.leaving = Some(self.leaving.map_or(since, |known| known.min(since)));
+        if is_news {
+            log::info!(life:% = self.id, source:% = source; "upstream is leaving");
+        }
+        is_news
     }
 
     /// Order of the heartbeat `beat` of the life `id` relative to this life's heartbeats.
