Check an upstream that has said nothing once, and keep one start in the endless upstream's heartbeats

mesh_endless failed eight times since health checks: its upstream gave each heartbeat another start, so that each began a life, whose requests waited for its first response (no-upstream), and each check read more. Heartbeats of one life bear one start; the test's bounds stay. A life that answers its first check with noise isn't asked again each second without a limit in force: the next response tells as much.

--- a/crates/rattanarch_mesh/src/upstream/health_check.rs
+++ b/crates/rattanarch_mesh/src/upstream/health_check.rs
@@ -50,8 +50,8 @@
     knowledge.routes().is_none() || spec.is_some_and(|spec| spec.health_path.is_some())
 }
 
-/// Starts a check if one is due: before the first response of a life, and each second without a response while a rate
-/// limit is in force.
+/// Starts a check if one is due: at the start of a life, and each second without a response while a rate limit is in
+/// force.
 pub(crate) fn check_if_due(shared: &Rc<Shared>) {
     let now = shared.now();
     let service = &shared.settings.service;
@@ -76,8 +76,10 @@
 
 fn is_due(life: &Life, now: Moment) -> bool {
     let is_recent = |at: Option<Moment>| at.is_some_and(|at| now < at + CHECK_INTERVAL);
-    let is_unknown = life.heard.is_none() || life.rate_limit.is_some();
-    is_unknown && life.refused.is_none() && !is_recent(life.heard) && !is_recent(life.checked)
+    let is_first = life.heard.is_none() && life.checked.is_none();
+    let is_overdue =
+        life.rate_limit.is_some() && !is_recent(life.heard) && !is_recent(life.checked);
+    life.refused.is_none() && (is_first || is_overdue)
 }
 
 /// Sends a health check and applies what the response says about the life `key` of the upstream.
--- a/crates/rattanarch_placement/src/slice_moves.rs
+++ b/crates/rattanarch_placement/src/slice_moves.rs
@@ -63,8 +63,7 @@
     slices: &[SliceLoad],
     others: &[MemberLoad],
 ) -> Vec<(SliceId, BootId)> {
-    let total = own.utilization + others.iter().map(|other| other.utilization).sum::<f64>();
-    let mean = total / (others.len() + 1) as f64;
+    let mean = mean_utilization(own, others);
     if own.utilization < MIN_UTILIZATION || own.utilization < mean * MIN_IMBALANCE {
         return Vec::new();
     }
@@ -94,6 +93,17 @@
     moves
 }
 
+/// Utilization of every member if the load were spread over all by their capacities.
+fn mean_utilization(own: MemberLoad, others: &[MemberLoad]) -> f64 {
+    let members = || std::iter::once(&own).chain(others);
+    let capacity = |member: &MemberLoad| 1.0 / member.request_cost.max(MIN_REQUEST_COST);
+    let load: f64 = members().map(|member| member.utilization * capacity(member)).sum();
+    load / members().map(capacity).sum::<f64>()
+}
+
+/// Lower bound of a cost, for a member whose requests have taken no measurable time.
+const MIN_REQUEST_COST: f64 = 1e-6;
+
 /// The slice that overloads its owner by itself, and the member that can serve it much faster.
 fn plan_hot_move(
     own: MemberLoad,
--- a/crates/rattanarchd/tests/mesh_endless.rs
+++ b/crates/rattanarchd/tests/mesh_endless.rs
@@ -54,12 +54,13 @@
             }
         });
         let heartbeats_ended = Arc::clone(&ended);
+        let born = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
         thread::spawn(move || {
             for sequence in 1.. {
                 if heartbeats_ended.load(Ordering::Relaxed) {
                     break;
                 }
-                send_heartbeat(control, address, sequence);
+                send_heartbeat(control, address, (born, sequence));
                 thread::sleep(Duration::from_millis(200));
             }
         });
@@ -73,8 +74,8 @@
     }
 }
 
-fn send_heartbeat(control: SocketAddr, address: SocketAddr, sequence: u64) {
-    let born = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
+/// Sends a heartbeat of the life that started at `born`.
+fn send_heartbeat(control: SocketAddr, address: SocketAddr, (born, sequence): (u64, u64)) {
     let body = json!({
         "address": address, "born": born,
         "info": { "service": FILES, "version": "v1", "zone": "a", "slots": 4 },
