--- a/crates/rattanarchd/tests/late_answers.rs
+++ b/crates/rattanarchd/tests/late_answers.rs
@@ -67,6 +67,48 @@
     }
 }
 
+/// A refusal that the upstream writes once more on a kept connection is no answer to the next request there.
+#[tokio::test]
+async fn repeated_refusal() {
+    let refusal = |id: &str| {
+        format!(
+            "HTTP/1.1 503 X\r\nrattanarch-request: {id}\r\nrattanarch-verdict: not-run\r\n\
+             content-length: 0\r\n\r\n"
+        )
+    };
+    let earlier = std::sync::Mutex::new(String::new());
+    let script = move |request: &support::ReceivedRequest, number: usize| {
+        let id = request.header("rattanarch-request").unwrap_or_default().to_owned();
+        if number.is_multiple_of(2) {
+            *earlier.lock().unwrap() = id;
+            return Reply::RawKeepOpen(refusal("{id}"));
+        }
+        let own = "HTTP/1.1 200 OK\r\nrattanarch-request: {id}\r\ncontent-length: 3\r\n\r\nown";
+        Reply::RawKeepOpen(refusal(&earlier.lock().unwrap()) + own)
+    };
+    let upstream = FakeUpstream::start(script).await;
+    let daemon = TestDaemon::start(upstream.address, SHORT);
+    for round in 1..4 {
+        let refused = send_request(daemon.address, "POST", "/trade-desk/reserve/a").await;
+        assert_eq!(refused.verdict(), "not-run");
+        let next = send_request(daemon.address, "POST", "/trade-desk/reserve/b").await;
+        assert_ne!(next.verdict(), "not-run", "{}", next.status);
+        assert_eq!(upstream.requests().len(), 2 * round, "each request is sent once");
+    }
+}
+
+#[tokio::test]
+async fn partial_head() {
+    let whole = "HTTP/1.1 200 OK\r\nrattanarch-request: {id}\r\ncontent-length: 0\r\n\r\n";
+    for length in [9, 12, 15, 17, 30, 42, 55, 60, whole.len() - 2, whole.len() - 1] {
+        let text = whole[..length].to_owned();
+        let upstream = FakeUpstream::start(move |_, _| Reply::RawThenClose(text.clone())).await;
+        let daemon = TestDaemon::start(upstream.address, SHORT);
+        let response = send_request(daemon.address, "POST", "/trade-desk/reserve/a").await;
+        assert_eq!((response.status, response.verdict()), (502, "may-have-run"), "{length}");
+    }
+}
+
 #[tokio::test]
 async fn missing_length() {
     let text = "HTTP/1.1 200 OK\r\nrattanarch-request: {id}\r\n\r\nhalf";
--- a/crates/rattanarchd/tests/mesh_support/mod.rs
+++ b/crates/rattanarchd/tests/mesh_support/mod.rs
@@ -6,6 +6,7 @@
 mod busy_peer;
 mod daemon;
 mod delayed_proxy;
+mod faulty_proxy;
 mod peers;
 mod site;
 
@@ -13,6 +14,9 @@
 pub use busy_peer::busy_peer_until;
 pub use daemon::Daemon;
 pub use delayed_proxy::delayed_proxy;
+pub use faulty_proxy::Fault;
+pub use faulty_proxy::FaultSwitch;
+pub use faulty_proxy::faulty_proxy;
 pub use peers::PeerResponse;
 pub use peers::Peers;
 pub use site::Site;
--- a/crates/rattanarchd/tests/mesh_support/site.rs
+++ b/crates/rattanarchd/tests/mesh_support/site.rs
@@ -14,6 +14,8 @@
 
 use super::daemon::Addresses;
 use super::daemon::Daemon;
+use super::faulty_proxy::FaultSwitch;
+use super::faulty_proxy::faulty_proxy;
 
 /// A store, and machines with one upstream and one daemon each. The two lists are in the same order.
 pub struct Site {
@@ -75,6 +77,21 @@
         self.upstreams.push(upstream);
     }
 
+    /// Like [`Site::add`], with a proxy between the daemon and its upstream; returns the switch of its fault.
+    pub fn add_behind_proxy(&mut self, service: &str, instance: &str, centre: &str) -> FaultSwitch {
+        let addresses = Addresses::allocate();
+        let mut own = addresses.upstream;
+        own.set_port(own.port() + 1_000);
+        let daemon = Daemon::start(instance, service, centre, addresses, self.store.address);
+        let id = format!("i-{instance}-1");
+        let pair = (own, addresses.upstream);
+        let upstream = Upstream::start_behind(service, &id, pair, addresses.control);
+        let switch = faulty_proxy(addresses.upstream, own);
+        self.daemons.push(daemon);
+        self.upstreams.push(upstream);
+        switch
+    }
+
     /// Waits until every daemon is ready, all keys are held and every member has witnesses.
     pub fn wait_served(&self) {
         wait_until("every daemon is ready", || {
