Try a key's owner again if its upstream had not applied the grant yet

Callers were told 502 or 503 although the next owner of a lost one had them 9 ms after its grant was sent: its daemon admits a request once the reply to the heartbeat with the grant is out, the upstream refuses until it has applied it (421, not run), and the caller's daemon gave up with 1.5 s left (known red owner_lost, next_owner_runs, next_owner_fails). The refusal is known not to have run and its daemon has the next try wait for the next heartbeat, so it is worth one, from the share of repeats and within three refusals.

grant_not_applied fails before with 503 no-grant.

--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -322,6 +322,8 @@
             Reason::NotOwner => self.wait_for_new_owner(target).await,
             // An upstream that refuses only some requests may accept the next one.
             Reason::UpstreamRefused => Ok(()),
+            // The upstream had not applied its grant yet. Its daemon has the next attempt wait for the next heartbeat.
+            Reason::NoGrant if refusal.by_upstream => Ok(()),
             _ => Err(GiveUp::Elsewhere),
         }
     }
--- a/crates/rattanarchd/tests/mesh_serving.rs
+++ b/crates/rattanarchd/tests/mesh_serving.rs
@@ -50,6 +50,21 @@
     assert_eq!(site.run_ids(), ["c1"]);
 }
 
+/// A request that its upstream refuses because it has not applied the grant of the key yet is served once it has.
+#[test]
+fn grant_not_applied() {
+    let site = Site::start(1, 1);
+    for (index, daemon) in [0, 1].into_iter().enumerate() {
+        site.upstreams[0].misdirect(1);
+        let read = site.get(daemon, "/stock/crayfish", &format!("g{index}"), 5);
+        assert_eq!((read.status, read.stamped), (200, true), "{read:?}");
+        site.upstreams[0].misdirect(1);
+        let write = site.post(daemon, "/hold/batch", &format!("w{index}"), 5, "one crate");
+        assert_eq!((write.status, write.stamped), (200, true), "{write:?}");
+    }
+    assert_eq!(site.run_ids(), ["g0", "w0", "g1", "w1"]);
+}
+
 /// A request that one instance of a service without keys refuses goes to another instance, even if the caller has set
 /// a key.
 #[test]
