--- a/crates/rattanarch_admission/src/rate_limiter.rs
+++ b/crates/rattanarch_admission/src/rate_limiter.rs
@@ -8,19 +8,20 @@
 /// catch up on requests that its start delayed.
 const COLD_RATE_FACTOR: f64 = 1.1;
 
-/// Requests that may be sent at once after a pause. Small enough to stay below any limit on a whole second.
+/// Smallest burst after a pause, in requests. Small enough to stay below any limit on a whole second.
 const MIN_BURST: f64 = 3.0;
 
-/// The same as a time at the limited rate: timers that fire this late on a busy machine cost no requests.
+/// Time at the limited rate that a burst may make up for, so that timers which fire late on a busy machine cost no
+/// requests.
 const BURST_TIME: Duration = Duration::from_millis(50);
 
-/// Rate below which a limit counts as this rate where a duration is computed from it.
+/// Lowest rate from which a duration is computed, in requests a second: a limit may be zero.
 const MIN_RATE: f64 = 1.0 / 60.0;
 
-/// Token bucket that limits the rate of requests to an upstream, while it is cold to the rate that operators
-/// configure, and while the upstream itself names a limit to that.
+/// Token bucket for the requests to one upstream. While the upstream is cold, the rate is 1.1 times the one that
+/// operators configure; while it names a limit itself, that limit; the lower one if both hold.
 ///
-/// In any second it admits at most the limit, or 1.1 times the rate of a cold upstream, and a burst.
+/// In any second it admits at most the rate and a burst of three requests or 50 ms at that rate.
 ///
 /// ```
 /// use std::time::Duration;
