review: case 1, a fence that is used again after skipped record versions

Cause: Grants::apply_record clears the fence of a slice only when it applies a record that shows another owner. A daemon that learns several versions at once never applies that one and grants the slice under the fence it had before.

--- a/review/standins/src/endpoint.rs
+++ b/review/standins/src/endpoint.rs
@@ -71,7 +71,7 @@
 #[derive(Clone)]
 pub struct Endpoint {
     pub options: Arc<EndpointOptions>,
-    life: Life,
+    pub life: Life,
     born: u64,
     state: Arc<Mutex<State>>,
     ended: Arc<AtomicBool>,
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -11,6 +11,9 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -56,6 +59,19 @@
     watches: Arc<AtomicU32>,
 }
 
+/// A write of an object that was accepted.
+#[derive(Clone, Debug)]
+pub struct Write {
+    /// Where the writer reaches the store.
+    pub door: SocketAddr,
+    pub kind: String,
+    pub name: String,
+    pub spec: Json,
+}
+
+/// Time that an answer to a write takes, after it has taken effect.
+const WRITE_ANSWER_TIME: Duration = Duration::from_millis(4);
+
 impl Door {
     /// Whether the machine waits for changes of evacuations, as a daemon does that follows the store.
     pub fn follows(&self) -> bool {
@@ -68,6 +84,8 @@
     ip: Ipv4Addr,
     shared: Arc<(Mutex<State>, Condvar)>,
     record: Record,
+    /// Told of each accepted write of a daemon before its answer is sent.
+    observer: Arc<Mutex<Option<Sender<Write>>>>,
 }
 
 impl Store {
@@ -75,7 +93,7 @@
     pub fn start(ip: Ipv4Addr, record: &Record) -> Self {
         let shared: Arc<(Mutex<State>, Condvar)> = Arc::default();
         shared.0.lock().expect("no thread has panicked").era = 1;
-        Self { ip, shared, record: record.clone() }
+        Self { ip, shared, record: record.clone(), observer: Arc::default() }
     }
 
     /// Opens an address for one machine.
@@ -91,6 +109,13 @@
         door
     }
 
+    /// Returns the accepted writes of daemons from now on, each before its answer is sent.
+    pub fn observe(&self) -> Receiver<Write> {
+        let (sender, receiver) = channel();
+        *self.observer.lock().expect("no thread has panicked") = Some(sender);
+        receiver
+    }
+
     /// Rejects the machine of `door` with 503, its waiting watches too, or serves it again.
     pub fn turn_away(&self, door: &Door, away: bool) {
         door.turned_away.store(away, Ordering::SeqCst);
@@ -235,6 +260,20 @@
                 "store {} {path} version {version:?} on revision {expected:?}: {}, revision {}",
                 request.method(), answer.status, state.now.revision
             ));
+            if (200..300).contains(&answer.status) {
+                drop(state);
+                self.shared.1.notify_all();
+                let observer = self.observer.lock().expect("no thread has panicked").clone();
+                if let Some(observer) = observer {
+                    let mut parts = path.trim_start_matches("/objects/").splitn(2, '/');
+                    let kind = parts.next().unwrap_or_default().to_owned();
+                    let name = parts.next().unwrap_or_default().to_owned();
+                    let spec = body.get("spec").cloned().unwrap_or(Json::Null);
+                    let _ = observer.send(Write { door: door.address, kind, name, spec });
+                }
+                std::thread::sleep(WRITE_ANSWER_TIME);
+                return (answer, era);
+            }
         }
         self.shared.1.notify_all();
         (answer, era)
