review: stand-ins, answers of the store that take 4 ms

The store stand-in answers a watch 4 ms after its first change, with all that has changed by then, and a write 4 ms after it has taken effect (SYSTEM.md: 4 ms an answer).

--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -69,8 +69,8 @@
     pub spec: Json,
 }
 
-/// Time that an answer to a write takes, after it has taken effect.
-const WRITE_ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Time that an answer takes: to a write after it has taken effect, to a watch from its first change on.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
 
 impl Door {
     /// Whether the machine waits for changes of evacuations, as a daemon does that follows the store.
@@ -271,7 +271,7 @@
                     let spec = body.get("spec").cloned().unwrap_or(Json::Null);
                     let _ = observer.send(Write { door: door.address, kind, name, spec });
                 }
-                std::thread::sleep(WRITE_ANSWER_TIME);
+                std::thread::sleep(ANSWER_TIME);
                 return (answer, era);
             }
         }
@@ -279,14 +279,15 @@
         (answer, era)
     }
 
-    fn watch(
-        &self,
-        mut state: MutexGuard<'_, State>,
+    fn watch<'a>(
+        &'a self,
+        mut state: MutexGuard<'a, State>,
         (kind, from, wait): (&str, u64, Duration),
         door: &Door,
     ) -> (Answer, u64) {
         let end = Instant::now() + wait;
         let begun = state.era;
+        let mut first_change: Option<Instant> = None;
         loop {
             let era = state.era;
             if state.away || era != begun || door.turned_away.load(Ordering::SeqCst) {
@@ -306,6 +307,15 @@
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
+            if !events.is_empty() {
+                let since = *first_change.get_or_insert_with(Instant::now);
+                if since.elapsed() < ANSWER_TIME {
+                    drop(state);
+                    std::thread::sleep(ANSWER_TIME.saturating_sub(since.elapsed()));
+                    state = self.lock();
+                    continue;
+                }
+            }
             if !events.is_empty() || left.is_zero() {
                 let body = Json::Object(vec![
                     ("events".to_owned(), Json::List(events)),
