--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,6 +3,6 @@
 cd "$(dirname "$0")" || exit 2
 CASE_DIR=$PWD ROOT=$(cd ../.. && pwd) TROUBLE=${TROUBLE:-1}
 export CASE_DIR ROOT TROUBLE
-program=$ROOT/target/review/release/skipped_records
+program=$ROOT/target/review/release/store_drill_first
 [ -x "$program" ] || { echo "build it first: review/build.sh"; exit 2; }
 exec "$program"
