--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,6 +3,6 @@
 cd "$(dirname "$0")" || exit 2
 CASE_DIR=$PWD ROOT=$(cd ../.. && pwd) TROUBLE=${TROUBLE:-1}
 export CASE_DIR ROOT TROUBLE
-program=$ROOT/target/review/release/evacuation_drill
+program=$ROOT/target/review/release/evacuation_swap
 [ -x "$program" ] || { echo "build it first: review/build.sh"; exit 2; }
 exec "$program"
