Apply all changes of the evacuations in one response of the store

What callers saw: of two changes of the evacuations in one response to a watch, only the first took effect.

Cause: each change became a set of its own, built on the known one, and all sets of one response got the revision of the response. `learn_evacuated` takes only a higher revision, so that the second set was dropped without a line; the watch went on after it, and peers got the wrong set under the right revision.

Evidence: `changes_together` failed on (`["centre-1"] not evacuated: (.., [])`), also with a single follower, which rules out the order of gossip.

Why it works: the watcher keeps the names that its listing and the changes since have shown, applies all changes of a response to them, and tells the result as of the response's revision.

Related path, found by reading: a set with the same names at a later revision is no change, so a follower that saw an evacuation end and begin again in one response kept the older revision, and took a peer's set from in between as newer. `overtaken_set` failed on too. The process now remembers up to which revision the store itself has confirmed its set; an overtaken set of a peer is rejected, and the known one is told at that revision. Configurations and records are not affected: each has a version of its own, and each object of a response is applied.

--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -28,7 +28,7 @@
 use crate::process::Shared;
 use crate::process::learn_configuration;
 use crate::process::learn_configuration_changes;
-use crate::process::learn_evacuated;
+use crate::process::learn_evacuated_from_peer;
 use crate::process::learn_record;
 use crate::process::learn_record_changes;
 use crate::request::responses;
@@ -323,7 +323,7 @@
         outcome = "put-off";
     }
     if let Some(evacuated) = snapshot.evacuated {
-        learn_evacuated(shared, evacuated, "peer");
+        learn_evacuated_from_peer(shared, evacuated);
     }
     for (revision, spec) in snapshot.records {
         match StoredRecord::decode(&spec) {
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -18,7 +18,7 @@
 pub(crate) use meters::RequestLabels;
 pub(crate) use records::learn_configuration;
 pub(crate) use records::learn_configuration_changes;
-pub(crate) use records::learn_evacuated;
+pub(crate) use records::learn_evacuated_from_peer;
 pub(crate) use records::learn_record;
 pub(crate) use records::learn_record_changes;
 pub(crate) use records::read_record;
--- a/crates/rattanarch_mesh/src/process/records.rs
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -71,18 +71,32 @@
     }
 }
 
-/// Learns the evacuated data centres from `source`.
-pub(crate) fn learn_evacuated(shared: &Rc<Shared>, evacuated: Evacuated, source: &str) {
+/// Learns the evacuated data centres that the store has at a revision.
+pub(crate) fn learn_evacuated_from_store(shared: &Rc<Shared>, evacuated: Evacuated) {
     let now = shared.now();
-    let names: Vec<String> = evacuated.names().cloned().collect();
-    let revision = evacuated.revision;
-    if shared.knowledge.borrow_mut().learn_evacuated(now, evacuated) {
-        log::info!(revision = revision, out:% = names.join(","), source:% = source;
-            "data centres taken out");
-        control::push_digest(shared);
-        control::maintain(shared);
-        shared.state_changed.notify_waiters();
+    let learned = shared.knowledge.borrow_mut().learn_evacuated_from_store(now, evacuated);
+    react_to_evacuated(shared, learned, "store");
+}
+
+/// Learns the evacuated data centres that a peer knows.
+pub(crate) fn learn_evacuated_from_peer(shared: &Rc<Shared>, evacuated: Evacuated) {
+    let now = shared.now();
+    let learned = shared.knowledge.borrow_mut().learn_evacuated_from_peer(now, evacuated);
+    react_to_evacuated(shared, learned, "peer");
+}
+
+/// Acts on the evacuated data centres from `source` if they have been `learned`, or confirmed at a later revision.
+fn react_to_evacuated(shared: &Rc<Shared>, learned: bool, source: &str) {
+    if !learned {
+        return;
     }
+    let evacuated = Rc::clone(shared.knowledge.borrow().evacuated());
+    let names: Vec<&str> = evacuated.names().map(String::as_str).collect();
+    log::info!(revision = evacuated.revision, out:% = names.join(","), source:% = source;
+        "data centres taken out");
+    control::push_digest(shared);
+    control::maintain(shared);
+    shared.state_changed.notify_waiters();
 }
 
 /// Learns a record. `read_sent` is the time at which a read was sent that the store has just answered with it.
--- a/crates/rattanarch_mesh/src/process/watcher.rs
+++ b/crates/rattanarch_mesh/src/process/watcher.rs
@@ -1,8 +1,10 @@
 //! Lists and watches the store's objects of one kind.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
+use rattanarch_adapter::Change;
 use rattanarch_adapter::Changes;
 use rattanarch_adapter::Freshness;
 use rattanarch_adapter::Listing;
@@ -11,10 +13,11 @@
 use rattanarch_adapter::StoredRecord;
 use rattanarch_adapter::kind;
 use rattanarch_process::random_fraction;
+use rattanarch_types::DataCentreName;
 
 use crate::process::Shared;
 use crate::process::records::learn_configuration;
-use crate::process::records::learn_evacuated;
+use crate::process::records::learn_evacuated_from_store;
 use crate::process::records::learn_record;
 use crate::version::Evacuated;
 
@@ -77,9 +80,9 @@
         match shared.store.list(watched.kind(), freshness).await {
             Ok(listing) => {
                 shared.record_store_result(true, &"");
-                let revision = listing.revision;
+                let listed = Listed::from(&listing);
                 apply_listing(&shared, watched, listing);
-                if watch(&shared, watched, revision).await {
+                if watch(&shared, watched, listed).await {
                     backoff = INITIAL_BACKOFF;
                 } else {
                     // Another stale list could again be older than the history that the store keeps.
@@ -138,20 +141,49 @@
     *backoff = (*backoff * 2).min(MAX_BACKOFF);
 }
 
-/// Applies changes after `revision` until the store no longer has them; returns whether it answered any call.
-async fn watch(shared: &Rc<Shared>, watched: WatchedKind, mut revision: u64) -> bool {
+/// What a listing and the watches that continue it have shown so far.
+struct Listed {
+    /// Names of the objects of the kind.
+    names: BTreeSet<String>,
+    /// Revision from which the next watch continues.
+    revision: u64,
+}
+
+impl From<&Listing> for Listed {
+    fn from(listing: &Listing) -> Self {
+        let names = listing.objects.iter().map(|object| object.name.clone()).collect();
+        Self { names, revision: listing.revision }
+    }
+}
+
+impl Listed {
+    /// Applies the changes of one response, in order.
+    fn apply(&mut self, changes: &Changes) {
+        for Change { object, removed } in &changes.changes {
+            if *removed {
+                self.names.remove(&object.name);
+            } else {
+                self.names.insert(object.name.clone());
+            }
+        }
+        self.revision = changes.revision;
+    }
+}
+
+/// Applies changes after those in `listed` until the store no longer has them; returns whether it answered any call.
+async fn watch(shared: &Rc<Shared>, watched: WatchedKind, mut listed: Listed) -> bool {
     let mut backoff = INITIAL_BACKOFF;
     let mut answered = false;
     loop {
         await_store(shared, watched).await;
         let (kind, freshness) = (watched.kind(), watched.freshness());
-        match shared.store.watch(kind, revision, WATCH_WAIT, freshness).await {
+        match shared.store.watch(kind, listed.revision, WATCH_WAIT, freshness).await {
             Ok(changes) => {
                 shared.record_store_result(true, &"");
                 backoff = INITIAL_BACKOFF;
                 answered = true;
-                revision = changes.revision;
-                apply_changes(shared, watched, changes);
+                listed.apply(&changes);
+                apply_changes(shared, watched, changes, &listed);
                 if watched == WatchedKind::Records {
                     let daemons = shared.knowledge.borrow().daemon_count();
                     tokio::time::sleep(record_interval(daemons)).await;
@@ -175,7 +207,7 @@
         }
         WatchedKind::Evacuations => {
             let names = listing.objects.into_iter().map(|object| object.name);
-            apply_evacuated(shared, Evacuated::new(listing.revision, names));
+            learn_evacuated_from_store(shared, Evacuated::new(listing.revision, names));
         }
         WatchedKind::Records => {
             shared.knowledge.borrow_mut().records_listed = true;
@@ -187,22 +219,23 @@
     }
 }
 
-fn apply_changes(shared: &Rc<Shared>, watched: WatchedKind, changes: Changes) {
+/// Applies the changes of one response, which led to what is in `listed`.
+fn apply_changes(shared: &Rc<Shared>, watched: WatchedKind, changes: Changes, listed: &Listed) {
+    if watched == WatchedKind::Evacuations {
+        if !changes.changes.is_empty() {
+            // A response may hold several changes under one revision: only their result is as of that revision.
+            let names: BTreeSet<DataCentreName> = listed.names.clone();
+            learn_evacuated_from_store(shared, Evacuated::new(changes.revision, names));
+        }
+        return;
+    }
     for change in changes.changes {
         match watched {
             WatchedKind::Configuration if !change.removed => {
                 apply_configuration(shared, change.object);
             }
             WatchedKind::Records if !change.removed => apply_record(shared, &change.object),
-            WatchedKind::Evacuations => {
-                let known = Rc::clone(shared.knowledge.borrow().evacuated());
-                let name = change.object.name;
-                let others = known.names().filter(|other| **other != name).cloned();
-                let added = (!change.removed).then(|| name.clone());
-                let names: Vec<_> = others.chain(added).collect();
-                apply_evacuated(shared, Evacuated::new(changes.revision, names));
-            }
-            WatchedKind::Configuration | WatchedKind::Records => {
+            WatchedKind::Configuration | WatchedKind::Records | WatchedKind::Evacuations => {
                 log::warn!(kind:% = watched.kind(), name:% = change.object.name; "object removed");
             }
         }
@@ -215,14 +248,6 @@
     }
 }
 
-fn apply_evacuated(shared: &Rc<Shared>, evacuated: Evacuated) {
-    let known = Rc::clone(shared.knowledge.borrow().evacuated());
-    // The same names at a later revision are no change.
-    if known.revision == 0 || !known.is_same(&evacuated) {
-        learn_evacuated(shared, evacuated, "store");
-    }
-}
-
 fn apply_record(shared: &Rc<Shared>, object: &StoredObject) {
     match StoredRecord::decode(&object.spec) {
         Ok(record) if record.service == object.name => {
--- a/crates/rattanarch_mesh/src/version/knowledge.rs
+++ b/crates/rattanarch_mesh/src/version/knowledge.rs
@@ -63,6 +63,9 @@
     routes: Option<Rc<RouteTable>>,
     configuration: KnownConfiguration,
     evacuated: Rc<Evacuated>,
+    /// Newest revision at which the store itself showed the set in `evacuated`; never before the revision of that set
+    /// unless a peer has sent it.
+    evacuated_seen: u64,
     records: BTreeMap<ServiceName, KnownRecord>,
     /// Members in the first known record of each service.
     initial_members: BTreeMap<ServiceName, BTreeSet<BootId>>,
@@ -212,14 +215,45 @@
         if known.needs_full { VersionHash { hash: 0, ..known.base } } else { known.base }
     }
 
-    /// Applies a set of evacuated data centres if its revision is newer; returns whether it is.
-    pub(crate) fn learn_evacuated(&mut self, now: Moment, evacuated: Evacuated) -> bool {
+    /// Applies the set of evacuated data centres that the store has shown; returns whether it changes the known set.
+    ///
+    /// The same set at a later revision is no change, so that listings alone cause no traffic between daemons.
+    pub(crate) fn learn_evacuated_from_store(&mut self, now: Moment, evacuated: Evacuated) -> bool {
+        if evacuated.revision <= self.evacuated.revision.max(self.evacuated_seen) {
+            return false;
+        }
+        self.evacuated_seen = evacuated.revision;
+        let first = self.evacuated.revision == 0;
+        let changes = first || !self.evacuated.is_same(&evacuated);
+        if changes {
+            self.set_evacuated(now, evacuated);
+        }
+        changes
+    }
+
+    /// Applies a peer's set of evacuated data centres if its revision is newer; returns whether the known set or its
+    /// revision is newer now.
+    ///
+    /// A set that the store has overtaken here is rejected. The known one then gets the revision at which the store
+    /// showed it, so that the peer learns it.
+    pub(crate) fn learn_evacuated_from_peer(&mut self, now: Moment, evacuated: Evacuated) -> bool {
         if evacuated.revision <= self.evacuated.revision {
             return false;
         }
+        let overtaken = evacuated.revision <= self.evacuated_seen;
+        if overtaken && !self.evacuated.is_same(&evacuated) {
+            let mut known = Evacuated::clone(&self.evacuated);
+            known.revision = self.evacuated_seen;
+            self.set_evacuated(now, known);
+        } else {
+            self.set_evacuated(now, evacuated);
+        }
+        true
+    }
+
+    fn set_evacuated(&mut self, now: Moment, evacuated: Evacuated) {
         let evacuated = evacuated.with_times_from(now, &self.evacuated);
         self.evacuated = Rc::new(evacuated);
-        true
     }
 
     /// Applies a record if it is newer than the known one; returns whether it is.
--- a/crates/rattanarchd/tests/mesh_support/peers.rs
+++ b/crates/rattanarchd/tests/mesh_support/peers.rs
@@ -44,6 +44,7 @@
     socket: UdpSocket,
     codec: Codec,
     configuration: Arc<Mutex<Value>>,
+    evacuated: Arc<Mutex<Value>>,
     fetches: Arc<FetchCounts>,
     response: Arc<Mutex<PeerResponse>>,
     /// Whether the first peer stalls in the middle of each response.
@@ -63,12 +64,14 @@
 impl Peers {
     /// Starts `count` peers, which are reached over `link`.
     pub fn start(count: usize, link: &ThrottledLink) -> Self {
-        let configuration = Arc::default();
+        let (configuration, evacuated) = (Arc::default(), Arc::default());
         let fetches = Arc::default();
         let stalled: Arc<AtomicBool> = Arc::default();
         let response = Arc::default();
         let stalled_at = |index| if index == 0 { Arc::clone(&stalled) } else { Arc::default() };
-        let start = |index| start_peer(&configuration, &fetches, &response, &stalled_at(index));
+        let start = |index| {
+            start_peer((&configuration, &evacuated), &fetches, &response, &stalled_at(index))
+        };
         let addresses = (0..count).map(|index| link.proxy_to(start(index))).collect();
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         Self {
@@ -76,12 +79,18 @@
             socket,
             codec: Codec::new(SECRET),
             configuration,
+            evacuated,
             fetches,
             response,
             stalled,
         }
     }
 
+    /// Sets the evacuated data centres that all peers know, as of the store's `revision`.
+    pub fn set_evacuated(&self, revision: u64, centres: &[&str]) {
+        *self.evacuated.lock().unwrap() = json!({ "revision": revision, "centres": centres });
+    }
+
     /// Sets the configuration that all peers have.
     pub fn set_configuration(&self, configuration: Value) {
         *self.configuration.lock().unwrap() = configuration;
@@ -115,7 +124,7 @@
             configuration: self.configuration.lock().unwrap()["version"]
                 .as_u64()
                 .unwrap_or_default(),
-            evacuated: 0,
+            evacuated: self.evacuated.lock().unwrap()["revision"].as_u64().unwrap_or_default(),
             records: [].into(),
             affects_receiver: false,
             age_ms: None,
@@ -138,7 +147,7 @@
 
 /// Starts a peer and returns its address.
 fn start_peer(
-    configuration: &Arc<Mutex<Value>>,
+    (configuration, evacuated): (&Arc<Mutex<Value>>, &Arc<Mutex<Value>>),
     fetches: &Arc<FetchCounts>,
     response: &Arc<Mutex<PeerResponse>>,
     stalled: &Arc<AtomicBool>,
@@ -147,12 +156,16 @@
     let address = listener.local_addr().unwrap();
     let (configuration, fetches, stalled) =
         (Arc::clone(configuration), Arc::clone(fetches), Arc::clone(stalled));
+    let evacuated = Arc::clone(evacuated);
     let response = Arc::clone(response);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (configuration, fetches) = (Arc::clone(&configuration), Arc::clone(&fetches));
             let (response, stalled) = (Arc::clone(&response), Arc::clone(&stalled));
-            thread::spawn(move || respond(stream, &configuration, &fetches, &response, &stalled));
+            let evacuated = Arc::clone(&evacuated);
+            thread::spawn(move || {
+                respond(stream, (&configuration, &evacuated), &fetches, &response, &stalled);
+            });
         }
     });
     address
@@ -160,7 +173,7 @@
 
 fn respond(
     mut stream: TcpStream,
-    configuration: &Mutex<Value>,
+    (configuration, evacuated): (&Mutex<Value>, &Mutex<Value>),
     fetches: &FetchCounts,
     response: &Mutex<PeerResponse>,
     stalled: &AtomicBool,
@@ -176,6 +189,10 @@
         let response = if has_base { response.lock().unwrap().clone() } else { PeerResponse::Full };
         let mut snapshot =
             json!({ "configuration": null, "evacuated": null, "records": [], "changes": [] });
+        let evacuated = evacuated.lock().unwrap().clone();
+        if evacuated["revision"].as_u64() > request["evacuated"].as_u64() {
+            snapshot["evacuated"] = evacuated;
+        }
         match &response {
             PeerResponse::Changes(changes) => snapshot["configuration_changes"] = changes.clone(),
             PeerResponse::Full if !newer => {}
