Derive fencing tokens from the record alone

Cause: `Grants::apply_record` took a new fence only after it had applied a record that showed another owner. A daemon that learns several versions at once applies the last one only, never saw the version in which the slice was another member's, and kept its fence. Ruled out: a grant sent before the pause (the check leaves out 300 ms after it), and the fences kept over a restart of the daemon alone (the process lives on).

Fix: the record holds the fencing token of each slice, the version that last gave it to another owner. A daemon grants under the record's token, whichever versions it has skipped.

Also looked at, as acting on a transition: witnesses compare terms and members of the two records that they apply, whatever lies between; releases are numbered in the record; handover tokens lie in the record; a slice keeps the fence of the instance's earlier process only if the record before was the direct predecessor.

--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -113,7 +113,8 @@
     let known = knowledge.record(service).cloned();
     let initial_members = knowledge.initial_members(service);
     drop(knowledge);
-    let record = known.map_or_else(|| Record::new(service.clone(), slices), |r| Record::clone(&r));
+    let first = || Record::new(service.clone(), slices).with_fences();
+    let record = known.map_or_else(first, |known| Record::clone(&known));
     let mut control = shared.control.borrow_mut();
     let node = Node::new(random(), own_member(shared), control.timing, random());
     let node =
--- a/crates/rattanarch_mesh/src/process/records.rs
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -155,7 +155,7 @@
         Ok(StoreReply::Read(None)) => {
             shared.knowledge.borrow_mut().records_listed = true;
             let slices = shared.upstream.state.borrow().serving.record.slice_count();
-            let record = Record::new(service, slices);
+            let record = Record::new(service, slices).with_fences();
             control::step(&shared, Event::Record { record, read_sent: Some(sent) });
         }
         Ok(reply) => log::error!(reply:? = reply; "unexpected store response to a read"),
--- a/crates/rattanarch_ownership/src/attempt.rs
+++ b/crates/rattanarch_ownership/src/attempt.rs
@@ -73,7 +73,10 @@
     }
 
     /// Sends the update `record`, which was made from [`Core::draft`].
-    pub(crate) fn write(&mut self, now: Moment, record: Record) {
+    pub(crate) fn write(&mut self, now: Moment, mut record: Record) {
+        if let Some(older) = &self.record {
+            record.update_fences(older);
+        }
         self.actions.push(Action::Write(record.clone()));
         let resend_at = now + ANSWER_TIMEOUT;
         self.attempt = Some(Attempt { record, sent: now, may_be_applied: false, resend_at });
--- a/crates/rattanarch_ownership/src/batcher.rs
+++ b/crates/rattanarch_ownership/src/batcher.rs
@@ -120,6 +120,7 @@
         if batch.apply(&mut draft, self.spread, excluded, alive) == 0 {
             return None;
         }
+        draft.update_fences(record);
         self.in_flight = Some((draft.write_id, now));
         Some(draft)
     }
--- a/crates/rattanarch_ownership/src/grants.rs
+++ b/crates/rattanarch_ownership/src/grants.rs
@@ -24,8 +24,8 @@
 pub struct SliceGrant {
     /// The slice.
     pub slice: SliceId,
-    /// Fencing token, higher than those of all earlier owners: the version of the first applied record that shows the
-    /// member as the owner, or the fence under which the instance's earlier process owned the slice until then.
+    /// Fencing token, higher than those of all earlier owners: that of the record, or the fence under which the
+    /// instance's earlier process owned the slice until this member replaced it.
     pub fence: Fence,
     /// What the previous owner's upstream handed over to the next one.
     pub handover: Option<String>,
@@ -36,6 +36,8 @@
 struct GrantState {
     /// Fence under which the member owns the slice; 0 if it does not.
     fence: Fence,
+    /// The record's fencing token for the slice when `fence` was set.
+    recorded: Fence,
     handover: Option<String>,
     /// Sequence number of the heartbeat that the last grant answered; 0 if there was none.
     sequence: u64,
@@ -65,7 +67,10 @@
 
     /// Applies `record` for the member `me`. A newly owned slice gets `kept(slice)` as its fence if that is `Some`: the
     /// fence under which the upstream already holds the slice for an earlier process of the same instance. Otherwise it
-    /// gets the record's version.
+    /// gets the record's fencing token, or the record's version if there is none.
+    ///
+    /// A slice also counts as newly owned if its token has changed: another member has owned it in a version that was
+    /// not applied here.
     pub fn apply_record(
         &mut self,
         record: &Record,
@@ -77,8 +82,12 @@
             if record.owners.get(slice) != Some(&Some(me)) {
                 state.fence = 0;
                 state.handover = None;
-            } else if state.fence == 0 {
-                state.fence = kept(id).unwrap_or(record.version);
+                continue;
+            }
+            let recorded = record.fence_of(id);
+            if state.fence == 0 || recorded.is_some_and(|token| token != state.recorded) {
+                state.recorded = recorded.unwrap_or(record.version);
+                state.fence = kept(id).unwrap_or(state.recorded);
                 state.handover = record.handovers.get(&id).cloned();
             }
         }
--- a/crates/rattanarch_ownership/tests/grants.rs
+++ b/crates/rattanarch_ownership/tests/grants.rs
@@ -122,3 +122,20 @@
     let (given, _) = grants.renew(ms(1_000), 1, &serving, MAX_GRANT).unwrap();
     assert_eq!(given[0].fence, 4);
 }
+
+/// Guards against a fence that is used again: a daemon that did not apply the version in which another member owned
+/// its slice kept the fence from before.
+#[test]
+fn skipped_owner() {
+    let first = record(5, &[ME, ME]).with_fences();
+    let mut moved = record(6, &[OTHER, ME]);
+    moved.update_fences(&first);
+    let mut returned = record(7, &[ME, ME]);
+    returned.update_fences(&moved);
+    let mut grants = Grants::new(2, Moment::ZERO);
+    grants.apply_record(&first, ME, |_| None);
+    grants.apply_record(&returned, ME, |_| None);
+    let renewed = grants.renew(ms(1_000), 1, &serving(&returned, ms(4_000)), MAX_GRANT);
+    let fences: Vec<_> = renewed.unwrap().0.iter().map(|grant| grant.fence).collect();
+    assert_eq!(fences, [7, 5]);
+}
--- a/crates/rattanarch_types/src/record.rs
+++ b/crates/rattanarch_types/src/record.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::BootId;
+use crate::Fence;
 use crate::KeyHash;
 use crate::Member;
 use crate::ServiceName;
@@ -31,6 +32,11 @@
     /// Owner of each slice, by slice id; `None` before the first member joins or while all
     /// former owners are gone. Each owner is a key of `members`.
     pub owners: Vec<Option<BootId>>,
+    /// Fencing token of each slice: the version that last gave the slice to another owner, so that it depends on nothing
+    /// but the record, whichever versions a reader has skipped. Empty if the slices of the service have no tokens of
+    /// their own; otherwise as long as `owners`, and never above `version`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fences: Vec<Fence>,
     /// Owners of hot keys, which override the owner of the key's slice. Each owner is a key of
     /// `members`.
     pub hot: BTreeMap<KeyHash, BootId>,
@@ -73,6 +79,12 @@
         /// The instance with two members.
         instance: String,
     },
+    /// There are fencing tokens, but not one for each slice, or one is above the version.
+    #[error("fencing tokens of service {service:?} don't fit its slices")]
+    FencesMisfit {
+        /// Service of the record.
+        service: ServiceName,
+    },
     /// A member is its own witness.
     #[error("member {member:#x} of service {service:?} is its own witness")]
     SelfWitness {
@@ -89,6 +101,31 @@
         Self { service: service.into(), owners: vec![None; usize::from(slices)], ..Self::default() }
     }
 
+    /// Gives each slice a fencing token: the record's version, which is above all that were given out before.
+    pub fn with_fences(mut self) -> Self {
+        self.fences = vec![self.version; self.owners.len()];
+        self
+    }
+
+    /// Sets the fencing tokens in a successor of `older`: slices with another owner get the new version, the others keep
+    /// theirs.
+    pub fn update_fences(&mut self, older: &Self) {
+        if older.fences.is_empty() {
+            return;
+        }
+        let version = self.version;
+        let token = |(slice, owner): (usize, &Option<BootId>)| {
+            let unmoved = older.owners.get(slice) == Some(owner);
+            older.fences.get(slice).copied().filter(|_| unmoved).unwrap_or(version)
+        };
+        self.fences = self.owners.iter().enumerate().map(token).collect();
+    }
+
+    /// Fencing token of `slice`; `None` if the slices have no tokens of their own.
+    pub fn fence_of(&self, slice: SliceId) -> Option<Fence> {
+        self.fences.get(usize::from(slice)).copied()
+    }
+
     /// Number of slices; 0 for a service without keys.
     pub fn slice_count(&self) -> SliceId {
         self.owners.len() as SliceId
@@ -139,6 +176,7 @@
     /// The first violated invariant; see [`RecordError`].
     pub fn check(&self) -> Result<(), RecordError> {
         self.check_owners()?;
+        self.check_fences()?;
         self.check_members()
     }
 
@@ -159,6 +197,15 @@
         Ok(())
     }
 
+    fn check_fences(&self) -> Result<(), RecordError> {
+        let fits = self.fences.len() == self.owners.len()
+            && self.fences.iter().all(|fence| *fence <= self.version);
+        if self.fences.is_empty() || fits {
+            return Ok(());
+        }
+        Err(RecordError::FencesMisfit { service: self.service.clone() })
+    }
+
     fn check_members(&self) -> Result<(), RecordError> {
         let mut seen = BTreeSet::new();
         for (&member, state) in &self.members {
--- a/crates/rattanarch_types/src/record_change.rs
+++ b/crates/rattanarch_types/src/record_change.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::BootId;
+use crate::Fence;
 use crate::KeyHash;
 use crate::Member;
 use crate::Record;
@@ -34,6 +35,10 @@
     gained: BTreeMap<BootId, Vec<SliceId>>,
     /// Slices that no longer have an owner.
     freed: Vec<SliceId>,
+    /// Slices whose fencing token differs from what their owners tell, by token: they have changed hands in a version
+    /// between `from` and `to`.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    fenced: BTreeMap<Fence, Vec<SliceId>>,
     /// All hot keys, if any of them changed.
     hot: Option<BTreeMap<KeyHash, BootId>>,
     /// Handovers that are new or changed; `None` for those that were removed.
@@ -46,7 +51,8 @@
     pub fn between(older: &Record, newer: &Record) -> Option<Self> {
         let comparable = older.service == newer.service
             && older.version < newer.version
-            && older.owners.len() == newer.owners.len();
+            && older.owners.len() == newer.owners.len()
+            && older.fences.len() == newer.fences.len();
         if !comparable {
             return None;
         }
@@ -69,6 +75,7 @@
             gone: removed.copied().collect(),
             gained,
             freed,
+            fenced: differing_fences(older, newer),
             hot: (older.hot != newer.hot).then(|| newer.hot.clone()),
             handovers: changed_handovers(older, newer),
         })
@@ -80,6 +87,7 @@
         if record.service != self.service || record.version != self.from || self.to <= self.from {
             return None;
         }
+        let older = record.clone();
         record.version = self.to;
         record.write_id = self.write_id;
         for id in &self.gone {
@@ -92,6 +100,12 @@
                 *record.owners.get_mut(usize::from(*slice))? = owner;
             }
         }
+        record.update_fences(&older);
+        for (fence, slices) in &self.fenced {
+            for slice in slices {
+                *record.fences.get_mut(usize::from(*slice))? = *fence;
+            }
+        }
         if let Some(hot) = &self.hot {
             record.hot.clone_from(hot);
         }
@@ -106,6 +120,20 @@
     }
 }
 
+/// Slices of `newer` whose fencing tokens are not those of a direct successor of `older`.
+fn differing_fences(older: &Record, newer: &Record) -> BTreeMap<Fence, Vec<SliceId>> {
+    let mut direct =
+        Record { version: newer.version, owners: newer.owners.clone(), ..Record::default() };
+    direct.update_fences(older);
+    let mut fenced: BTreeMap<Fence, Vec<SliceId>> = BTreeMap::new();
+    for (slice, (fence, expected)) in newer.fences.iter().zip(&direct.fences).enumerate() {
+        if fence != expected {
+            fenced.entry(*fence).or_default().push(slice as SliceId);
+        }
+    }
+    fenced
+}
+
 fn changed_handovers(older: &Record, newer: &Record) -> BTreeMap<SliceId, Option<String>> {
     let is_changed =
         |(slice, handover): &(&SliceId, &String)| older.handovers.get(*slice) != Some(*handover);
--- a/crates/rattanarch_types/tests/record_changes.rs
+++ b/crates/rattanarch_types/tests/record_changes.rs
@@ -137,3 +137,23 @@
     without_owner.members.remove(&boot(4));
     assert_eq!(change.apply(without_owner), None, "slices of a member that does not exist");
 }
+
+/// The fencing token of a slice that was another member's in between rises, also if only the change over all versions
+/// is known.
+#[test]
+fn tokens_of_skipped() {
+    let first = record(3).with_fences();
+    let mut moved = Record { version: 6, ..first.clone() };
+    moved.owners[0] = Some(boot(2));
+    moved.owners[1] = None;
+    moved.update_fences(&first);
+    let mut last = Record { version: 7, owners: first.owners.clone(), ..moved.clone() };
+    last.owners[1] = Some(boot(3));
+    last.update_fences(&moved);
+    assert_eq!((last.fences[0], last.fences[1], last.fences[2]), (7, 7, 5));
+    let whole = RecordChange::between(&first, &last).expect("a later version");
+    assert_eq!(whole.apply(first.clone()), Some(last.clone()));
+    let steps = [(&first, &moved), (&moved, &last)];
+    let steps = steps.map(|(old, new)| RecordChange::between(old, new).expect("a later version"));
+    assert_eq!(steps[1].apply(steps[0].apply(first).expect("it fits")), Some(last));
+}
--- a/crates/rattanarch_wire/src/record.rs
+++ b/crates/rattanarch_wire/src/record.rs
@@ -117,6 +117,7 @@
             write_id: record.write_id,
             members: members.collect(),
             owners: record.owners,
+            fences: Vec::new(),
             hot: record.hot,
             handovers: record.handovers,
         };
