Survive that the store is restored from an older copy

Cause: a number was taken for an order although its source had gone back. Versions, fences and the revisions of evacuations began again below the known ones; daemons that lived on ignored what was lower, and those that started took the store's copy, or its lack of a record, for the newest state.

A daemon that finds no record waits for those that live on.

Why it works: numbers of different eras never compare as one sequence, and what nobody remembers is waited out by time alone.

--- a/crates/rattanarch_mesh/src/control/change_requests.rs
+++ b/crates/rattanarch_mesh/src/control/change_requests.rs
@@ -98,7 +98,8 @@
     let Some(body) = read_json::<DelegatedRequest>(request, MAX_REQUEST_BYTES).await else {
         return responses::plain(StatusCode::BAD_REQUEST, "malformed petition".to_owned());
     };
-    let ready = *shared.phase.borrow() == Phase::Open && shared.knowledge.borrow().records_listed;
+    let ready =
+        *shared.phase.borrow() == Phase::Open && shared.knowledge.borrow().listed_at.is_some();
     let taken = ready && body.service == shared.settings.service && !shared.is_store_unreachable();
     if taken {
         enqueue(shared, body.petition);
@@ -128,7 +129,9 @@
     let now = shared.now();
     let mut control = shared.control.borrow_mut();
     let control = &mut *control;
-    if let Some(draft) = control.batcher.draft(now, &record, &control.excluded, &alive) {
+    let mut base = Record::clone(&record);
+    control.restore_wait.settle(now, &mut base);
+    if let Some(draft) = control.batcher.draft(now, &base, &control.excluded, &alive) {
         tokio::task::spawn_local(write_batch(Rc::clone(shared), draft));
     }
 }
--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -15,7 +15,9 @@
 use rattanarch_dissemination::MissingState;
 use rattanarch_dissemination::VersionHash;
 use rattanarch_dissemination::fetch_timeout;
+use rattanarch_ownership::Node;
 use rattanarch_process::random_index;
+use rattanarch_types::BootId;
 use rattanarch_types::Record;
 use rattanarch_types::Version;
 use rattanarch_types::hash_key;
@@ -69,6 +71,12 @@
     send_digest(shared, &digest, members.map(|member| member.peer));
 }
 
+/// Sends all members of `record` a digest that marks it as one to act on.
+pub(crate) fn push_digest_to_members(shared: &Shared, record: &Record) {
+    let digest = Digest { affects_receiver: true, ..digest(shared) };
+    send_digest(shared, &digest, record.members.values().map(|member| member.peer));
+}
+
 /// Sends `peers` a digest that marks the newest record as one to act on, after this daemon has joined.
 pub(crate) fn announce_join(shared: &Shared, peers: &[SocketAddr]) {
     let digest = Digest { affects_receiver: true, ..digest(shared) };
@@ -114,7 +122,7 @@
     Digest {
         state_address: shared.settings.listen.peers,
         configuration: versions.configuration,
-        evacuated: versions.evacuated,
+        evacuated: versions.evacuated.into(),
         records: versions.records.iter().map(|(name, v)| (hash_key(name), *v)).collect(),
         affects_receiver: false,
         age_ms: age.filter(|age| *age < FOLLOWER_TIMEOUT).map(|age| age.as_millis() as u32),
@@ -270,6 +278,23 @@
     start_fetches(shared);
 }
 
+/// Fetches from the daemon at `peer` what it knows that is newer, except for the configuration; returns the boot id under
+/// which it takes part in ownership, or `None` if it did not respond in time.
+pub(crate) async fn query_state(shared: &Rc<Shared>, peer: SocketAddr) -> Option<BootId> {
+    let request = Fetch { peer, configuration: false };
+    match fetch(shared, request).await {
+        Ok(snapshot) => {
+            let boot = snapshot.boot;
+            apply_snapshot(shared, snapshot, request, VersionHash::default());
+            Some(boot)
+        }
+        Err(reason) => {
+            log::warn!(peer:% = peer, reason:% = reason; "state not fetched");
+            None
+        }
+    }
+}
+
 async fn fetch(shared: &Shared, request: Fetch) -> Result<Snapshot, FetchError> {
     let mut versions = shared.knowledge.borrow().versions();
     if !request.configuration {
@@ -325,14 +350,14 @@
     if let Some(evacuated) = snapshot.evacuated {
         learn_evacuated_from_peer(shared, evacuated);
     }
-    for (revision, spec) in snapshot.records {
+    for (position, spec) in snapshot.records {
         match StoredRecord::decode(&spec) {
-            Ok(record) => learn_record(shared, record, revision, None),
+            Ok(record) => learn_record(shared, record, position, None),
             Err(error) => log::warn!(reason:% = error; "peer's record malformed"),
         }
     }
-    for (revision, changes) in snapshot.changes {
-        learn_record_changes(shared, changes, revision);
+    for (position, changes) in snapshot.changes {
+        learn_record_changes(shared, changes, position);
     }
     outcome
 }
@@ -352,5 +377,6 @@
         versions.configuration = Version::MAX;
     }
     let newer = shared.knowledge.borrow().newer_than(&versions);
-    responses::serialized(&Snapshot { put_off: deferred, ..newer })
+    let boot = shared.control.borrow().node.as_ref().map(Node::me).unwrap_or_default();
+    responses::serialized(&Snapshot { put_off: deferred, boot, ..newer })
 }
--- a/crates/rattanarch_mesh/src/control/mod.rs
+++ b/crates/rattanarch_mesh/src/control/mod.rs
@@ -19,6 +19,8 @@
 pub(crate) use gossip::push_digest;
 pub(crate) use gossip::push_digest_to_affected;
 pub(crate) use gossip::push_digest_to_group;
+pub(crate) use gossip::push_digest_to_members;
+pub(crate) use gossip::query_state;
 pub(crate) use gossip::refresh_records;
 pub(crate) use gossip::schedule_record_fetch;
 pub(crate) use node::begin_life;
--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -25,10 +25,12 @@
 use crate::control::schedule_record_fetch;
 use crate::control::slice_drain;
 use crate::process::Shared;
+use crate::process::first_record;
 use crate::process::read_record;
 use crate::process::write_record;
 use crate::upstream::check_if_due;
 use crate::upstream::slices_within;
+use crate::version::Knowledge;
 
 /// Number of slices of a service that is divided by key: 16 neighbouring keys each, so that busy keys close to
 /// one another can have different owners.
@@ -40,6 +42,10 @@
 /// Minimum interval between two ticks.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after a listing without a record within which daemons that live on have written the record back: they notice
+/// within a second that the store is back, and query each other before they write.
+const RESTORE_TIME: Duration = Duration::from_secs(3);
+
 /// Drives the node by regular ticks, until the process ends.
 pub(crate) async fn run(shared: Rc<Shared>) {
     let interval = (shared.control.borrow().timing.heartbeat / 10).max(MIN_TICK_INTERVAL);
@@ -106,15 +112,14 @@
     else {
         return;
     };
-    if knowledge.record(service).is_none() && !knowledge.records_listed {
+    if knowledge.record(service).is_none() && !may_found_service(shared, &knowledge) {
         return;
     }
     let slices = if keyed { SLICES } else { 0 };
     let known = knowledge.record(service).cloned();
     let initial_members = knowledge.initial_members(service);
     drop(knowledge);
-    let first = || Record::new(service.clone(), slices).with_fences();
-    let record = known.map_or_else(first, |known| Record::clone(&known));
+    let record = known.map_or_else(|| first_record(shared, slices), |known| Record::clone(&known));
     let mut control = shared.control.borrow_mut();
     let node = Node::new(random(), own_member(shared), control.timing, random());
     let node =
@@ -126,6 +131,16 @@
     step(shared, Event::Record { record, read_sent: None });
 }
 
+/// Whether this daemon may write the first record of its service, given that it knows none.
+///
+/// A store that was restored from an older copy may have lost the record of a service that lives on. Its daemons write
+/// the record back soon after.
+fn may_found_service(shared: &Shared, knowledge: &Knowledge) -> bool {
+    let Some(listed) = knowledge.listed_at else { return false };
+    let never_restored = shared.settings.bootstrap || shared.store.era() == 0;
+    never_restored || shared.now() >= listed + RESTORE_TIME
+}
+
 /// Whether there is an upstream that is not leaving and has not refused a connection since its last heartbeat.
 fn is_upstream_ready(shared: &Shared) -> bool {
     let state = shared.upstream.state.borrow();
@@ -355,6 +370,7 @@
     let me = serving.me;
     if me != 0 && version != control.granted_version {
         control.granted_version = version;
+        control.restore_wait.observe(shared.now(), &serving.record, &control.timing);
         let grants = &mut state.grants;
         update_grants(control, &serving, |kept| grants.apply_record(&serving.record, me, kept));
     }
@@ -380,8 +396,11 @@
         control.previous_record = Some(Rc::new(Record::clone(record)));
         return apply(&|_| None);
     }
-    let previous =
-        control.previous_record.take().filter(|previous| previous.version + 1 == record.version);
+    // A restored record may show another owner than the one that the slices had last.
+    let is_direct = |previous: &Rc<Record>| {
+        previous.version + 1 == record.version && previous.restored == 0 && record.restored == 0
+    };
+    let previous = control.previous_record.take().filter(is_direct);
     let instance = record.members.get(&serving.me).map(|member| member.instance.as_str());
     let kept_fence = |slice: SliceId| {
         let owner = previous.as_ref()?.owners.get(usize::from(slice)).copied().flatten()?;
--- a/crates/rattanarch_mesh/src/control/state.rs
+++ b/crates/rattanarch_mesh/src/control/state.rs
@@ -9,6 +9,7 @@
 use rattanarch_dissemination::RecordFetchPolicy;
 use rattanarch_ownership::Batcher;
 use rattanarch_ownership::Node;
+use rattanarch_ownership::RestoreWait;
 use rattanarch_ownership::Timing;
 use rattanarch_placement::Spread;
 use rattanarch_process::random;
@@ -59,6 +60,8 @@
     pub(crate) link_pacer: LinkPacer,
     /// Version of the record that was last applied to the grants.
     pub(crate) granted_version: u64,
+    /// Wait for holds that the store has forgotten.
+    pub(crate) restore_wait: RestoreWait,
 }
 
 impl Control {
@@ -83,6 +86,7 @@
             fetches: FetchScheduler::default(),
             link_pacer: LinkPacer::default(),
             granted_version: 0,
+            restore_wait: RestoreWait::default(),
         }
     }
 
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod listeners;
 mod meters;
 mod records;
+mod restore;
 mod run;
 mod settings;
 mod shared;
@@ -16,6 +17,7 @@
 
 pub(crate) use active_count::ActiveCount;
 pub(crate) use meters::RequestLabels;
+pub(crate) use records::first_record;
 pub(crate) use records::learn_configuration;
 pub(crate) use records::learn_configuration_changes;
 pub(crate) use records::learn_evacuated_from_peer;
--- a/crates/rattanarch_mesh/src/process/records.rs
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -16,6 +16,10 @@
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
 use rattanarch_types::RecordChange;
+use rattanarch_types::SliceId;
+use rattanarch_types::StorePosition;
+use rattanarch_types::era_of;
+use rattanarch_types::version_before;
 use serde_json::Value;
 
 use crate::control;
@@ -71,7 +75,7 @@
     }
 }
 
-/// Learns the evacuated data centres that the store has at a revision.
+/// Learns the evacuated data centres that the store has at a position in its history.
 pub(crate) fn learn_evacuated_from_store(shared: &Rc<Shared>, evacuated: Evacuated) {
     let now = shared.now();
     let learned = shared.knowledge.borrow_mut().learn_evacuated_from_store(now, evacuated);
@@ -85,14 +89,15 @@
     react_to_evacuated(shared, learned, "peer");
 }
 
-/// Acts on the evacuated data centres from `source` if they have been `learned`, or confirmed at a later revision.
+/// Acts on the evacuated data centres from `source` if they have been `learned`, or confirmed at a later position.
 fn react_to_evacuated(shared: &Rc<Shared>, learned: bool, source: &str) {
     if !learned {
         return;
     }
     let evacuated = Rc::clone(shared.knowledge.borrow().evacuated());
     let names: Vec<&str> = evacuated.names().map(String::as_str).collect();
-    log::info!(revision = evacuated.revision, out:% = names.join(","), source:% = source;
+    let position = evacuated.position;
+    log::info!(revision = position.revision(), era:? = position.era(), out:% = names.join(","), source:% = source;
         "data centres taken out");
     control::push_digest(shared);
     control::maintain(shared);
@@ -103,21 +108,34 @@
 pub(crate) fn learn_record(
     shared: &Rc<Shared>,
     record: Record,
-    revision: u64,
+    position: StorePosition,
     read_sent: Option<Moment>,
 ) {
+    observe_era(shared, position);
     let service = record.service.clone();
-    let newer = shared.knowledge.borrow_mut().learn_record(record, revision);
+    let newer = shared.knowledge.borrow_mut().learn_record(record, position);
     react_to_record(shared, &service, newer, read_sent);
 }
 
-/// Learns changes of a record, which lead to the store's `revision` of it.
-pub(crate) fn learn_record_changes(shared: &Rc<Shared>, changes: Vec<RecordChange>, revision: u64) {
+/// Notes the era of a position that a peer may have sent, which this daemon may not have heard from the store yet.
+fn observe_era(shared: &Shared, position: StorePosition) {
+    if let Some(era) = position.era() {
+        shared.store.observe_era(era, "peer");
+    }
+}
+
+/// Learns changes of a record, after which the store was at `position` in its history.
+pub(crate) fn learn_record_changes(
+    shared: &Rc<Shared>,
+    changes: Vec<RecordChange>,
+    position: StorePosition,
+) {
+    observe_era(shared, position);
     let Some(service) = changes.first().map(|change| change.service.clone()) else { return };
-    let newer = shared.knowledge.borrow_mut().learn_changes(&service, changes, revision);
+    let newer = shared.knowledge.borrow_mut().learn_changes(&service, changes, position);
     if !newer {
         // Another peer was faster; what is still missing is fetched after the next digest that shows it.
-        log::debug!(service:% = service, revision = revision; "record changes not applied");
+        log::debug!(service:% = service, revision = position.revision(); "record changes not applied");
     }
     react_to_record(shared, &service, newer, None);
 }
@@ -149,13 +167,17 @@
     let call = StoreCall::Read { service: service.clone() };
     match call_store(&shared, &call).await {
         Ok(StoreReply::Read(Some(stored))) => match StoredRecord::decode(&stored.spec) {
-            Ok(record) => learn_record(&shared, record, stored.revision, Some(sent)),
+            Ok(record) => learn_record(&shared, record, stored.position, Some(sent)),
             Err(error) => log::error!(reason:% = error; "record malformed"),
         },
         Ok(StoreReply::Read(None)) => {
-            shared.knowledge.borrow_mut().records_listed = true;
+            shared.knowledge.borrow_mut().listed_at.get_or_insert(sent);
+            if shared.knowledge.borrow().record(&service).is_some() {
+                // The store has lost the record; see `restore`.
+                return;
+            }
             let slices = shared.upstream.state.borrow().serving.record.slice_count();
-            let record = Record::new(service, slices).with_fences();
+            let record = first_record(&shared, slices);
             control::step(&shared, Event::Record { record, read_sent: Some(sent) });
         }
         Ok(reply) => log::error!(reply:? = reply; "unexpected store response to a read"),
@@ -164,6 +186,13 @@
     }
 }
 
+/// The record of this daemon's service, with `slices` slices, before it is first written.
+pub(crate) fn first_record(shared: &Shared, slices: SliceId) -> Record {
+    let mut record = Record::new(shared.settings.service.clone(), slices);
+    record.version = version_before(shared.store.era());
+    record.with_fences()
+}
+
 /// Writes the node's `record` over the version that it was derived from.
 pub(crate) async fn write_record(shared: Rc<Shared>, record: Record) {
     let write_id = record.write_id;
@@ -181,9 +210,14 @@
 
 async fn write(shared: &Rc<Shared>, record: &Record) -> WriteOutcome {
     let change = change_summary(shared, record);
-    let outcome = match stored_revision(shared, record) {
+    let outcome = match stored_position(shared, record) {
         Err(newer) => WriteOutcome::Conflict(Record::clone(&newer)),
-        Ok(revision) => put(shared, record, revision).await,
+        Ok(position) if is_outdated(shared, record) => {
+            log::info!(version = record.version, revision = position.revision();
+                "record not written: the store was restored");
+            WriteOutcome::Failed
+        }
+        Ok(position) => put(shared, record, position).await,
     };
     shared.meters.record_write(outcome_name(&outcome));
     log::info!(version = record.version, members = record.members.len(), change:% = change,
@@ -204,7 +238,7 @@
     format!("joined {joined}, left {left}, witnesses {witnessed}, slices {moved}")
 }
 
-fn outcome_name(outcome: &WriteOutcome) -> &'static str {
+pub(crate) fn outcome_name(outcome: &WriteOutcome) -> &'static str {
     match outcome {
         WriteOutcome::Accepted => "accepted",
         WriteOutcome::Conflict(_) => "conflict",
@@ -213,26 +247,39 @@
     }
 }
 
-/// The store's revision of the record that `record` replaces; 0 if there is none.
+/// Whether `record` is of an earlier era than the store: then the newest known one has to be written back first.
+pub(crate) fn is_outdated(shared: &Shared, record: &Record) -> bool {
+    era_of(record.version) < Some(shared.store.era())
+}
+
+/// Where the store was in its history when the record was written that `record` replaces; [`StorePosition::NONE`] if
+/// there is none.
 ///
 /// # Errors
 /// The newest known record, if it is no older than `record`.
-fn stored_revision(shared: &Shared, record: &Record) -> Result<u64, Rc<Record>> {
+fn stored_position(shared: &Shared, record: &Record) -> Result<StorePosition, Rc<Record>> {
     let knowledge = shared.knowledge.borrow();
-    let Some(known) = knowledge.known_record(&record.service) else { return Ok(0) };
+    let Some(known) = knowledge.known_record(&record.service) else {
+        return Ok(StorePosition::NONE);
+    };
     if known.record.version >= record.version {
         return Err(Rc::clone(&known.record));
     }
-    Ok(known.revision)
+    Ok(known.position)
 }
 
-async fn put(shared: &Rc<Shared>, record: &Record, revision: u64) -> WriteOutcome {
+/// Writes `record` over the one that the store has had since `position`.
+pub(crate) async fn put(
+    shared: &Rc<Shared>,
+    record: &Record,
+    position: StorePosition,
+) -> WriteOutcome {
     let service = record.service.clone();
-    let call = StoreCall::Write { service, revision, spec: StoredRecord::encode(record) };
+    let call = StoreCall::Write { service, position, spec: StoredRecord::encode(record) };
     match call_store(shared, &call).await {
-        Ok(StoreReply::Accepted(revision)) => {
+        Ok(StoreReply::Accepted(position)) => {
             let before = shared.knowledge.borrow().record(&record.service).cloned();
-            learn_record(shared, record.clone(), revision, None);
+            learn_record(shared, record.clone(), position, None);
             let empty = Rc::new(Record::default());
             control::push_digest_to_affected(shared, record, &before.unwrap_or(empty));
             WriteOutcome::Accepted
@@ -260,7 +307,7 @@
 fn conflict(shared: &Rc<Shared>, stored: &Stored) -> WriteOutcome {
     match StoredRecord::decode(&stored.spec) {
         Ok(record) => {
-            learn_record(shared, record.clone(), stored.revision, None);
+            learn_record(shared, record.clone(), stored.position, None);
             WriteOutcome::Conflict(record)
         }
         Err(error) => {
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -34,6 +34,7 @@
 use crate::process::lag::measure_lag;
 use crate::process::listeners::listen;
 use crate::process::meters::Meters;
+use crate::process::restore::restore_records;
 use crate::process::shared::StoreStatus;
 use crate::process::stop;
 use crate::process::store_follower::StoreFollower;
@@ -102,6 +103,7 @@
         upstream:% = settings.upstream, store:% = settings.store; "started");
     tokio::task::spawn_local(catch_up(Rc::clone(&shared)));
     tokio::task::spawn_local(run_follower(Rc::clone(&shared)));
+    tokio::task::spawn_local(restore_records(Rc::clone(&shared)));
     tokio::task::spawn_local(control::receive(Rc::clone(&shared)));
     tokio::task::spawn_local(control::run(Rc::clone(&shared)));
     tokio::task::spawn_local(control::gossip(Rc::clone(&shared)));
--- a/crates/rattanarch_mesh/src/process/settings.rs
+++ b/crates/rattanarch_mesh/src/process/settings.rs
@@ -35,6 +35,9 @@
     /// Rate of the machine's link in megabits a second; 0 if unknown, which sets no limit.
     #[serde(default)]
     pub link: f64,
+    /// Whether the whole system starts for the first time, so that the store can't have lost anything.
+    #[serde(default)]
+    pub bootstrap: bool,
     /// Bounds that the platform sets, such as `drain=2s`.
     #[serde(default)]
     pub bounds: Vec<String>,
--- a/crates/rattanarch_mesh/src/process/store_relay.rs
+++ b/crates/rattanarch_mesh/src/process/store_relay.rs
@@ -19,6 +19,7 @@
 use rattanarch_adapter::kind;
 use rattanarch_process::random_index;
 use rattanarch_types::ServiceName;
+use rattanarch_types::StorePosition;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -45,8 +46,13 @@
 pub(crate) enum StoreCall {
     /// Reads the record.
     Read { service: ServiceName },
-    /// Replaces the record if it is still at `revision`, or creates it if `revision` is 0.
-    Write { service: ServiceName, revision: u64, spec: Value },
+    /// Replaces the record if its last change was at `position`, or creates it if that is [`StorePosition::NONE`].
+    Write {
+        service: ServiceName,
+        #[serde(rename = "revision")]
+        position: StorePosition,
+        spec: Value,
+    },
 }
 
 /// The store's answer.
@@ -54,8 +60,8 @@
 pub(crate) enum StoreReply {
     /// The object, if there is one.
     Read(Option<Stored>),
-    /// Written; the new revision.
-    Accepted(u64),
+    /// Written; where the store was in its history then.
+    Accepted(StorePosition),
     /// Another write came first; the stored object, if the store returned it.
     Conflict(Option<Stored>),
 }
@@ -63,7 +69,8 @@
 /// A record as the store holds it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Stored {
-    pub(crate) revision: u64,
+    #[serde(rename = "revision")]
+    pub(crate) position: StorePosition,
     pub(crate) spec: Value,
 }
 
@@ -79,7 +86,7 @@
 
 impl From<StoredObject> for Stored {
     fn from(object: StoredObject) -> Self {
-        Self { revision: object.revision, spec: object.spec }
+        Self { position: object.position, spec: object.spec }
     }
 }
 
@@ -142,15 +149,15 @@
             let object = store.get(kind::RECORD, service, Freshness::Current).await?;
             return Ok(StoreReply::Read(object.map(Stored::from)));
         }
-        StoreCall::Write { service, revision: 0, spec } => {
+        StoreCall::Write { service, position: StorePosition::NONE, spec } => {
             store.create(kind::RECORD, service, spec).await?
         }
-        StoreCall::Write { service, revision, spec } => {
-            store.replace(kind::RECORD, service, *revision, spec).await?
+        StoreCall::Write { service, position, spec } => {
+            store.replace(kind::RECORD, service, *position, spec).await?
         }
     };
     Ok(match put {
-        PutOutcome::Accepted(revision) => StoreReply::Accepted(revision),
+        PutOutcome::Accepted(position) => StoreReply::Accepted(position),
         PutOutcome::Conflict(object) => StoreReply::Conflict(object.map(Stored::from)),
     })
 }
--- a/crates/rattanarch_mesh/src/process/watcher.rs
+++ b/crates/rattanarch_mesh/src/process/watcher.rs
@@ -14,6 +14,7 @@
 use rattanarch_adapter::kind;
 use rattanarch_process::random_fraction;
 use rattanarch_types::DataCentreName;
+use rattanarch_types::StorePosition;
 
 use crate::process::Shared;
 use crate::process::records::learn_configuration;
@@ -145,14 +146,14 @@
 struct Listed {
     /// Names of the objects of the kind.
     names: BTreeSet<String>,
-    /// Revision from which the next watch continues.
-    revision: u64,
+    /// Position from which the next watch continues.
+    position: StorePosition,
 }
 
 impl From<&Listing> for Listed {
     fn from(listing: &Listing) -> Self {
         let names = listing.objects.iter().map(|object| object.name.clone()).collect();
-        Self { names, revision: listing.revision }
+        Self { names, position: listing.position }
     }
 }
 
@@ -166,7 +167,7 @@
                 self.names.insert(object.name.clone());
             }
         }
-        self.revision = changes.revision;
+        self.position = changes.position;
     }
 }
 
@@ -177,7 +178,7 @@
     loop {
         await_store(shared, watched).await;
         let (kind, freshness) = (watched.kind(), watched.freshness());
-        match shared.store.watch(kind, listed.revision, WATCH_WAIT, freshness).await {
+        match shared.store.watch(kind, listed.position, WATCH_WAIT, freshness).await {
             Ok(changes) => {
                 shared.record_store_result(true, &"");
                 backoff = INITIAL_BACKOFF;
@@ -207,10 +208,10 @@
         }
         WatchedKind::Evacuations => {
             let names = listing.objects.into_iter().map(|object| object.name);
-            learn_evacuated_from_store(shared, Evacuated::new(listing.revision, names));
+            learn_evacuated_from_store(shared, Evacuated::new(listing.position, names));
         }
         WatchedKind::Records => {
-            shared.knowledge.borrow_mut().records_listed = true;
+            shared.knowledge.borrow_mut().listed_at.get_or_insert(shared.now());
             for object in listing.objects {
                 apply_record(shared, &object);
             }
@@ -223,9 +224,9 @@
 fn apply_changes(shared: &Rc<Shared>, watched: WatchedKind, changes: Changes, listed: &Listed) {
     if watched == WatchedKind::Evacuations {
         if !changes.changes.is_empty() {
-            // A response may hold several changes under one revision: only their result is as of that revision.
+            // A response may hold several changes under one position: only their result is as of that position.
             let names: BTreeSet<DataCentreName> = listed.names.clone();
-            learn_evacuated_from_store(shared, Evacuated::new(changes.revision, names));
+            learn_evacuated_from_store(shared, Evacuated::new(changes.position, names));
         }
         return;
     }
@@ -251,7 +252,7 @@
 fn apply_record(shared: &Rc<Shared>, object: &StoredObject) {
     match StoredRecord::decode(&object.spec) {
         Ok(record) if record.service == object.name => {
-            learn_record(shared, record, object.revision, None);
+            learn_record(shared, record, object.position, None);
         }
         Ok(record) => {
             log::warn!(name:% = object.name, service:% = record.service;
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -225,9 +225,10 @@
 /// Reply to the heartbeat `sequence`, with the grants of the upstream.
 fn grant_reply(shared: &Shared, sequence: u64) -> String {
     let max_hold = shared.bounds.get().max_hold;
+    let wait = shared.control.borrow().restore_wait;
     let mut state = shared.upstream.state.borrow_mut();
     let state = &mut *state;
-    let renewed = state.grants.renew(shared.now(), sequence, &state.serving, max_hold);
+    let renewed = state.grants.renew(shared.now(), sequence, &state.serving, &wait, max_hold);
     let Some((grants, time)) = renewed.filter(|_| state.keyed) else { return "{}".to_owned() };
     let slices = state.slices();
     let rows = merge(slices, &grants);
--- a/crates/rattanarch_mesh/src/version/evacuated.rs
+++ b/crates/rattanarch_mesh/src/version/evacuated.rs
@@ -4,24 +4,29 @@
 
 use rattanarch_types::DataCentreName;
 use rattanarch_types::Moment;
+use rattanarch_types::StorePosition;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Evacuated data centres, which get no requests, as of one revision of the store.
+/// Evacuated data centres, which get no requests, as of one position in the store's history.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Evacuated {
-    /// The store's revision at the newest known change of the set.
-    pub(crate) revision: u64,
+    /// Where the store was in its history at the newest known change of the set.
+    #[serde(rename = "revision")]
+    pub(crate) position: StorePosition,
     /// Evacuated data centres, and when this process learned of each; the times are not sent to peers.
     #[serde(with = "names")]
     centres: BTreeMap<DataCentreName, Moment>,
 }
 
 impl Evacuated {
-    /// The data centres `names` at `revision`.
-    pub(crate) fn new(revision: u64, names: impl IntoIterator<Item = DataCentreName>) -> Self {
+    /// The data centres `names` at `position`.
+    pub(crate) fn new(
+        position: StorePosition,
+        names: impl IntoIterator<Item = DataCentreName>,
+    ) -> Self {
         let centres = names.into_iter().map(|name| (name, Moment::ZERO)).collect();
-        Self { revision, centres }
+        Self { position, centres }
     }
 
     /// When this process learned that `centre` is evacuated; `None` if it is not.
@@ -39,7 +44,7 @@
         self.centres.keys()
     }
 
-    /// Whether the same data centres are evacuated in `other`, whatever the revisions and times.
+    /// Whether the same data centres are evacuated in `other`, whatever the positions and times.
     pub(crate) fn is_same(&self, other: &Self) -> bool {
         self.names().eq(other.names())
     }
--- a/crates/rattanarch_mesh/src/version/knowledge.rs
+++ b/crates/rattanarch_mesh/src/version/knowledge.rs
@@ -20,17 +20,18 @@
 use rattanarch_types::Record;
 use rattanarch_types::RecordChange;
 use rattanarch_types::ServiceName;
+use rattanarch_types::StorePosition;
 use serde_json::Value;
 
 use crate::version::Evacuated;
 use crate::version::Snapshot;
 use crate::version::Versions;
 
-/// Known record, with the store's revision of it and its latest changes.
+/// Known record, with where the store was in its history when it was written, and its latest changes.
 #[derive(Clone, Debug)]
 pub(crate) struct KnownRecord {
     pub(crate) record: Rc<Record>,
-    pub(crate) revision: u64,
+    pub(crate) position: StorePosition,
     history: RecordHistory,
 }
 
@@ -63,14 +64,14 @@
     routes: Option<Rc<RouteTable>>,
     configuration: KnownConfiguration,
     evacuated: Rc<Evacuated>,
-    /// Newest revision at which the store itself showed the set in `evacuated`; never before the revision of that set
+    /// Newest position at which the store itself showed the set in `evacuated`; never before the position of that set
     /// unless a peer has sent it.
-    evacuated_seen: u64,
+    evacuated_seen: StorePosition,
     records: BTreeMap<ServiceName, KnownRecord>,
     /// Members in the first known record of each service.
     initial_members: BTreeMap<ServiceName, BTreeSet<BootId>>,
-    /// Whether the records were listed from the store, so that a record that is not known does not exist.
-    pub(crate) records_listed: bool,
+    /// When the records were first listed from the store; a record that is not known then did not exist. `None` before.
+    pub(crate) listed_at: Option<Moment>,
 }
 
 impl Knowledge {
@@ -86,7 +87,7 @@
 
     /// Whether both the configuration and the evacuated data centres are known, so that requests may be forwarded.
     pub(crate) fn is_operator_state_known(&self) -> bool {
-        self.routes.is_some() && self.evacuated.revision > 0
+        self.routes.is_some() && self.evacuated.position > StorePosition::NONE
     }
 
     /// Evacuated data centres.
@@ -217,13 +218,13 @@
 
     /// Applies the set of evacuated data centres that the store has shown; returns whether it changes the known set.
     ///
-    /// The same set at a later revision is no change, so that listings alone cause no traffic between daemons.
+    /// The same set at a later position is no change, so that listings alone cause no traffic between daemons.
     pub(crate) fn learn_evacuated_from_store(&mut self, now: Moment, evacuated: Evacuated) -> bool {
-        if evacuated.revision <= self.evacuated.revision.max(self.evacuated_seen) {
+        if evacuated.position <= self.evacuated.position.max(self.evacuated_seen) {
             return false;
         }
-        self.evacuated_seen = evacuated.revision;
-        let first = self.evacuated.revision == 0;
+        self.evacuated_seen = evacuated.position;
+        let first = self.evacuated.position == StorePosition::NONE;
         let changes = first || !self.evacuated.is_same(&evacuated);
         if changes {
             self.set_evacuated(now, evacuated);
@@ -231,19 +232,19 @@
         changes
     }
 
-    /// Applies a peer's set of evacuated data centres if its revision is newer; returns whether the known set or its
-    /// revision is newer now.
+    /// Applies a peer's set of evacuated data centres if its position is newer; returns whether the known set or its
+    /// position is newer now.
     ///
-    /// A set that the store has overtaken here is rejected. The known one then gets the revision at which the store
+    /// A set that the store has overtaken here is rejected. The known one then gets the position at which the store
     /// showed it, so that the peer learns it.
     pub(crate) fn learn_evacuated_from_peer(&mut self, now: Moment, evacuated: Evacuated) -> bool {
-        if evacuated.revision <= self.evacuated.revision {
+        if evacuated.position <= self.evacuated.position {
             return false;
         }
-        let overtaken = evacuated.revision <= self.evacuated_seen;
+        let overtaken = evacuated.position <= self.evacuated_seen;
         if overtaken && !self.evacuated.is_same(&evacuated) {
             let mut known = Evacuated::clone(&self.evacuated);
-            known.revision = self.evacuated_seen;
+            known.position = self.evacuated_seen;
             self.set_evacuated(now, known);
         } else {
             self.set_evacuated(now, evacuated);
@@ -257,7 +258,7 @@
     }
 
     /// Applies a record if it is newer than the known one; returns whether it is.
-    pub(crate) fn learn_record(&mut self, record: Record, revision: u64) -> bool {
+    pub(crate) fn learn_record(&mut self, record: Record, position: StorePosition) -> bool {
         let newer = self.record(&record.service).is_none_or(|old| old.version < record.version);
         if newer {
             let initial_members = || record.members.keys().copied().collect();
@@ -267,20 +268,20 @@
                 history = old.history;
                 history.push_between(&old.record, &record);
             }
-            let known = KnownRecord { record: Rc::new(record), revision, history };
+            let known = KnownRecord { record: Rc::new(record), position, history };
             self.records.insert(known.record.service.clone(), known);
         }
         newer
     }
 
-    /// Applies consecutive changes to the record of `service`, the last of which has the store's `revision`; returns
+    /// Applies consecutive changes to the record of `service`, the last of which the store has at `position`; returns
     /// whether the record is newer now. Changes that do not fit the known version are ignored: another source has
     /// changed it meanwhile.
     pub(crate) fn learn_changes(
         &mut self,
         service: &str,
         mut changes: Vec<RecordChange>,
-        revision: u64,
+        position: StorePosition,
     ) -> bool {
         let Some(known) = self.records.get_mut(service) else { return false };
         changes.retain(|change| change.to > known.record.version);
@@ -291,7 +292,7 @@
         let newer = changes.iter().try_fold(older, |record, change| change.apply(record));
         let Some(newer) = newer else { return false };
         known.record = Rc::new(newer);
-        known.revision = revision;
+        known.position = position;
         changes.into_iter().for_each(|change| known.history.push(change));
         true
     }
@@ -302,7 +303,7 @@
         Versions {
             configuration: self.configuration.base.version,
             hash: self.base().hash,
-            evacuated: self.evacuated.revision,
+            evacuated: self.evacuated.position,
             records: records.collect(),
         }
     }
@@ -319,8 +320,8 @@
                 continue;
             }
             match known.history.since(version) {
-                Some(newer) => changes.push((known.revision, newer)),
-                None => records.push((known.revision, StoredRecord::encode(&known.record))),
+                Some(newer) => changes.push((known.position, newer)),
+                None => records.push((known.position, StoredRecord::encode(&known.record))),
             }
         }
         let configuration = &self.configuration;
@@ -336,6 +337,7 @@
                 .then(|| Evacuated::clone(&self.evacuated)),
             records,
             changes,
+            boot: 0,
         }
     }
 }
--- a/crates/rattanarch_mesh/src/version/snapshot.rs
+++ b/crates/rattanarch_mesh/src/version/snapshot.rs
@@ -4,8 +4,10 @@
 
 use rattanarch_dissemination::ConfigurationChange;
 use rattanarch_dissemination::VersionHash;
+use rattanarch_types::BootId;
 use rattanarch_types::RecordChange;
 use rattanarch_types::ServiceName;
+use rattanarch_types::StorePosition;
 use rattanarch_types::Version;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,8 +23,8 @@
     /// Hash of its text, as the base of changes; 0 to request the full configuration.
     #[serde(default)]
     pub(crate) hash: u64,
-    /// Revision of the set of evacuated data centres.
-    pub(crate) evacuated: u64,
+    /// Where the store was in its history at the newest known change of the set of evacuated data centres.
+    pub(crate) evacuated: StorePosition,
     /// Versions of the ownership records.
     pub(crate) records: BTreeMap<ServiceName, Version>,
 }
@@ -48,8 +50,11 @@
     pub(crate) put_off: bool,
     /// Evacuated data centres, if they are newer.
     pub(crate) evacuated: Option<Evacuated>,
-    /// Records as the store holds them, with their revisions there.
-    pub(crate) records: Vec<(u64, Value)>,
-    /// Changes, in order, from the peer's version of a record to this one, with the store's revision of the result.
-    pub(crate) changes: Vec<(u64, Vec<RecordChange>)>,
+    /// Records as the store holds them, with where it was in its history when each was written.
+    pub(crate) records: Vec<(StorePosition, Value)>,
+    /// Changes, in order, from the peer's version of a record to this one, with the position of the result.
+    pub(crate) changes: Vec<(StorePosition, Vec<RecordChange>)>,
+    /// Boot id under which the sender takes part in ownership; 0 if it does not, or does not tell.
+    #[serde(default)]
+    pub(crate) boot: BootId,
 }
--- a/crates/rattanarch_ownership/src/grants.rs
+++ b/crates/rattanarch_ownership/src/grants.rs
@@ -8,6 +8,7 @@
 use rattanarch_types::Record;
 use rattanarch_types::SliceId;
 
+use crate::RestoreWait;
 use crate::Serving;
 
 /// Bound on the drift of the upstream's clock, in parts per million: how much longer a second may last on it.
@@ -39,6 +40,8 @@
     /// The record's fencing token for the slice when `fence` was set.
     recorded: Fence,
     handover: Option<String>,
+    /// Whether the upstream held the slice, or still ran requests for it, when it sent the last heartbeat.
+    held: bool,
     /// Sequence number of the heartbeat that the last grant answered; 0 if there was none.
     sequence: u64,
     /// When the last grant ends if the upstream's clock is the slowest within the drift bound.
@@ -98,7 +101,8 @@
     /// the grant answered.
     pub fn apply_heartbeat(&mut self, sequence: u64, holds: impl Fn(SliceId) -> bool) {
         for (slice, state) in self.states.iter_mut().enumerate() {
-            if holds(slice as SliceId) {
+            state.held = holds(slice as SliceId);
+            if state.held {
                 // The upstream has taken the handover, so that it need not be sent again.
                 state.handover = None;
             } else if sequence > state.sequence {
@@ -110,12 +114,14 @@
 
     /// Returns the grants for the reply to heartbeat `sequence`, received at `now`, for the slices that `serving` lets
     /// the member serve, and their common duration of at most `max_hold`, which the upstream counts from sending that
-    /// heartbeat. `None` while the rest of the lease is too short for a grant.
+    /// heartbeat. `None` while the rest of the lease is too short for a grant. While `wait` holds, only slices that the
+    /// upstream holds are granted.
     pub fn renew(
         &mut self,
         now: Moment,
         sequence: u64,
         serving: &Serving,
+        wait: &RestoreWait,
         max_hold: Duration,
     ) -> Option<(Vec<SliceGrant>, Duration)> {
         let left = serving.lease_end?.checked_sub(now)?.checked_sub(LEASE_MARGIN)?;
@@ -123,10 +129,12 @@
         if hold < MIN_HOLD {
             return None;
         }
+        let waiting = wait.is_waiting(now);
         let mut grants = Vec::new();
         for (slice, state) in self.states.iter_mut().enumerate() {
             let id = slice as SliceId;
-            if state.fence == 0 || serving.releasing.contains(&id) {
+            let is_unsafe = waiting && !state.held;
+            if state.fence == 0 || is_unsafe || serving.releasing.contains(&id) {
                 continue;
             }
             state.sequence = sequence;
--- a/crates/rattanarch_ownership/src/lib.rs
+++ b/crates/rattanarch_ownership/src/lib.rs
@@ -88,6 +88,7 @@
 mod release;
 mod release_request;
 mod removal;
+mod restore_wait;
 mod rng;
 mod rules;
 mod serving;
@@ -117,6 +118,7 @@
 pub use release_request::apply_releases;
 pub use removal::Removal;
 pub use removal::apply_removals;
+pub use restore_wait::RestoreWait;
 #[doc(hidden)]
 pub use rules::Rules;
 pub use serving::Refusal;
--- a/crates/rattanarch_ownership/tests/grants.rs
+++ b/crates/rattanarch_ownership/tests/grants.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use rattanarch_ownership::Grants;
+use rattanarch_ownership::RestoreWait;
 use rattanarch_ownership::Serving;
+use rattanarch_ownership::Timing;
 use rattanarch_types::Member;
 use rattanarch_types::Moment;
 use rattanarch_types::Record;
@@ -52,13 +54,18 @@
     let record = record(5, &[ME, OTHER]);
     let mut grants = Grants::new(2, Moment::ZERO);
     grants.apply_record(&record, ME, |_| None);
-    let (given, hold) =
-        grants.renew(ms(1_000), 1, &serving(&record, ms(4_000)), MAX_GRANT).unwrap();
+    let (given, hold) = grants
+        .renew(ms(1_000), 1, &serving(&record, ms(4_000)), &RestoreWait::default(), MAX_GRANT)
+        .unwrap();
     assert_eq!(given.iter().map(|grant| (grant.slice, grant.fence)).collect::<Vec<_>>(), [(0, 5)]);
     assert!(ms(1_000) + hold + hold / 50 < ms(4_000));
     assert!(grants.is_served(ms(1_500), 0));
     assert!(!grants.is_served(ms(4_000), 0));
-    assert!(grants.renew(ms(3_900), 2, &serving(&record, ms(4_000)), MAX_GRANT).is_none());
+    assert!(
+        grants
+            .renew(ms(3_900), 2, &serving(&record, ms(4_000)), &RestoreWait::default(), MAX_GRANT)
+            .is_none()
+    );
 }
 
 /// A slice may be handed over once the upstream has reported in a heartbeat after the last grant that it does not
@@ -68,14 +75,16 @@
     let record = record(5, &[ME]);
     let mut grants = Grants::new(1, Moment::ZERO);
     grants.apply_record(&record, ME, |_| None);
-    let (_, hold) = grants.renew(ms(1_000), 4, &serving(&record, ms(4_000)), MAX_GRANT).unwrap();
+    let (_, hold) = grants
+        .renew(ms(1_000), 4, &serving(&record, ms(4_000)), &RestoreWait::default(), MAX_GRANT)
+        .unwrap();
     grants.apply_heartbeat(4, |_| false);
     assert!(grants.may_hold(ms(1_100), 0), "the heartbeat was sent before the grant");
     grants.apply_heartbeat(5, |_| true);
     assert!(grants.may_hold(ms(1_200), 0));
     grants.apply_heartbeat(6, |_| false);
     assert!(!grants.may_hold(ms(1_300), 0));
-    grants.renew(ms(2_000), 7, &serving(&record, ms(4_000)), MAX_GRANT);
+    grants.renew(ms(2_000), 7, &serving(&record, ms(4_000)), &RestoreWait::default(), MAX_GRANT);
     assert!(grants.may_hold(ms(2_000) + hold.min(ms(1_900)), 0));
     assert!(!grants.may_hold(ms(4_000), 0));
 }
@@ -88,7 +97,8 @@
     grants.apply_record(&record, ME, |_| None);
     let releasing = Arc::new(BTreeSet::from([1]));
     let serving = Serving { releasing, ..serving(&record, ms(4_000)) };
-    let (given, _) = grants.renew(ms(1_000), 1, &serving, MAX_GRANT).unwrap();
+    let (given, _) =
+        grants.renew(ms(1_000), 1, &serving, &RestoreWait::default(), MAX_GRANT).unwrap();
     assert_eq!(given.iter().map(|grant| grant.slice).collect::<Vec<_>>(), [0]);
 }
 
@@ -102,11 +112,19 @@
     let mut returned = record(9, &[ME]);
     returned.handovers.insert(0, "5c0e".to_owned());
     grants.apply_record(&returned, ME, |_| None);
-    let renewed = grants.renew(ms(1_000), 1, &serving(&returned, ms(4_000)), MAX_GRANT);
+    let renewed = grants.renew(
+        ms(1_000),
+        1,
+        &serving(&returned, ms(4_000)),
+        &RestoreWait::default(),
+        MAX_GRANT,
+    );
     let (given, _) = renewed.unwrap();
     assert_eq!((given[0].fence, given[0].handover.as_deref()), (9, Some("5c0e")));
     grants.apply_heartbeat(2, |_| true);
-    let (given, _) = grants.renew(ms(1_500), 2, &serving(&returned, ms(4_000)), MAX_GRANT).unwrap();
+    let (given, _) = grants
+        .renew(ms(1_500), 2, &serving(&returned, ms(4_000)), &RestoreWait::default(), MAX_GRANT)
+        .unwrap();
     assert_eq!(given[0].handover, None);
 }
 
@@ -119,7 +137,8 @@
     assert!(grants.may_hold(ms(2_900), 0));
     assert!(!grants.is_served(ms(100), 0));
     let serving = serving(&record(9, &[ME]), ms(4_000));
-    let (given, _) = grants.renew(ms(1_000), 1, &serving, MAX_GRANT).unwrap();
+    let (given, _) =
+        grants.renew(ms(1_000), 1, &serving, &RestoreWait::default(), MAX_GRANT).unwrap();
     assert_eq!(given[0].fence, 4);
 }
 
@@ -135,7 +154,48 @@
     let mut grants = Grants::new(2, Moment::ZERO);
     grants.apply_record(&first, ME, |_| None);
     grants.apply_record(&returned, ME, |_| None);
-    let renewed = grants.renew(ms(1_000), 1, &serving(&returned, ms(4_000)), MAX_GRANT);
+    let renewed = grants.renew(
+        ms(1_000),
+        1,
+        &serving(&returned, ms(4_000)),
+        &RestoreWait::default(),
+        MAX_GRANT,
+    );
     let fences: Vec<_> = renewed.unwrap().0.iter().map(|grant| grant.fence).collect();
     assert_eq!(fences, [7, 5]);
 }
+
+/// Guards against two holders after the store was restored from an older copy: until the holds of lost versions have
+/// ended, a slice is granted only to an upstream that holds it, under the record's fence.
+#[test]
+fn restored_waits() {
+    let mut record = record(9, &[ME, ME]).with_fences();
+    record.restored = 9;
+    let timing = Timing::default();
+    let mut wait = RestoreWait::default();
+    wait.observe(ms(1_000), &record, &timing);
+    let mut grants = Grants::new(2, Moment::ZERO);
+    grants.apply_record(&record, ME, |_| None);
+    grants.apply_heartbeat(1, |slice| slice == 1);
+    let serving = serving(&record, ms(9_000));
+    let slices = |grants: &mut Grants, wait: &RestoreWait, now| {
+        let (given, _) = grants.renew(now, 1, &serving, wait, MAX_GRANT).unwrap();
+        given.iter().map(|grant| (grant.slice, grant.fence)).collect::<Vec<_>>()
+    };
+    assert_eq!(slices(&mut grants, &wait, ms(1_100)), [(1, 9)]);
+    let before = ms(1_000) + timing.lease * 2;
+    assert_eq!(slices(&mut grants, &wait, before), [(1, 9)]);
+    let mut settled = record.clone();
+    wait.settle(before, &mut settled);
+    assert_eq!(settled.restored, 9);
+    let after = before + timing.lease;
+    assert_eq!(slices(&mut grants, &wait, after), [(0, 9), (1, 9)]);
+    wait.settle(after, &mut settled);
+    assert_eq!(settled.restored, 0);
+    // An update that shows the end of the wait ends it here, too.
+    let mut late = RestoreWait::default();
+    late.observe(after, &record, &timing);
+    assert!(late.is_waiting(after));
+    late.observe(after, &settled, &timing);
+    assert!(!late.is_waiting(after));
+}
--- a/crates/rattanarch_types/src/ids.rs
+++ b/crates/rattanarch_types/src/ids.rs
@@ -24,6 +24,9 @@
 pub type SliceId = u16;
 
 /// Version of a stored object: 0 before it exists, then incremented by each accepted write.
+///
+/// On a store that may be restored from an older copy, the upper bits hold its era; see
+/// [`era_of`](crate::era_of).
 pub type Version = u64;
 
 /// Identifies one attempt to write an object, so that reading the object back shows whether a write whose response
--- a/crates/rattanarch_types/src/record.rs
+++ b/crates/rattanarch_types/src/record.rs
@@ -37,6 +37,10 @@
     /// their own; otherwise as long as `owners`, and never above `version`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub fences: Vec<Fence>,
+    /// Version in which the record was written back to a store that had been restored from an older copy, if members of
+    /// versions that were lost may still hold slices; 0 once those holds have ended.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub restored: Version,
     /// Owners of hot keys, which override the owner of the key's slice. Each owner is a key of
     /// `members`.
     pub hot: BTreeMap<KeyHash, BootId>,
@@ -222,6 +226,10 @@
     }
 }
 
+fn is_zero(version: &Version) -> bool {
+    *version == 0
+}
+
 /// Whether `member` is equal to `old` except for its number of releases.
 fn differs_only_in_releases(old: &Member, member: &Member) -> bool {
     *member == Member { releases: member.releases, ..old.clone() }
--- a/crates/rattanarch_types/src/record_change.rs
+++ b/crates/rattanarch_types/src/record_change.rs
@@ -27,6 +27,9 @@
     pub to: Version,
     /// [`Record::write_id`] of version `to`.
     write_id: WriteId,
+    /// [`Record::restored`] of version `to`.
+    #[serde(default)]
+    restored: Version,
     /// Members that are new or changed.
     members: BTreeMap<BootId, Member>,
     /// Members that were removed.
@@ -71,6 +74,7 @@
             from: older.version,
             to: newer.version,
             write_id: newer.write_id,
+            restored: newer.restored,
             members: changed.map(|(id, member)| (*id, member.clone())).collect(),
             gone: removed.copied().collect(),
             gained,
@@ -90,6 +94,7 @@
         let older = record.clone();
         record.version = self.to;
         record.write_id = self.write_id;
+        record.restored = self.restored;
         for id in &self.gone {
             record.members.remove(id);
         }
--- a/crates/rattanarch_wire/src/record.rs
+++ b/crates/rattanarch_wire/src/record.rs
@@ -118,6 +118,7 @@
             members: members.collect(),
             owners: record.owners,
             fences: Vec::new(),
+            restored: 0,
             hot: record.hot,
             handovers: record.handovers,
         };
