Bound the sum of the responses that are buffered

What happens: an upstream that answers every request with a body without end is cut off at 8 MiB a response, but as many run at once as it has slots.

Cause: each response was bounded, their sum was not.

What finds none left fails at once, with a line.

--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections between daemons, callers and the upstream.
 
 mod body;
+mod buffers;
 mod limited_stream;
 mod pool;
 mod post;
@@ -9,6 +10,8 @@
 mod within;
 
 pub(crate) use body::ResponseBody;
+pub(crate) use buffers::BufferError;
+pub(crate) use buffers::Buffers;
 pub(crate) use pool::Checkout;
 pub(crate) use pool::Pool;
 pub(crate) use pool::PooledConnection;
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use crate::connection::Buffers;
 use crate::connection::UplinkScheduler;
 use crate::control;
 use crate::control::Control;
@@ -134,6 +135,7 @@
         control: RefCell::new(Control::new(timing, clock.now())),
         socket,
         peers: Peers::default(),
+        buffers: Buffers::default(),
         uplink: UplinkScheduler::new(settings.link, clock),
         phase,
         lag: Lag::default(),
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::connection::Buffers;
 use crate::connection::UplinkScheduler;
 use crate::control::Control;
 use crate::control::PeerSocket;
@@ -42,6 +43,8 @@
     pub(crate) control: RefCell<Control>,
     pub(crate) socket: PeerSocket,
     pub(crate) peers: Peers,
+    /// Buffers of the upstream's responses.
+    pub(crate) buffers: Buffers,
     /// Schedules large responses on the uplink of this machine.
     pub(crate) uplink: UplinkScheduler,
     pub(crate) phase: watch::Sender<Phase>,
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -18,6 +16,7 @@
 use rattanarch_adapter::headers::ResponseHead;
 use rattanarch_adapter::headers::UpstreamHeaders;
 
+use crate::connection::BufferError;
 use crate::connection::Checkout;
 use crate::connection::PooledConnection;
 use crate::connection::ResponseBody;
@@ -39,9 +38,6 @@
 use crate::upstream::notices::FromLeaving;
 use crate::upstream::notices::apply_notices;
 
-/// Largest response that is buffered, in bytes. Responses are buffered whole; the largest known ones have a tenth.
-const MAX_RESPONSE: usize = 8 << 20;
-
 /// Shortest time to the deadline with which a request is sent.
 const MIN_SEND_TIME: Duration = Duration::from_millis(5);
 
@@ -167,10 +163,16 @@
     }
     apply_notices(shared, life, &head);
     let left = call.deadline.saturating_sub(shared.now());
-    let body = match within(left, Limited::new(body, MAX_RESPONSE).collect()).await {
+    let body = match within(left, shared.buffers.read(body)).await {
         None => return Outcome::Failed(Failure::TimedOut),
-        Some(Err(error)) => return Outcome::Failed(Failure::Cut(error.to_string())),
-        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(error)) => {
+            if !matches!(error, BufferError::Broken(_)) {
+                log::warn!(id:% = call.id, life:% = life.id, reason:% = error;
+                    "upstream response too large");
+            }
+            return Outcome::Failed(Failure::Cut(error.to_string()));
+        }
+        Some(Ok(body)) => body,
     };
     shared.upstream.pool.put_back(connection);
     if head.not_run {
--- a/crates/rattanarchd/tests/mesh_endless.rs
+++ b/crates/rattanarchd/tests/mesh_endless.rs
@@ -29,6 +29,9 @@
 /// Largest resident memory of a daemon in bytes: half of the memory of the smallest known machines.
 const MAX_RESIDENT_BYTES: usize = 80 << 20;
 
+/// Requests that the upstream runs at once.
+const SLOTS: usize = 18;
+
 /// An upstream that responds to each request with a head and then with endless copies of a text.
 struct EndlessUpstream {
     sent: Arc<AtomicUsize>,
@@ -78,7 +81,7 @@
 fn send_heartbeat(control: SocketAddr, address: SocketAddr, (born, sequence): (u64, u64)) {
     let body = json!({
         "address": address, "born": born,
-        "info": { "service": FILES, "version": "v1", "zone": "a", "slots": 4 },
+        "info": { "service": FILES, "version": "v1", "zone": "a", "slots": SLOTS },
         "status": { "state": "ready", "sequence": sequence, "cold_left": "0ms" },
     });
     send_raw_heartbeat(control, "i-endless", &body.to_string());
@@ -135,6 +138,36 @@
     assert!(after < MAX_BYTES, "{after} bytes read");
 }
 
+/// Guards against a process that runs out of memory: endless responses to as many requests as the upstream has slots,
+/// each of which is within the limit of one response, add up. Small responses of the same kind of service go on.
+#[test]
+fn endless_in_all_slots() {
+    let mut site = Site::start(1, 1);
+    site.wait_members(FILES, 1);
+    site.upstreams[1].stop();
+    let addresses = site.daemons[1].addresses;
+    let head = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-stamp: s\r\n\r\n";
+    let _endless = EndlessUpstream::start(addresses.upstream, addresses.control, head, "endless ");
+    wait_until("the daemon accepts its heartbeats", || site.daemons[1].log().contains("i-endless"));
+    let largest = thread::scope(|scope| {
+        let site = &site;
+        let get = |number| move || site.get(1, "/files/customs", &format!("e{number}"), 0);
+        let requests: Vec<_> = (0..SLOTS).map(|number| scope.spawn(get(number))).collect();
+        let mut largest = 0;
+        while requests.iter().any(|request| !request.is_finished()) {
+            largest = largest.max(site.daemons[1].resident_bytes());
+            let other = site.get(1, "/stock/crayfish", "other", 9);
+            assert_eq!(other.status, 200, "{other:?}");
+        }
+        for request in requests {
+            let response = request.join().unwrap();
+            assert!(response.status >= 500 && !response.stamped, "{response:?}");
+        }
+        largest
+    });
+    assert!(largest < MAX_RESIDENT_BYTES, "{largest} bytes resident");
+}
+
 /// A header field that never ends.
 #[test]
 fn endless_field() {
