Ignore a peer's evacuations at a position that no store can have

A set at a position above all eras, from a faulty or foreign peer, would have been kept for good: no later set is above it. A later era that a peer's set tells is noted like that of a record.

--- a/crates/rattanarch_mesh/src/process/records.rs
+++ b/crates/rattanarch_mesh/src/process/records.rs
@@ -84,6 +84,11 @@
 
 /// Learns the evacuated data centres that a peer knows.
 pub(crate) fn learn_evacuated_from_peer(shared: &Rc<Shared>, evacuated: Evacuated) {
+    if evacuated.position.era().is_none() {
+        log::warn!(position:? = evacuated.position; "peer's evacuations malformed");
+        return;
+    }
+    observe_era(shared, evacuated.position);
     let now = shared.now();
     let learned = shared.knowledge.borrow_mut().learn_evacuated_from_peer(now, evacuated);
     react_to_evacuated(shared, learned, "peer");
--- a/crates/rattanarchd/tests/mesh_evacuations.rs
+++ b/crates/rattanarchd/tests/mesh_evacuations.rs
@@ -81,3 +81,17 @@
     wait_until("the peer's set was overtaken", || evacuated(&site, 0).0 > revision + 1);
     assert_eq!(evacuated(&site, 0).1, ["centre-1"]);
 }
+
+/// A peer's set at a position that no store can have is ignored: later sets would never be above it.
+#[test]
+fn position_out_of_range() {
+    let site = Site::start(1, 1);
+    let peers = Peers::start(1, &ThrottledLink::new(LINK_MEGABITS));
+    peers.set_evacuated(u64::MAX, &["centre-1"]);
+    peers.send_digests(site.daemons[0].addresses.datagrams);
+    wait_until("the set was fetched", || {
+        site.daemons[0].log().contains("peer's evacuations malformed")
+    });
+    site.store.evacuate("centre-2");
+    wait_evacuated(&site, &["centre-2"]);
+}
