End the processes of restored_twice also when it fails

The load now runs in a scope, and stops when the test ends, also by a panic. Checks, bounds and copies are as before.

--- a/crates/rattanarchd/tests/mesh_restored_store.rs
+++ b/crates/rattanarchd/tests/mesh_restored_store.rs
@@ -3,11 +3,9 @@
 mod mesh_support;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -175,54 +173,63 @@
 /// answered by an upstream or refused, and no key is held twice.
 #[test]
 fn restored_twice() {
-    let site = Arc::new(Site::start(3, 0));
+    let site = Site::start(3, 0);
     let first = site.store.copy();
     site.store.evacuate("centre-1");
     wait_until("its keys are elsewhere", || {
         site.upstreams[1].held_keys() == 0 && site.held_keys() == 65_536
     });
     let second = site.store.copy();
-    let stop = Arc::new(AtomicBool::new(false));
-    let load = start_load(&site, &stop);
     let mut holds = Holds::default();
-    for copy in [second, first] {
-        site.store.set_down(true);
-        holds.check_for(&site, AWAY);
-        site.store.restore(copy);
-        // The operator's changes are written again.
-        site.store.evacuate("centre-1");
-        site.store.set_down(false);
-        holds.check_for(&site, Duration::from_secs(2));
-    }
-    site.store.end_evacuation("centre-1");
-    wait_until("the data centre has keys again", || {
-        holds.check(&site.upstreams);
-        site.upstreams[1].held_keys() > 0 && site.held_keys() == 65_536
+    let stopped = AtomicBool::new(false);
+    let statuses = thread::scope(|scope| {
+        let load = scope.spawn(|| send_load(&site, &stopped));
+        let _stop = StopOnDrop(&stopped);
+        for copy in [second, first] {
+            site.store.set_down(true);
+            holds.check_for(&site, AWAY);
+            site.store.restore(copy);
+            // The operator's changes are written again.
+            site.store.evacuate("centre-1");
+            site.store.set_down(false);
+            holds.check_for(&site, Duration::from_secs(2));
+        }
+        site.store.end_evacuation("centre-1");
+        wait_until("the data centre has keys again", || {
+            holds.check(&site.upstreams);
+            site.upstreams[1].held_keys() > 0 && site.held_keys() == 65_536
+        });
+        stopped.store(true, Ordering::SeqCst);
+        load.join().expect("the load has not panicked")
     });
-    stop.store(true, Ordering::SeqCst);
-    let statuses = load.join().expect("the load has not panicked");
     let odd: Vec<_> = statuses.iter().filter(|status| ![200, 503].contains(*status)).collect();
     assert!(odd.is_empty(), "{odd:?}");
     assert!(statuses.iter().filter(|status| **status == 200).count() * 10 > statuses.len() * 9);
     holds.assert_kept();
 }
 
-/// Sends requests for keys all over the range until `stop`; returns the statuses of the responses.
-fn start_load(site: &Arc<Site>, stop: &Arc<AtomicBool>) -> JoinHandle<Vec<u16>> {
-    let (site, stop) = (Arc::clone(site), Arc::clone(stop));
-    thread::spawn(move || {
-        let mut statuses = Vec::new();
-        for number in 0_u16.. {
-            if stop.load(Ordering::SeqCst) {
-                break;
-            }
-            let key = number.wrapping_mul(7_919);
-            let daemon = usize::from(number % 2) * 2;
-            statuses.push(site.get(daemon, "/stock/a", &format!("load-{number}"), key).status);
-            thread::sleep(Duration::from_millis(10));
+/// Stops the load when the test ends, also by a panic: otherwise the load would keep the site and its processes alive.
+struct StopOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Sends requests for keys all over the range until `stopped`; returns the statuses of the responses.
+fn send_load(site: &Site, stopped: &AtomicBool) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for number in 0_u16.. {
+        if stopped.load(Ordering::SeqCst) {
+            break;
         }
-        statuses
-    })
+        let key = number.wrapping_mul(7_919);
+        let daemon = usize::from(number % 2) * 2;
+        statuses.push(site.get(daemon, "/stock/a", &format!("load-{number}"), key).status);
+        thread::sleep(Duration::from_millis(10));
+    }
+    statuses
 }
 
 /// Guards against evacuations that are passed over: after a restore they had lower revisions than the known set.
