Log which keys an upstream is granted and when it can hold them no longer

Each first grant of a key to a life, or one under another token, and each end of a hold now has a line; renewals have none.

--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -29,6 +29,7 @@
 use crate::process::read_record;
 use crate::process::write_record;
 use crate::upstream::check_if_due;
+use crate::upstream::log_grant_changes;
 use crate::upstream::slices_within;
 use crate::version::Knowledge;
 
@@ -89,6 +90,7 @@
 pub(crate) fn maintain(shared: &Rc<Shared>) {
     start_node(shared);
     log_lease_change(shared);
+    log_grant_changes(shared, &mut shared.upstream.state.borrow_mut());
     update_exclusions(shared);
     if is_upstream_lost(shared) {
         // No heartbeat will come whose response could tell the upstream of a release.
--- /dev/null
+++ b/crates/rattanarch_mesh/src/upstream/grant_log.rs
@@ -0,0 +1,54 @@
+//! Log lines that tell which keys the upstream was granted, under which fences, and when it could hold them no longer.
+
+use std::fmt;
+use std::time::Duration;
+
+use rattanarch_types::Fence;
+use rattanarch_types::SliceId;
+use rattanarch_types::era_of;
+
+use crate::process::Shared;
+use crate::upstream::UpstreamState;
+use crate::upstream::heartbeat::keys_in;
+
+/// Logs what the upstream may hold now and could not when this was last called, and the reverse.
+pub(crate) fn log_grant_changes(shared: &Shared, state: &mut UpstreamState) {
+    let now = shared.now();
+    let changes = state.grants.take_changes(now);
+    let Some(life) = &state.life else { return };
+    let slices = state.running.len() as SliceId;
+    let (version, boot) = (state.serving.record.version, state.serving.me);
+    if !changes.ended.is_empty() {
+        let expired = changes.expired_at;
+        let age = if expired.is_zero() { Duration::ZERO } else { now - expired };
+        log::info!(life:% = life.id, born = life.started_at_ms, boot:% = format!("{boot:x}"), record = version,
+            expired_ms_ago = age.as_millis() as u64, keys:% = KeyRanges { slices, fences: &changes.ended }; "keys no longer held");
+    }
+    if !changes.granted.is_empty() {
+        log::info!(life:% = life.id, born = life.started_at_ms, boot:% = format!("{boot:x}"), record = version,
+            era = era_of(version), sequence = life.sequence,
+            keys:% = KeyRanges { slices, fences: &changes.granted }; "keys granted");
+    }
+}
+
+/// Displays slices as ranges of keys with their fences: `0-4095:7 8192-8207:12`.
+struct KeyRanges<'a> {
+    /// Number of slices of the service.
+    slices: SliceId,
+    /// Slices in ascending order.
+    fences: &'a [(SliceId, Fence)],
+}
+
+impl fmt::Display for KeyRanges<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let runs = self.fences.chunk_by(|a, b| a.0 + 1 == b.0 && a.1 == b.1);
+        for (index, run) in runs.enumerate() {
+            let ((start, fence), (end, _)) = (run[0], run[run.len() - 1]);
+            let (first, _) = keys_in(self.slices, start);
+            let (_, last) = keys_in(self.slices, end);
+            let separator = if index > 0 { " " } else { "" };
+            write!(f, "{separator}{first}-{last}:{fence}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -29,6 +29,7 @@
 use crate::upstream::check_if_due;
 use crate::upstream::life::HeartbeatOrder;
 use crate::upstream::life::LeavingSource;
+use crate::upstream::log_grant_changes;
 use crate::upstream::start_waiting;
 
 /// Largest heartbeat that is read, in bytes: enough for a row for each slice and more.
@@ -185,7 +186,7 @@
 }
 
 /// First and last key of `slice`.
-fn keys_in(slices: SliceId, slice: SliceId) -> (u16, u16) {
+pub(super) fn keys_in(slices: SliceId, slice: SliceId) -> (u16, u16) {
     let first = u32::from(slice) * slice_width(slices);
     (first as u16, (first + slice_width(slices) - 1) as u16)
 }
@@ -239,6 +240,7 @@
         state.grants.withdraw(omitted.map(|grant| grant.slice));
         log::error!(rows = rows.len(), left_out = left_out; "grants too large for a heartbeat reply");
     }
+    log_grant_changes(shared, state);
     body
 }
 
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod exchange;
+mod grant_log;
 mod health_check;
 mod heartbeat;
 mod life;
@@ -13,6 +14,7 @@
 pub(crate) use admission::admit;
 pub(crate) use admission::start_waiting;
 pub(crate) use exchange::run;
+pub(crate) use grant_log::log_grant_changes;
 pub(crate) use health_check::check_if_due;
 pub(crate) use heartbeat::HeartbeatHandler;
 pub(crate) use heartbeat::slices_within;
--- a/crates/rattanarch_ownership/src/grants.rs
+++ b/crates/rattanarch_ownership/src/grants.rs
@@ -48,6 +48,21 @@
     held_until: Moment,
     /// When the last grant ends if the upstream's clock runs like this one; requests are sent until then.
     served_until: Moment,
+    /// Fence of the last grant; 0 if there was none.
+    granted: Fence,
+    /// Fence under which the upstream may hold the slice, as last returned by [`Grants::take_changes`]; 0 if it may not.
+    reported: Fence,
+}
+
+/// Changes of what an upstream may hold, since the changes that were taken before.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GrantChanges {
+    /// Slices that were granted, or granted under another fence, with their fences; in ascending order.
+    pub granted: Vec<(SliceId, Fence)>,
+    /// Slices that the upstream can't hold any more, with the fences of their last grants; in ascending order.
+    pub ended: Vec<(SliceId, Fence)>,
+    /// When the last of the ended grants expired; zero if the upstream has reported that it holds none of them.
+    pub expired_at: Moment,
 }
 
 /// Grants that one boot of an upstream was given in the replies to its heartbeats, by slice.
@@ -138,6 +153,7 @@
                 continue;
             }
             state.sequence = sequence;
+            state.granted = state.fence;
             state.held_until = state.held_until.max(now + max_local_time(hold));
             state.served_until = now + hold;
             let handover = state.handover.clone();
@@ -180,6 +196,25 @@
         self.state(slice).is_some_and(|state| now < state.held_until)
     }
 
+    /// What the upstream may hold at `now` that it could not when this was last called, and the reverse.
+    pub fn take_changes(&mut self, now: Moment) -> GrantChanges {
+        let mut changes = GrantChanges::default();
+        for (slice, state) in self.states.iter_mut().enumerate() {
+            let fence = if now < state.held_until { state.granted } else { 0 };
+            if fence == state.reported {
+                continue;
+            }
+            let before = std::mem::replace(&mut state.reported, fence);
+            if fence > 0 {
+                changes.granted.push((slice as SliceId, fence));
+            } else {
+                changes.ended.push((slice as SliceId, before));
+                changes.expired_at = changes.expired_at.max(state.held_until);
+            }
+        }
+        changes
+    }
+
     /// Number of slices for which requests may be sent at `now`.
     pub fn served_count(&self, now: Moment) -> usize {
         self.states.iter().filter(|state| state.fence > 0 && now < state.served_until).count()
--- a/crates/rattanarch_ownership/src/lib.rs
+++ b/crates/rattanarch_ownership/src/lib.rs
@@ -108,6 +108,7 @@
 pub use departure::apply_departures;
 pub use event::Event;
 pub use event::WriteOutcome;
+pub use grants::GrantChanges;
 pub use grants::Grants;
 pub use grants::SliceGrant;
 pub use join_request::JoinRequest;
--- a/crates/rattanarch_ownership/tests/grants.rs
+++ b/crates/rattanarch_ownership/tests/grants.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rattanarch_ownership::GrantChanges;
 use rattanarch_ownership::Grants;
 use rattanarch_ownership::RestoreWait;
 use rattanarch_ownership::Serving;
@@ -199,3 +200,26 @@
     late.observe(after, &settled, &timing);
     assert!(!late.is_waiting(after));
 }
+
+/// Each grant and each end of a hold is told once.
+#[test]
+fn changes_told() {
+    let first = record(5, &[ME, ME]);
+    let mut grants = Grants::new(2, Moment::ZERO);
+    grants.apply_record(&first, ME, |_| None);
+    let wait = RestoreWait::default();
+    grants.renew(ms(1_000), 1, &serving(&first, ms(4_000)), &wait, MAX_GRANT);
+    let changes = grants.take_changes(ms(1_000));
+    assert_eq!((changes.granted, changes.ended), (vec![(0, 5), (1, 5)], Vec::new()));
+    assert_eq!(grants.take_changes(ms(2_000)), GrantChanges::default());
+    let second = record(6, &[ME, OTHER]);
+    grants.apply_record(&second, ME, |_| None);
+    grants.apply_heartbeat(2, |slice| slice == 0);
+    grants.renew(ms(2_000), 2, &serving(&second, ms(5_000)), &wait, MAX_GRANT);
+    let changes = grants.take_changes(ms(2_000));
+    assert_eq!((changes.granted, changes.ended), (Vec::new(), vec![(1, 5)]));
+    assert_eq!(changes.expired_at, Moment::ZERO);
+    let expired = grants.take_changes(ms(9_000));
+    assert_eq!(expired.ended, [(0, 5)]);
+    assert!(expired.expired_at > ms(4_900) && expired.expired_at <= ms(5_100), "{expired:?}");
+}
--- a/crates/rattanarchd/tests/mesh_lines.rs
+++ b/crates/rattanarchd/tests/mesh_lines.rs
@@ -98,3 +98,30 @@
     let sent = sent();
     assert!(sent[0].ends_with("try 1") && sent[1].ends_with("try 2"), "{sent:?}");
 }
+
+/// The lines of the daemons tell who was granted a key under which token, and when its upstream could no longer hold it.
+#[test]
+fn grants_logged() {
+    let site = Site::start(2, 0);
+    let (first, _, fence) = site.upstreams[0].held()[0];
+    let line = |daemon: usize, event: &str, key: u16| {
+        let log = site.daemons[daemon].log();
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let covers = |line: &Value| {
+            let keys = line["keys"].as_str().unwrap_or_default();
+            keys.split([' ', '-']).any(|text| text.parse() == Ok(key))
+        };
+        lines.filter(|line| line["event"] == event).find(covers)
+    };
+    let granted = line(0, "keys granted", first).expect("the first grant has a line");
+    assert!(granted["keys"].as_str().unwrap().contains(&format!(":{fence}")), "{granted}");
+    assert!(granted["record"].as_u64().unwrap() >= fence, "{granted}");
+    site.upstreams[0].drain();
+    wait_until("the end of the hold has a line", || {
+        line(0, "keys no longer held", first).is_some()
+    });
+    wait_until("the next grant has a line", || {
+        let next = line(1, "keys granted", first);
+        next.is_some_and(|next| next["record"].as_u64().unwrap() > fence)
+    });
+}
