Move the choice of kept fences to the ownership crate

Which fences a newer process of a daemon keeps for its upstream was decided in the shell of the platform, where the random schedules and the tests of ownership can't reach it. No change of logic.

--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -9,6 +9,7 @@
 use rattanarch_adapter::Heartbeat;
 use rattanarch_ownership::Action;
 use rattanarch_ownership::Event;
+use rattanarch_ownership::KeptFences;
 use rattanarch_ownership::Node;
 use rattanarch_ownership::Serving;
 use rattanarch_placement::Spread;
@@ -70,7 +71,7 @@
     control.reset();
     for range in beat.held.iter().filter(|_| first) {
         let held = slices_within(SLICES, range.first, range.last);
-        control.initial_fences.extend(held.map(|slice| (slice, range.fence)));
+        control.kept_fences.report(held.map(|slice| (slice, range.fence)));
     }
     let lease = control.timing.lease;
     let until = if first { control.started + lease + lease / 20 } else { Moment::ZERO };
@@ -356,8 +357,7 @@
     control.excluded.clear();
     control.lost.clear();
     control.draining.clear();
-    control.previous_record = None;
-    control.initial_fences.clear();
+    control.kept_fences = KeptFences::default();
     control.leaving = false;
     drop(control);
     shared.upstream.state.borrow_mut().serving.lease_end = None;
@@ -373,8 +373,8 @@
     if me != 0 && version != control.granted_version {
         control.granted_version = version;
         control.restore_wait.observe(shared.now(), &serving.record, &control.timing);
-        let grants = &mut state.grants;
-        update_grants(control, &serving, |kept| grants.apply_record(&serving.record, me, kept));
+        let kept = control.kept_fences.apply_record(&serving.record, me);
+        state.grants.apply_record(&serving.record, me, |slice| kept.get(&slice).copied());
     }
     let before = std::mem::replace(&mut state.serving, serving);
     let unchanged = before.lease_end.is_some() == state.serving.lease_end.is_some()
@@ -385,30 +385,3 @@
         shared.state_changed.notify_waiters();
     }
 }
-
-/// Applies a record to the grants by `apply`, which gets the fences to keep. A member that has just replaced an older
-/// process of its instance keeps the fences under which the upstream already holds the slices.
-fn update_grants(
-    control: &mut super::Control,
-    serving: &Serving,
-    apply: impl FnOnce(&dyn Fn(SliceId) -> Option<Fence>),
-) {
-    let record = &serving.record;
-    if !record.members.contains_key(&serving.me) {
-        control.previous_record = Some(Rc::new(Record::clone(record)));
-        return apply(&|_| None);
-    }
-    // A restored record may show another owner than the one that the slices had last.
-    let is_direct = |previous: &Rc<Record>| {
-        previous.version + 1 == record.version && previous.restored == 0 && record.restored == 0
-    };
-    let previous = control.previous_record.take().filter(is_direct);
-    let instance = record.members.get(&serving.me).map(|member| member.instance.as_str());
-    let kept_fence = |slice: SliceId| {
-        let owner = previous.as_ref()?.owners.get(usize::from(slice)).copied().flatten()?;
-        let old = previous.as_ref()?.members.get(&owner)?;
-        (Some(old.instance.as_str()) == instance)
-            .then(|| control.initial_fences.get(&slice).copied())?
-    };
-    apply(&kept_fence);
-}
--- a/crates/rattanarch_mesh/src/control/state.rs
+++ b/crates/rattanarch_mesh/src/control/state.rs
@@ -2,21 +2,19 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::rc::Rc;
 
 use rattanarch_dissemination::FetchScheduler;
 use rattanarch_dissemination::LinkPacer;
 use rattanarch_dissemination::RecordFetchPolicy;
 use rattanarch_ownership::Batcher;
+use rattanarch_ownership::KeptFences;
 use rattanarch_ownership::Node;
 use rattanarch_ownership::RestoreWait;
 use rattanarch_ownership::Timing;
 use rattanarch_placement::Spread;
 use rattanarch_process::random;
 use rattanarch_types::BootId;
-use rattanarch_types::Fence;
 use rattanarch_types::Moment;
-use rattanarch_types::Record;
 use rattanarch_types::SliceId;
 
 use crate::control::gossip::Announcement;
@@ -43,11 +41,8 @@
     pub(crate) ended: BTreeSet<BootId>,
     /// Whether the node was told to leave.
     pub(crate) leaving: bool,
-    /// Newest record without this member; tells which slices an older process of the instance owned before this
-    /// member replaced it.
-    pub(crate) previous_record: Option<Rc<Record>>,
-    /// Fences under which the upstream held slices in the first heartbeat that this process got.
-    pub(crate) initial_fences: BTreeMap<SliceId, Fence>,
+    /// Fences under which the upstream held slices when this process started.
+    pub(crate) kept_fences: KeptFences,
     /// Whether the lease was held at the last check.
     pub(crate) leased: bool,
     /// When slices were last moved because of load.
@@ -78,8 +73,7 @@
             lost: BTreeSet::new(),
             ended: BTreeSet::new(),
             leaving: false,
-            previous_record: None,
-            initial_fences: BTreeMap::new(),
+            kept_fences: KeptFences::default(),
             leased: false,
             last_rebalance: Moment::ZERO,
             fetch_policy: RecordFetchPolicy::default(),
@@ -98,8 +92,7 @@
         self.excluded.clear();
         self.lost.clear();
         self.leaving = false;
-        self.previous_record = None;
-        self.initial_fences.clear();
+        self.kept_fences = KeptFences::default();
         self.granted_version = 0;
     }
 }
