Don't keep a fencing token that is older than the record

An upstream that has seen its own higher token refuses the row, and the keys stay unserved while the daemon lives.

Cause: the newer process keeps the tokens of the first heartbeat that it gets, for slices that the earlier process owned in the record before. A heartbeat may arrive seconds late, so that it tells of a time before the slices went to another member and came back. The record's token of the slice was not looked at.

Fix: a token is kept only if it is not below the record's token of the slice, the version that last gave it to the earlier process. All tokens that others had are below that one.

--- a/crates/rattanarch_ownership/src/kept_fences.rs
+++ b/crates/rattanarch_ownership/src/kept_fences.rs
@@ -41,7 +41,15 @@
             let owner = owner.and_then(|owner| previous.members.get(&owner));
             owner.is_some_and(|owner| owner.instance == member.instance)
         };
-        let kept = self.reported.iter().filter(|(slice, _)| is_direct && was_own(**slice));
+        // A heartbeat may arrive late. Fences from before the earlier process last got the slice may be below those of
+        // its owners since.
+        let is_current = |slice: SliceId, fence: Fence| {
+            previous.fence_of(slice).is_some_and(|token| fence >= token)
+        };
+        let kept = self
+            .reported
+            .iter()
+            .filter(|(slice, fence)| is_direct && was_own(**slice) && is_current(**slice, **fence));
         kept.map(|(slice, fence)| (*slice, *fence)).collect()
     }
 }
