--- a/crates/rattanarch_ownership/src/grants.rs
+++ b/crates/rattanarch_ownership/src/grants.rs
@@ -167,6 +167,8 @@
         for slice in slices {
             if let Some(state) = self.states.get_mut(usize::from(slice)) {
                 state.served_until = Moment::ZERO;
+                // The grant was not sent; an earlier one may still be in force.
+                state.granted = state.reported;
             }
         }
     }
--- a/scripts/check_grants.py
+++ b/scripts/check_grants.py
@@ -18,20 +18,21 @@
 
 
 def read_events(lines):
-    """Returns the lines about grants, in order."""
-    events = []
+    """Returns the lines about grants, in order, and how many of them can't be read."""
+    events, unread = [], 0
     for line in lines:
-        start = line.find("{")
-        if start < 0 or not any(event in line for event in (GRANTED, ENDED, STARTED)):
-            continue
-        try:
-            event = json.loads(line[start:])
-        except ValueError:
-            continue
-        if event.get("event") in (GRANTED, ENDED, STARTED):
-            events.append(event)
+        for name in (GRANTED, ENDED, STARTED):
+            at = line.find(f'"{name}"')
+            if at < 0:
+                continue
+            try:
+                # Another line may have been cut off in the middle of this one.
+                event, _ = json.JSONDecoder().raw_decode(line, line.rindex('{"', 0, at))
+                events.append(event)
+            except ValueError:
+                unread += 1
     events.sort(key=lambda event: event["time"])
-    return events
+    return events, unread
 
 
 def ranges(text):
@@ -113,11 +114,12 @@
 def main():
     """Checks the logs named on the command line."""
     checker = Checker()
-    for event in read_events(fileinput.input()):
+    events, unread = read_events(fileinput.input())
+    for event in events:
         checker.apply(event)
     for (kind, time, _, text), keys in sorted(checker.violations.items(), key=lambda item: item[0][1]):
         print(f"{kind} at {time}: {len(keys)} keys from {min(keys)}: {text}")
-    print(f"{checker.grants} grants of keys, {len(checker.violations)} violations")
+    print(f"{checker.grants} grants of keys, {unread} lines not read, {len(checker.violations)} violations")
     if not checker.grants:
         sys.exit(2)
     sys.exit(1 if checker.violations else 0)
