Wait out the grants of an earlier process, whatever heartbeats say

Cause: the newer process took the first heartbeat that it got as proof of what its upstream holds, and an unknown life as one that can't hold anything. A heartbeat may come seconds late: it tells of a time before the earlier process's last grants, or is of a life that has ended, and the living one then counts as new.

Fix: no heartbeat and no new life ends the wait for the grants of an earlier process (a lease and a twentieth after the start); only an upstream that refuses connections has ended. A daemon that has just started gives keys on up to that much later.

--- a/crates/rattanarch_mesh/src/control/node.rs
+++ b/crates/rattanarch_mesh/src/control/node.rs
@@ -64,8 +64,9 @@
 }
 
 /// Resets ownership for an upstream that has started anew, or is seen for the first time, with the heartbeat `beat`.
-/// `first` says that this process has seen no upstream before: then an earlier process may still have given grants to
-/// this very one.
+///
+/// An earlier process may have given grants to it, even if this process has seen another life before: that may have been a
+/// late heartbeat of an ended one. `first` says that it has seen none; only then fences in `beat` may be kept.
 pub(crate) fn begin_life(shared: &Rc<Shared>, first: bool, beat: &Heartbeat) {
     let mut control = shared.control.borrow_mut();
     control.reset();
@@ -74,7 +75,7 @@
         control.kept_fences.report(held.map(|slice| (slice, range.fence)));
     }
     let lease = control.timing.lease;
-    let until = if first { control.started + lease + lease / 20 } else { Moment::ZERO };
+    let until = control.started + lease + lease / 20;
     drop(control);
     let mut state = shared.upstream.state.borrow_mut();
     state.reset_grants(shared.now(), SLICES, until);
--- a/crates/rattanarch_ownership/src/grants.rs
+++ b/crates/rattanarch_ownership/src/grants.rs
@@ -73,14 +73,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Grants {
     states: Vec<GrantState>,
+    /// When grants of an earlier process of this daemon have ended. Heartbeats don't end them: the first ones that this
+    /// process receives may have been sent before those grants arrived.
+    earlier_until: Moment,
 }
 
 impl Grants {
     /// Creates the state for `slices` slices, none of them granted yet. Grants of an earlier process of this daemon may
     /// be valid until `until`.
     pub fn new(slices: SliceId, until: Moment) -> Self {
-        let state = GrantState { held_until: until, ..GrantState::default() };
-        Self { states: vec![state; usize::from(slices)] }
+        Self { states: vec![GrantState::default(); usize::from(slices)], earlier_until: until }
     }
 
     /// Applies `record` for the member `me`. A newly owned slice gets `kept(slice)` as its fence if that is `Some`: the
@@ -180,6 +182,7 @@
 
     /// Ends all grants, after this boot of the upstream has ended.
     pub fn end_all(&mut self) {
+        self.earlier_until = Moment::ZERO;
         for state in &mut self.states {
             state.held_until = Moment::ZERO;
             state.served_until = Moment::ZERO;
@@ -195,7 +198,7 @@
     /// Whether the upstream may still hold `slice` at `now`, on the slowest clock within the drift bound. Requests that
     /// it runs for the slice end with the grant at the latest.
     pub fn may_hold(&self, now: Moment, slice: SliceId) -> bool {
-        self.state(slice).is_some_and(|state| now < state.held_until)
+        now < self.earlier_until || self.state(slice).is_some_and(|state| now < state.held_until)
     }
 
     /// What the upstream may hold at `now` that it could not when this was last called, and the reverse.
--- a/crates/rattanarch_ownership/tests/grants.rs
+++ b/crates/rattanarch_ownership/tests/grants.rs
@@ -223,3 +223,14 @@
     assert_eq!(expired.ended, [(0, 5)]);
     assert!(expired.expired_at > ms(4_900) && expired.expired_at <= ms(5_100), "{expired:?}");
 }
+
+/// Guards against a late first heartbeat: it does not end what an earlier process granted after it was sent.
+#[test]
+fn earlier_grants() {
+    let mut grants = Grants::new(1, ms(3_150));
+    grants.apply_heartbeat(5, |_| false);
+    assert!(grants.may_hold(ms(3_000), 0));
+    assert!(!grants.may_hold(ms(3_150), 0));
+    grants.end_all();
+    assert!(!grants.may_hold(ms(100), 0), "an upstream that has ended holds nothing");
+}
