Don't take a heartbeat for proof that a grant on its way was not taken

Cause: a later heartbeat that does not report a slice ended its grant, although the upstream may have sent it before the grant arrived. The slice was given on, and the reply was taken afterwards. Same class: evidence of an unknown time.

Fix: a slice that has never been reported as held since it was granted counts as not held only once the reply can't be taken any more. Slices that were held and released are given on as before.

--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -176,7 +176,7 @@
             held[usize::from(slice)] = true;
         }
     }
-    state.grants.apply_heartbeat(beat.sequence, |slice| held[usize::from(slice)]);
+    state.grants.apply_heartbeat(now, beat.sequence, |slice| held[usize::from(slice)]);
 }
 
 /// Requests a second that a cold upstream gets while the configuration is unknown.
--- a/crates/rattanarch_ownership/src/grants.rs
+++ b/crates/rattanarch_ownership/src/grants.rs
@@ -20,6 +20,9 @@
 /// Shortest grant worth giving: a request would outlast a shorter one.
 const MIN_HOLD: Duration = Duration::from_millis(250);
 
+/// Time after sending a heartbeat after which the upstream takes no grant from the reply.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A slice that the upstream is to hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SliceGrant {
@@ -42,8 +45,12 @@
     handover: Option<String>,
     /// Whether the upstream held the slice, or still ran requests for it, when it sent the last heartbeat.
     held: bool,
+    /// Whether a heartbeat has reported the slice as held since it was first granted under `fence`.
+    taken: bool,
     /// Sequence number of the heartbeat that the last grant answered; 0 if there was none.
     sequence: u64,
+    /// When the last grant was given.
+    granted_at: Moment,
     /// When the last grant ends if the upstream's clock is the slowest within the drift bound.
     held_until: Moment,
     /// When the last grant ends if the upstream's clock runs like this one; requests are sent until then.
@@ -54,6 +61,13 @@
     told: Fence,
 }
 
+impl GrantState {
+    /// Whether the upstream has taken the last grant, or will not take it any more.
+    fn is_settled(&self, now: Moment) -> bool {
+        self.taken || now >= self.granted_at + max_local_time(REPLY_TIMEOUT)
+    }
+}
+
 /// Changes of what an upstream may hold, since the changes that were taken before.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct GrantChanges {
@@ -71,7 +85,8 @@
 ///
 /// The upstream counts a grant from the sending of its heartbeat. A slice may go to another owner once the upstream has
 /// reported that it does not hold it, in a heartbeat after the one that the last grant answered, or once the grant has
-/// ended on the slowest clock.
+/// ended on the slowest clock. A heartbeat may have been sent before that grant arrived: if the slice has never been
+/// reported as held, the report counts only once the grant can't be taken any more.
 #[derive(Clone, Debug, Default)]
 pub struct Grants {
     states: Vec<GrantState>,
@@ -104,27 +119,31 @@
             if record.owners.get(slice) != Some(&Some(me)) {
                 state.fence = 0;
                 state.handover = None;
+                state.taken = false;
                 continue;
             }
             let recorded = record.fence_of(id);
             if state.fence == 0 || recorded.is_some_and(|token| token != state.recorded) {
                 state.recorded = recorded.unwrap_or(record.version);
                 state.fence = kept(id).unwrap_or(state.recorded);
+                state.taken = false;
                 state.handover = record.handovers.get(&id).cloned();
             }
         }
     }
 
-    /// Applies the heartbeat with number `sequence`; `holds` tells whether the upstream holds a slice or still runs
-    /// requests for it. Ends the grant of each slice that it does not hold, if the heartbeat is later than the one that
-    /// the grant answered.
-    pub fn apply_heartbeat(&mut self, sequence: u64, holds: impl Fn(SliceId) -> bool) {
+    /// Applies the heartbeat with number `sequence`, received at `now`; `holds` tells whether the upstream holds a slice
+    /// or still runs requests for it. Ends the grant of each slice that it does not hold, if the heartbeat is later than
+    /// the one that the grant answered.
+    pub fn apply_heartbeat(&mut self, now: Moment, sequence: u64, holds: impl Fn(SliceId) -> bool) {
         for (slice, state) in self.states.iter_mut().enumerate() {
             state.held = holds(slice as SliceId);
             if state.held {
                 // The upstream has taken the handover, so that it need not be sent again.
                 state.handover = None;
-            } else if sequence > state.sequence {
+                state.taken = true;
+            } else if sequence > state.sequence && state.is_settled(now) {
+                state.taken = false;
                 state.held_until = Moment::ZERO;
                 state.served_until = Moment::ZERO;
             }
@@ -157,6 +176,7 @@
                 continue;
             }
             state.sequence = sequence;
+            state.granted_at = now;
             state.granted = state.fence;
             state.held_until = state.held_until.max(now + max_local_time(hold));
             state.served_until = now + hold;
