Test grants and fencing tokens of upstreams under random faults

The random schedules of ownership checked leases and records only. `random_grants` runs upstreams with lives, heartbeats, holds on slow clocks and rejected rows beside daemons that feed `Grants` and `KeptFences` as the mesh does. After each take: the token is above all that other lives had, and no other upstream holds the slice.

--- a/crates/rattanarch_ownership/src/grants.rs
+++ b/crates/rattanarch_ownership/src/grants.rs
@@ -9,6 +9,7 @@
 use rattanarch_types::SliceId;
 
 use crate::RestoreWait;
+use crate::Rules;
 use crate::Serving;
 
 /// Bound on the drift of the upstream's clock, in parts per million: how much longer a second may last on it.
@@ -93,13 +94,22 @@
     /// When grants of an earlier process of this daemon have ended. Heartbeats don't end them: the first ones that this
     /// process receives may have been sent before those grants arrived.
     earlier_until: Moment,
+    rules: Rules,
 }
 
 impl Grants {
     /// Creates the state for `slices` slices, none of them granted yet. Grants of an earlier process of this daemon may
     /// be valid until `until`.
     pub fn new(slices: SliceId, until: Moment) -> Self {
-        Self { states: vec![GrantState::default(); usize::from(slices)], earlier_until: until }
+        let states = vec![GrantState::default(); usize::from(slices)];
+        Self { states, earlier_until: until, rules: Rules::default() }
+    }
+
+    /// Replaces the rules; only tests switch one off.
+    #[doc(hidden)]
+    pub fn with_rules(mut self, rules: Rules) -> Self {
+        self.rules = rules;
+        self
     }
 
     /// Applies `record` for the member `me`. A newly owned slice gets `kept(slice)` as its fence if that is `Some`: the
@@ -114,6 +124,7 @@
         me: BootId,
         kept: impl Fn(SliceId) -> Option<Fence>,
     ) {
+        let follow_fences = self.rules.follow_fences;
         for (slice, state) in self.states.iter_mut().enumerate() {
             let id = slice as SliceId;
             if record.owners.get(slice) != Some(&Some(me)) {
@@ -123,7 +134,8 @@
                 continue;
             }
             let recorded = record.fence_of(id);
-            if state.fence == 0 || recorded.is_some_and(|token| token != state.recorded) {
+            let has_moved = recorded.is_some_and(|token| token != state.recorded) && follow_fences;
+            if state.fence == 0 || has_moved {
                 state.recorded = recorded.unwrap_or(record.version);
                 state.fence = kept(id).unwrap_or(state.recorded);
                 state.taken = false;
--- a/crates/rattanarch_ownership/src/rules.rs
+++ b/crates/rattanarch_ownership/src/rules.rs
@@ -40,6 +40,12 @@
     pub witness_standing: bool,
     /// A member without witnesses serves only for a lease duration after a platform response that confirms it.
     pub confirm_unwitnessed: bool,
+    /// A slice is granted under another fencing token once the record's has changed, whichever versions were skipped.
+    pub follow_fences: bool,
+    /// A newer process keeps a fencing token only if the record before it joined was the direct predecessor.
+    pub match_predecessor: bool,
+    /// A newer process keeps no fencing token that is below the record's.
+    pub match_fences: bool,
 }
 
 impl Default for Rules {
@@ -61,6 +67,9 @@
             settle_lost_answers: true,
             witness_standing: true,
             confirm_unwitnessed: true,
+            follow_fences: true,
+            match_predecessor: true,
+            match_fences: true,
         }
     }
 }
--- a/crates/rattanarch_ownership/tests/harness/batching.rs
+++ b/crates/rattanarch_ownership/tests/harness/batching.rs
@@ -27,6 +27,11 @@
         let Some(index) = reached.filter(|_| !lost) else {
             return self.schedule(5 * MILLI, Task::Deliver(from, Event::Declined { by: to }));
         };
+        if matches!(request, ChangeRequest::Release(_))
+            && let Some(delay) = self.crash_in_release(from)
+        {
+            return self.schedule(delay, Task::Delegated(index, request));
+        }
         let late = self.noise_until > self.now && self.chance(10);
         let spread = if late { 2_000 * MILLI } else { 3 * MILLI };
         let delay = MILLI + self.random_below(spread);
--- a/crates/rattanarch_ownership/tests/harness/check.rs
+++ b/crates/rattanarch_ownership/tests/harness/check.rs
@@ -100,7 +100,12 @@
     /// Checks that no upstream has a valid grant from `removed` any more: a request that passed the
     /// check may still be in flight, even if the process has ended. A member that leaves has drained
     /// all requests and holds what it owns, so another process may write its departure.
+    ///
+    /// Machines have upstreams of their own, whose holds are checked instead.
     fn check_removed(&self, removed: BootId) -> Result<(), String> {
+        if self.settings.machines {
+            return Ok(());
+        }
         let granted = |(index, process): &(usize, &Process)| {
             let fenced = process.fence > 0 && self.holders[process.slot] != *index;
             process.node.me() == removed && !fenced && process.clock(self.now) < process.grant_end
@@ -135,7 +140,7 @@
     }
 
     /// Describes the record and the live processes for the message of a failed check.
-    fn describe(&self) -> String {
+    pub(crate) fn describe(&self) -> String {
         let mut text = format!("at {} µs\n", self.now);
         let record = &self.platform.stored;
         text += &format!("record {}: {:?} {:?}\n", record.version, record.owners, record.hot);
--- a/crates/rattanarch_ownership/tests/harness/mod.rs
+++ b/crates/rattanarch_ownership/tests/harness/mod.rs
@@ -8,6 +8,8 @@
 mod check;
 mod fault;
 mod fault_injection;
+mod machine;
+mod machine_fault;
 #[path = "../members/mod.rs"]
 mod members;
 mod network;
@@ -15,8 +17,12 @@
 mod process;
 mod simulation;
 mod slots;
+mod upstream;
 
 pub use fault::Fault;
+pub use machine::Counts;
+#[allow(unused_imports, reason = "each test file uses a part")]
+pub use machine_fault::MachineFault;
 pub use process::Process;
 pub use simulation::Simulation;
 pub use simulation::SimulationSettings;
--- a/crates/rattanarch_ownership/tests/harness/network.rs
+++ b/crates/rattanarch_ownership/tests/harness/network.rs
@@ -43,13 +43,19 @@
     }
 
     fn reaches_platform(&self, index: usize) -> bool {
-        self.now >= self.platform.down_until
-            && self.now >= self.no_platform_until[self.processes[index].slot]
+        self.slot_reaches_platform(self.processes[index].slot)
+    }
+
+    fn slot_reaches_platform(&self, slot: usize) -> bool {
+        self.now >= self.platform.down_until && self.now >= self.no_platform_until[slot]
     }
 
     fn receives_answers(&self, index: usize) -> bool {
-        self.reaches_platform(index)
-            && self.now >= self.no_answers_until[self.processes[index].slot]
+        self.slot_receives_answers(self.processes[index].slot)
+    }
+
+    pub(crate) fn slot_receives_answers(&self, slot: usize) -> bool {
+        self.slot_reaches_platform(slot) && self.now >= self.no_answers_until[slot]
     }
 
     pub(crate) fn answer_read(&mut self, index: usize, sent: Duration) {
@@ -77,7 +83,11 @@
             let event = Event::Written { write_id, outcome };
             return self.schedule(20 * MILLI, Task::Deliver(index, event));
         }
-        let delay = self.platform_delay();
+        let delay = if self.is_release(index, &record) {
+            self.crash_in_release(index).unwrap_or_else(|| self.platform_delay())
+        } else {
+            self.platform_delay()
+        };
         self.schedule(delay, Task::Write { process: index, record });
         if delay > ANSWER_TIMEOUT {
             let event = Event::Written { write_id, outcome: WriteOutcome::Unknown };
@@ -85,8 +95,15 @@
         }
     }
 
+    /// Whether `record` gives slices of its writer to others.
+    fn is_release(&self, index: usize, record: &Record) -> bool {
+        let me = Some(self.processes[index].node.me());
+        let owners = self.platform.stored.owners.iter().zip(&record.owners);
+        owners.into_iter().any(|(old, new)| *old == me && *new != me)
+    }
+
     /// Applies an update, even if its sender has ended meanwhile.
-    pub(crate) fn answer_write(&mut self, index: usize, record: Record) -> Result<(), String> {
+    pub(crate) fn answer_write(&mut self, index: usize, mut record: Record) -> Result<(), String> {
         if self.now < self.platform.down_until {
             let event =
                 Event::Written { write_id: record.write_id, outcome: WriteOutcome::Unknown };
@@ -97,12 +114,18 @@
         if record.version == self.platform.stored.version + 1 {
             self.check_write(self.processes[index].node.me(), &record)?;
         }
+        let slot = self.processes[index].slot;
+        let tokenless = self.machines.get(slot).is_some_and(|m| self.now < m.tokenless_until);
+        if tokenless {
+            record = record.with_fences();
+        }
         let mut outcome = self.platform.write(record);
         if outcome == WriteOutcome::Accepted {
             self.notify_watches();
         }
         let lost = self.noise_until > self.now && self.chance(40);
-        let lost = lost || !self.receives_answers(index);
+        // A writer without tokens has to read the ones that others count on.
+        let lost = lost || tokenless || !self.receives_answers(index);
         if lost {
             outcome = WriteOutcome::Unknown;
         }
@@ -112,6 +135,9 @@
     }
 
     fn notify_watches(&mut self) {
+        if self.settings.machines {
+            return self.notify_machines();
+        }
         for index in 0..self.processes.len() {
             if self.receives_answers(index) && (self.noise_until <= self.now || self.chance(60)) {
                 let record = self.platform.stored.clone();
--- a/crates/rattanarch_ownership/tests/harness/process.rs
+++ b/crates/rattanarch_ownership/tests/harness/process.rs
@@ -41,9 +41,7 @@
 impl Process {
     /// Reading of this process's clock at true time `now`, in microseconds.
     pub fn clock(&self, now: u64) -> Moment {
-        let now = i64::try_from(now).unwrap_or(i64::MAX);
-        let local = now + now * self.drift_ppm / 1_000_000;
-        self.origin + Duration::from_micros(local.unsigned_abs())
+        local_time(self.origin, self.drift_ppm, now)
     }
 
     /// Whether a request for `hash` could start at true time `now`, in microseconds.
@@ -51,3 +49,10 @@
         self.is_alive && self.node.serving().check(self.clock(now), hash).is_ok()
     }
 }
+
+/// Reading at true time `now`, in microseconds, of a clock with this reading at time 0 and this drift.
+pub(crate) fn local_time(origin: Duration, drift_ppm: i64, now: u64) -> Moment {
+    let now = i64::try_from(now).unwrap_or(i64::MAX);
+    let local = now + now * drift_ppm / 1_000_000;
+    origin + Duration::from_micros(local.unsigned_abs())
+}
--- a/crates/rattanarch_ownership/tests/harness/simulation.rs
+++ b/crates/rattanarch_ownership/tests/harness/simulation.rs
@@ -15,8 +15,12 @@
 use rattanarch_ownership::Timing;
 use rattanarch_types::Fence;
 use rattanarch_types::Record;
+use rattanarch_types::SliceId;
 
+use super::Counts;
 use super::Process;
+use super::machine::Machine;
+use super::machine::MachineTask;
 use super::platform::Platform;
 
 pub(crate) const MILLI: u64 = 1_000;
@@ -41,6 +45,10 @@
     pub fenced_percent: u64,
     /// Whether daemons write change requests for others in batches.
     pub batching: bool,
+    /// Whether daemons and upstreams run as on the users' platform: heartbeats, grants and slices that move often.
+    pub machines: bool,
+    /// Interval between two heartbeats of an upstream.
+    pub upstream_heartbeat_ms: u64,
 }
 
 impl Default for SimulationSettings {
@@ -57,6 +65,34 @@
             fault_interval_ms: 700,
             fenced_percent: 70,
             batching: false,
+            machines: false,
+            upstream_heartbeat_ms: 1_000,
+        }
+    }
+}
+
+impl SimulationSettings {
+    /// Machines with the timing of the users' platform.
+    pub fn with_machines(seed: u64, slots: usize) -> Self {
+        let upstream_heartbeat_ms = if seed.is_multiple_of(2) { 1_000 } else { 500 };
+        let lease = Duration::from_secs(3);
+        let timing = Timing {
+            lease,
+            heartbeat: lease / 5,
+            suspicion: lease * 4 / 5,
+            drift_ppm: 1_000,
+            turn: Duration::from_millis(200),
+            ..Timing::default()
+        };
+        Self {
+            seed,
+            slots,
+            timing,
+            drift_ppm: timing.drift_ppm,
+            fault_interval_ms: 200 + seed % 2_300,
+            machines: true,
+            upstream_heartbeat_ms,
+            ..Self::default()
         }
     }
 }
@@ -77,6 +113,7 @@
     Delegated(usize, ChangeRequest),
     /// The process learns which members are excluded and lost at that moment, so an older set never follows a newer one.
     Exclusions(usize),
+    Machine(usize, MachineTask),
 }
 
 /// Simulated processes, their network and the platform.
@@ -106,6 +143,15 @@
     pub(crate) tasks: BTreeMap<u64, Task>,
     pub(crate) task_count: u64,
     pub(crate) rng: ChaCha8Rng,
+    /// Machines by slot, if there are any.
+    pub(crate) machines: Vec<Machine>,
+    /// Number of lives of upstreams so far.
+    pub(crate) lives: u64,
+    /// Highest fence under which each life took a slice.
+    pub(crate) taken: BTreeMap<SliceId, BTreeMap<u64, Fence>>,
+    /// Whether daemons move slices at random.
+    pub moves_slices: bool,
+    pub counts: Counts,
 }
 
 impl Simulation {
@@ -132,7 +178,17 @@
             tasks: BTreeMap::new(),
             task_count: 0,
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
+            machines: Vec::new(),
+            lives: 0,
+            taken: BTreeMap::new(),
+            moves_slices: false,
+            counts: Counts::default(),
         };
+        if settings.machines {
+            sim.platform.stored = sim.platform.stored.clone().with_fences();
+            (0..settings.slots).for_each(|slot| sim.add_machine(slot));
+            return sim;
+        }
         for slot in 0..settings.slots {
             let checks = sim.chance(settings.fenced_percent);
             sim.checks_fence.push(checks);
@@ -182,7 +238,13 @@
                 }
             }
             Task::Resume(index) => self.resume(index)?,
-            Task::Deliver(index, event) => self.deliver(index, event)?,
+            Task::Deliver(index, event) => {
+                self.deliver(index, event)?;
+                if self.settings.machines {
+                    self.maintain(self.processes[index].slot)?;
+                }
+            }
+            Task::Machine(slot, task) => self.run_machine_task(slot, task)?,
             Task::Read { process, sent } => self.answer_read(process, sent),
             Task::Write { process, record } => self.answer_write(process, record)?,
             Task::Exclusions(index) => {
@@ -205,6 +267,10 @@
         if !process.is_alive {
             return Ok(());
         }
+        let is_record = matches!(event, Event::Record { read_sent: Some(_), .. });
+        if is_record && self.machines.get(process.slot).is_some_and(|m| now < m.blind_until) {
+            return Ok(());
+        }
         if now < process.paused_until {
             // Inputs of a paused process are queued. Ticks are not: the next one after the pause suffices.
             if event != Event::Tick {
@@ -217,12 +283,17 @@
             process.batcher.settle(clock, *write_id, outcome);
         }
         let actions = process.node.step(clock, event);
+        self.publish_serving(index);
         self.check(index)?;
         if self.noise_until > now && self.chance(1) {
             // The process is paused after the node's step, before its actions are carried out.
             self.processes[index].pending_actions.extend(actions);
             let millis = self.random_below(3_000);
-            self.pause(index, millis);
+            if self.settings.machines {
+                self.pause_daemon(self.processes[index].slot, millis);
+            } else {
+                self.pause(index, millis);
+            }
             return Ok(());
         }
         self.perform(index, actions);
@@ -260,6 +331,7 @@
                     self.schedule(delay, Task::Read { process: index, sent });
                 }
                 Action::Write(record) => self.send_write(index, record),
+                Action::Drain { slices, .. } if self.settings.machines => self.drain(index, slices),
                 Action::Drain { slices, hot } => {
                     self.drained_slices += slices.len() as u64;
                     let delay = 5 * MILLI + self.random_below(100 * MILLI);
@@ -271,12 +343,17 @@
                         ),
                     );
                 }
+                Action::Fence { above } if self.settings.machines => {
+                    let event = Event::Fenced { fence: above + 1 };
+                    self.schedule(0, Task::Deliver(index, event));
+                }
                 Action::Fence { above } => {
                     let fence = self.take_fence(index, self.processes[index].slot, above);
                     self.processes[index].fence = fence;
                     self.schedule(3 * MILLI, Task::Deliver(index, Event::Fenced { fence }));
                 }
                 Action::Delegate { to, request } => self.delegate(index, to, request),
+                Action::Rejoin | Action::Left if self.settings.machines => self.end_node(index),
                 Action::Rejoin => self.rejoin(index),
                 Action::Left => self.leave(index),
             }
@@ -291,6 +368,9 @@
     }
 
     pub(crate) fn publish_exclusions(&mut self) {
+        if self.settings.machines {
+            return self.publish_machine_exclusions();
+        }
         for index in 0..self.processes.len() {
             let delay = MILLI + self.random_below(200 * MILLI);
             self.schedule(delay, Task::Exclusions(index));
--- a/crates/rattanarch_ownership/tests/mutants.rs
+++ b/crates/rattanarch_ownership/tests/mutants.rs
@@ -5,6 +5,7 @@
 use std::ops::RangeInclusive;
 
 use harness::Fault;
+use harness::MachineFault;
 use harness::Simulation;
 use harness::SimulationSettings;
 use quickcheck::Arbitrary;
@@ -59,6 +60,65 @@
     eprintln!("violation in schedule {violation:?}");
 }
 
+/// Faults of upstreams and daemons, and a number of slots.
+fn any_machine_faults(g: &mut Gen) -> (Vec<MachineFault>, usize) {
+    (Vec::arbitrary(g), 2 + usize::from(u8::arbitrary(g) % 5))
+}
+
+/// Daemons of two machines that end in their releases in turn.
+fn crashes_in_releases(g: &mut Gen) -> (Vec<MachineFault>, usize) {
+    let mut millis = || 700 + u16::arbitrary(g) % 2_000;
+    let crash = |slot: u8| MachineFault::CrashInRelease { slot: slot % 2, millis: millis() };
+    ((0..10_u8).map(crash).collect(), 2)
+}
+
+/// As [`assert_needed`], with upstreams and daemons as on the users' platform, in schedules from seed `first`. Only
+/// violations of fences count, which the same schedule with the rule doesn't have.
+fn assert_needed_by_fences(
+    rules: Rules,
+    first: u64,
+    schedule: fn(&mut Gen) -> (Vec<MachineFault>, usize),
+) {
+    let violation = (first..first + MAX_SCHEDULES).find_map(|seed| {
+        let mut g = Gen::from_size_and_seed(FAULTS, seed);
+        let (faults, slots) = schedule(&mut g);
+        let settings = SimulationSettings::with_machines(u64::arbitrary(&mut g), slots);
+        let violation = |rules| {
+            let mut sim = Simulation::new(SimulationSettings { rules, ..settings });
+            let error = sim.run_machine_schedule(&faults).err();
+            error.filter(|error| error.contains("had it with fence"))
+        };
+        let error = violation(rules).filter(|_| violation(Rules::default()).is_none())?;
+        Some(format!("schedule {seed}: {error}"))
+    });
+    assert!(violation.is_some(), "{MAX_SCHEDULES} schedules found no violation without the rule");
+    eprintln!("violation in {violation:?}");
+}
+
+#[test]
+fn followed_fences() {
+    let rules = Rules { follow_fences: false, ..Rules::default() };
+    assert_needed_by_fences(rules, 1, any_machine_faults);
+}
+
+#[test]
+fn predecessors() {
+    let rules = Rules { match_predecessor: false, ..Rules::default() };
+    assert_needed_by_fences(rules, 1_600, crashes_in_releases);
+}
+
+#[test]
+fn current_fences() {
+    let rules = Rules { match_fences: false, ..Rules::default() };
+    assert_needed_by_fences(rules, 1, any_machine_faults);
+}
+
+#[test]
+fn boot_ids_of_lives() {
+    let rules = Rules { new_boot_ids: false, ..Rules::default() };
+    assert_needed_by_fences(rules, 1, any_machine_faults);
+}
+
 #[test]
 fn send_time() {
     assert_needed(Rules { count_from_send: false, ..Rules::default() }, any_fault);
--- a/crates/rattanarch_ownership/tests/named_schedules.rs
+++ b/crates/rattanarch_ownership/tests/named_schedules.rs
@@ -3,6 +3,7 @@
 mod harness;
 
 use harness::Fault;
+use harness::MachineFault;
 use harness::Simulation;
 use harness::SimulationSettings;
 
@@ -85,3 +86,63 @@
     let faults = [Fault::Kill { slot: 64, millis: 1_120 }, Fault::Stop { slot: 101 }];
     run(18_408_465_646_174_597_112, 5, &faults);
 }
+
+/// The first heartbeat that a newer process gets was sent before the upstream took a slice that it holds.
+#[test]
+fn late_first_heartbeat() {
+    let settings = SimulationSettings::with_machines(2_425_852_664_520_808_446, 4);
+    let faults = [
+        MachineFault::CrashInRelease { slot: 197, millis: 1_663 },
+        MachineFault::LateReplies { slot: 64, millis: 2_175 },
+        MachineFault::LateHeartbeats { slot: 230, millis: 2_042 },
+        MachineFault::Pause { slot: 120, millis: 2_522 },
+    ];
+    assert_eq!(Simulation::new(settings).run_machine_schedule(&faults), Ok(()));
+}
+
+/// The first heartbeat that a newer process gets is of a life that has ended; the upstream's next life holds what the
+/// earlier process granted.
+#[test]
+fn ended_life_first() {
+    for seed in 1..=100 {
+        let mut sim = Simulation::new(SimulationSettings::with_machines(seed, 3));
+        assert_eq!(sim.settle(), Ok(()));
+        sim.hold_back_heartbeats(1, true);
+        assert_eq!(sim.run(1_100), Ok(()));
+        sim.hold_back_heartbeats(1, false);
+        sim.inject_machine(MachineFault::NewLife { slot: 1, both: false, millis: 0 });
+        assert_eq!(sim.run(4_000), Ok(()));
+        sim.inject_machine(MachineFault::RestartDaemon { slot: 1, millis: 0 });
+        sim.inject_machine(MachineFault::LateReplies { slot: 1, millis: 4_000 });
+        sim.inject_machine(MachineFault::Shared(Fault::Bar { slot: 1, out: true }));
+        assert_eq!(sim.run(200), Ok(()));
+        let millis = sim.random_below(1_500) as u16;
+        for cut in [Fault::Isolate { slot: 1, millis }, Fault::NoPlatform { slot: 1, millis }] {
+            sim.inject_machine(MachineFault::Shared(cut));
+        }
+        assert_eq!(sim.run(4_000), Ok(()), "seed {seed}");
+    }
+}
+
+/// A daemon ends soon after its successor has joined; the upstream still holds what the first process granted.
+#[test]
+fn daemon_crashes_twice() {
+    for seed in 1..=600 {
+        let mut sim = Simulation::new(SimulationSettings::with_machines(seed, 3));
+        assert_eq!(sim.settle(), Ok(()));
+        let member = |sim: &Simulation| {
+            let members = &sim.platform.stored.members;
+            members.iter().find(|(_, member)| member.instance == "slot-1").map(|(id, _)| *id)
+        };
+        sim.moves_slices = true;
+        let phase = sim.random_below(2_000);
+        assert_eq!(sim.run(phase), Ok(()));
+        let first = member(&sim);
+        sim.inject_machine(MachineFault::RestartDaemon { slot: 1, millis: 0 });
+        while member(&sim) == first {
+            assert_eq!(sim.run(10), Ok(()));
+        }
+        sim.inject_machine(MachineFault::RestartDaemon { slot: 1, millis: 5_000 });
+        assert_eq!(sim.run(5_000), Ok(()), "seed {seed}");
+    }
+}
