--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rattanarch_types::FlowId;
 use rattanarch_types::Moment;
 use rattanarch_types::Rank;
 
@@ -54,6 +55,8 @@
     pub objective: Moment,
     /// When the response must arrive.
     pub deadline: Moment,
+    /// Group of requests that it belongs to, if requests are grouped.
+    pub flow: Option<FlowId>,
     /// The request.
     pub item: T,
 }
@@ -80,7 +83,8 @@
 /// use rattanarch_admission::{AdmissionController, PendingRequest};
 ///
 /// let ms = Duration::from_millis;
-/// let request = |rank, item| PendingRequest { rank, objective: ms(800), deadline: ms(1_000), item };
+/// let (objective, deadline) = (ms(800), ms(1_000));
+/// let request = |rank, item| PendingRequest { rank, objective, deadline, flow: None, item };
 /// let mut controller = AdmissionController::new(1);
 /// assert_eq!(controller.offer(ms(0), request(1, "first")).started, Some("first"));
 /// assert_eq!(controller.offer(ms(1), request(2, "second")).started, None);
--- a/crates/rattanarch_admission/tests/gate.rs
+++ b/crates/rattanarch_admission/tests/gate.rs
@@ -89,7 +89,8 @@
         for request in arriving {
             let deadline = request.arrived + DEADLINE;
             let objective = deadline.min(now + OBJECTIVE);
-            let pending = PendingRequest { rank: request.rank, objective, deadline, item: request };
+            let rank = request.rank;
+            let pending = PendingRequest { rank, objective, deadline, flow: None, item: request };
             let offered = controller.offer(now, pending);
             started.extend(offered.started);
             shed.extend(offered.shed);
@@ -166,6 +167,7 @@
             rank: 1,
             objective: now + OBJECTIVE,
             deadline: now + DEADLINE,
+            flow: None,
             item: (),
         };
         sent += u32::from(controller.offer(now, request).started.is_some());
@@ -187,6 +189,7 @@
         rank: 1,
         objective: now + OBJECTIVE,
         deadline: now + DEADLINE,
+        flow: None,
         item: (),
     };
     assert!(controller.offer(now, request()).started.is_some());
@@ -208,6 +211,7 @@
         rank: 0,
         objective: start + OBJECTIVE,
         deadline: start + DEADLINE,
+        flow: None,
         item: (),
     };
     let offers: Vec<_> = (0..SLOTS * 3).map(|_| controller.offer(start, request.clone())).collect();
--- a/crates/rattanarch_mesh/src/request/call.rs
+++ b/crates/rattanarch_mesh/src/request/call.rs
@@ -9,6 +9,7 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use rattanarch_routing::ResponseSize;
+use rattanarch_types::FlowId;
 use rattanarch_types::Moment;
 use rattanarch_types::Rank;
 use rattanarch_types::ServiceName;
@@ -48,6 +49,8 @@
     /// When the caller gets a response in any case.
     pub(crate) deadline: Moment,
     pub(crate) key: Option<u16>,
+    /// Group of requests that shares the upstream fairly with others.
+    pub(crate) flow: Option<FlowId>,
     /// Expected size of the response.
     pub(crate) size: ResponseSize,
     /// Whether the next run counts as a retry: an upstream may have run the request before, or it is a
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -31,6 +31,7 @@
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::RequestTrace;
+use crate::request::forward_headers::FLOW;
 use crate::request::forward_headers::FORWARD;
 use crate::request::forward_headers::ForwardHeader;
 use crate::request::forward_headers::ResponseHeaders;
@@ -198,6 +199,9 @@
     let headers = request.headers_mut();
     headers.clone_from(&call.headers);
     headers.insert(FORWARD, HeaderValue::from_str(&forward_header.to_string()).ok()?);
+    if let Some(flow) = call.flow {
+        headers.insert(FLOW, HeaderValue::from(flow));
+    }
     if !headers.contains_key(header::HOST) {
         headers.insert(header::HOST, HeaderValue::from_str(&peer.address.to_string()).ok()?);
     }
--- a/crates/rattanarch_mesh/src/request/forward_headers.rs
+++ b/crates/rattanarch_mesh/src/request/forward_headers.rs
@@ -13,6 +13,9 @@
 /// Metadata of a forwarded request.
 pub(crate) const FORWARD: HeaderName = HeaderName::from_static("rattanarch-forward");
 
+/// Group of a forwarded request; absent if requests are not grouped.
+pub(crate) const FLOW: HeaderName = HeaderName::from_static("rattanarch-flow");
+
 /// How a forwarded request ended.
 const VERDICT: HeaderName = HeaderName::from_static(Verdict::HEADER);
 
@@ -117,12 +120,13 @@
 /// Load of an upstream, sent with each response.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 #[display(
-    "{running} {waiting} {slots} {} {} {used_percent} {} {} {}",
+    "{running} {waiting} {slots} {} {} {used_percent} {} {} {} {} {concurrency}",
     mean_time.as_millis(),
     u8::from(*cold),
     send_time.as_millis(),
     lag.as_millis(),
-    limit_interval.as_micros()
+    limit_interval.as_micros(),
+    next_heartbeat.as_millis()
 )]
 pub(crate) struct LoadHeader {
     pub(crate) running: u32,
@@ -139,6 +143,10 @@
     pub(crate) lag: Duration,
     /// Mean time between two requests at the limit that the upstream names; zero without a limit.
     pub(crate) limit_interval: Duration,
+    /// Time until the upstream's next heartbeat is due; zero if not told.
+    pub(crate) next_heartbeat: Duration,
+    /// Requests that the upstream may run at once now; 0 if not told.
+    pub(crate) concurrency: u32,
 }
 
 impl LoadHeader {
@@ -155,6 +163,8 @@
             send_time: Duration::from_millis(u64::from(next().unwrap_or_default())),
             lag: Duration::from_millis(u64::from(next().unwrap_or_default())),
             limit_interval: Duration::from_micros(u64::from(next().unwrap_or_default())),
+            next_heartbeat: Duration::from_millis(u64::from(next().unwrap_or_default())),
+            concurrency: next().unwrap_or_default(),
         })
     }
 
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -20,6 +21,7 @@
 use crate::request::Call;
 use crate::request::Outcome;
 use crate::request::call::strip_connection_headers;
+use crate::request::forward_headers::FLOW;
 use crate::request::forward_headers::FORWARD;
 use crate::request::forward_headers::ForwardHeader;
 use crate::request::forward_headers::LoadHeader;
@@ -69,6 +71,7 @@
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?.to_bytes();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(FORWARD);
+    let flow = parts.headers.remove(FLOW).and_then(|value| value.to_str().ok()?.parse().ok());
     let id = headers::caller_request_id(&parts.headers).and_then(|id| id.to_str().ok());
     Some(Call {
         id: id.unwrap_or_default().to_owned(),
@@ -83,6 +86,7 @@
         objective: now + header.objective,
         deadline: now + header.left,
         key: header.key,
+        flow,
         size: header.size,
         retry: Cell::new(header.retry),
     })
@@ -127,5 +131,7 @@
         send_time: shared.uplink.backlog.borrow().expected_time(now),
         lag: shared.lag.get(),
         limit_interval: state.admission.limit_interval(),
+        next_heartbeat: Duration::ZERO,
+        concurrency: 0,
     }
 }
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -36,6 +36,7 @@
 use crate::request::attempts::Attempts;
 use crate::request::call::strip_connection_headers;
 use crate::request::caller_timeouts::CallerTimeouts;
+use crate::request::forward_headers::FLOW;
 use crate::request::forward_headers::FORWARD;
 use crate::request::responses;
 use crate::request::retry_shares::RetryShares;
@@ -141,6 +142,7 @@
         let spent = self.timeouts.time_spent(&rule.name, timeout);
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(FORWARD);
+        parts.headers.remove(FLOW);
         parts.headers.remove(header::CONTENT_LENGTH);
         let id = headers::caller_request_id(&parts.headers).and_then(|id| id.to_str().ok());
         let id = id.unwrap_or_default().to_owned();
@@ -160,6 +162,7 @@
             objective: received + rule.target_latency.saturating_sub(spent),
             deadline: received + timeout.min(rule.timeout),
             key,
+            flow: None,
             size: match rule.retry_policy {
                 RetryPolicy::Download => ResponseSize::Large,
                 RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => ResponseSize::Small,
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -174,7 +174,7 @@
 /// Offers `call` to the admission controller, which starts, queues or refuses it.
 fn offer(shared: &Rc<Shared>, call: &Call, sender: PermitSender) {
     let (rank, objective, deadline) = (call.rank, call.objective, call.deadline);
-    let pending = PendingRequest { rank, objective, deadline, item: sender };
+    let pending = PendingRequest { rank, objective, deadline, flow: call.flow, item: sender };
     let mut state = shared.upstream.state.borrow_mut();
     state.admission.retain(|sender| !sender.is_closed());
     let offered = state.admission.offer(shared.now(), pending);
--- a/crates/rattanarch_types/src/ids.rs
+++ b/crates/rattanarch_types/src/ids.rs
@@ -35,3 +35,6 @@
 
 /// Fencing token: an upstream refuses tokens lower than the highest one it has accepted.
 pub type Fence = u64;
+
+/// Group of requests that share an upstream fairly with other groups: the hash of the client account's name.
+pub type FlowId = u64;
--- a/crates/rattanarch_types/src/lib.rs
+++ b/crates/rattanarch_types/src/lib.rs
@@ -35,6 +35,7 @@
 pub use ids::DataCentreName;
 pub use ids::Fence;
 pub use ids::FirmName;
+pub use ids::FlowId;
 pub use ids::InstanceId;
 pub use ids::OperatorName;
 pub use ids::ServiceName;
