Order requests by flow within a rank, and reserve turns for refused callers

Requests of flows that exceed the mean of the active flows by recent starts and waiting requests wait behind the others of their rank; a full queue sheds from the largest flow. Delays of refused callers come from a schedule of turns. A request that cannot end by the shortest service time seen lately takes no slot.

Tests of rattanarch_admission pass.

--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -9,6 +9,9 @@
 use crate::PopResult;
 use crate::Queue;
 use crate::RateLimiter;
+use crate::RateMeter;
+use crate::RetryDemand;
+use crate::RetrySchedule;
 use crate::ShedRequest;
 use crate::Throughput;
 
@@ -22,18 +25,13 @@
 /// Service time that is assumed before the first response.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(100);
 
-/// Interval over which arrivals are counted: some ten requests on a busy day.
-const ARRIVAL_INTERVAL: Duration = Duration::from_millis(250);
+/// Weight of a response that took longer than the shortest service time, by which the latter rises: over some hundred
+/// responses, so that it stays a time which only few requests fall below.
+const SHORTEST_WEIGHT: f64 = 0.01;
 
-/// EWMA weight of the newest interval in the arrival rate: a burst shows within a second.
-const ARRIVAL_WEIGHT: f64 = 0.35;
-
-/// Time over which the arrival rate averages, given [`ARRIVAL_WEIGHT`] for each [`ARRIVAL_INTERVAL`].
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(700);
-
-/// Longest time that excess load adds to the retry delay of a refused caller: about as long as callers in known
-/// deployments have left after a refusal.
-const MAX_EXCESS_DELAY: Duration = Duration::from_millis(600);
+/// Factor on the shortest service time for each request that is refused because of it: an estimate that refuses all
+/// requests would get no responses to correct it.
+const SHORTEST_DECAY: f64 = 0.95;
 
 /// Utilization above which requests that would miss their objective are refused: while they wait or run they would
 /// only make others late.
@@ -43,6 +41,9 @@
 /// expected.
 const SAFETY_FACTOR: f64 = 1.3;
 
+/// Shortest interval in seconds from which a capacity is computed.
+const MIN_INTERVAL: f64 = 1e-6;
+
 /// Added to the rank of a request that would miss its objective, so that late requests have this rank or a higher one.
 const LATE_RANK_OFFSET: Rank = 100;
 
@@ -102,31 +103,10 @@
     rate_limiter: RateLimiter,
     /// Mean service time in seconds; 0 before the first response.
     mean: f64,
-    arrivals: Arrivals,
-}
-
-/// Rate at which requests arrive.
-#[derive(Debug, Default)]
-struct Arrivals {
-    /// Requests a second.
-    rate: f64,
-    /// Requests of the current interval.
-    count: u32,
-    /// Start of the current interval.
-    since: Moment,
-}
-
-impl Arrivals {
-    fn count(&mut self, now: Moment) {
-        let elapsed = now.saturating_sub(self.since);
-        if elapsed >= ARRIVAL_INTERVAL {
-            let newest = f64::from(self.count) / elapsed.as_secs_f64();
-            self.rate += (newest - self.rate) * ARRIVAL_WEIGHT;
-            self.count = 0;
-            self.since = now;
-        }
-        self.count += 1;
-    }
+    /// Time in seconds that nearly all responses exceed; 0 before the first response.
+    shortest: f64,
+    arrivals: RateMeter,
+    schedule: RetrySchedule,
 }
 
 impl<T> AdmissionController<T> {
@@ -134,8 +114,16 @@
     pub fn new(slots: u32) -> Self {
         let slots = slots.max(1);
         let queue = Queue::new(slots as usize * QUEUE_PER_SLOT);
-        let arrivals = Arrivals::default();
-        Self { slots, running: 0, queue, rate_limiter: RateLimiter::default(), mean: 0.0, arrivals }
+        Self {
+            slots,
+            running: 0,
+            queue,
+            rate_limiter: RateLimiter::default(),
+            mean: 0.0,
+            shortest: 0.0,
+            arrivals: RateMeter::default(),
+            schedule: RetrySchedule::default(),
+        }
     }
 
     /// Sets the number of slots, which may change when the upstream restarts.
@@ -179,39 +167,73 @@
     pub fn offer(&mut self, now: Moment, request: PendingRequest<T>) -> OfferResult<T> {
         self.arrivals.count(now);
         self.update_throughput(now);
+        if self.running > 0 && !self.can_end(now, request.deadline) {
+            self.shortest *= SHORTEST_DECAY;
+            return OfferResult { started: None, shed: vec![self.refuse(now, request)] };
+        }
         if self.queue.ahead(request.rank) == 0
             && self.running < self.slots
             && self.rate_limiter.try_acquire(now)
         {
             self.running += 1;
+            self.queue.count_start(now, request.flow);
             return OfferResult { started: Some(request.item), shed: Vec::new() };
         }
-        let expected = self.queue.expected_wait(request.rank) + self.mean_service_time();
+        let wait = self.queue.wait_of_flow(now, request.rank, request.flow);
+        let expected = wait + self.mean_service_time();
         let late = now + expected.mul_f64(SAFETY_FACTOR) > request.objective;
         let rank = if late { request.rank.saturating_add(LATE_RANK_OFFSET) } else { request.rank };
-        let mut shed = self.queue.push(now, rank, request.deadline, request.item);
+        let PendingRequest { flow, deadline, item, .. } = request;
+        let mut shed = self.queue.push_to_flow(now, rank, flow, deadline, item);
         if self.utilization(now) > SATURATED_UTILIZATION {
             shed.extend(self.queue.shed_from(LATE_RANK_OFFSET));
         }
-        OfferResult { started: None, shed: self.add_excess_delay(now, shed) }
+        OfferResult { started: None, shed: self.schedule_retries(now, shed) }
+    }
+
+    /// Whether work that starts at `now` may end before `deadline`. An upstream takes at least the shortest service
+    /// time seen lately, as far as responses are known.
+    pub fn can_end(&self, now: Moment, deadline: Moment) -> bool {
+        now + Duration::from_secs_f64(self.shortest) < deadline
+    }
+
+    /// Refuses a request that was not queued.
+    fn refuse(&mut self, now: Moment, request: PendingRequest<T>) -> ShedRequest<T> {
+        let PendingRequest { deadline, item, .. } = request;
+        let retry_after = self.retry_after(now, deadline);
+        ShedRequest { item, deadline, retry_after }
     }
 
-    /// Adds to the retry delays of refused callers the time in which the slots could work off the recent excess load.
-    /// Under lasting overload, the queue is just as full again once the requests in it have run: callers that retry
-    /// then would be refused again.
-    fn add_excess_delay(&self, now: Moment, mut shed: Vec<ShedRequest<T>>) -> Vec<ShedRequest<T>> {
-        if shed.is_empty() {
-            return shed;
+    /// Tells each refused caller when to return.
+    fn schedule_retries(
+        &mut self,
+        now: Moment,
+        mut shed: Vec<ShedRequest<T>>,
+    ) -> Vec<ShedRequest<T>> {
+        for shed in &mut shed {
+            shed.retry_after = self.retry_after(now, shed.deadline);
         }
-        let excess = (self.utilization(now) - 1.0).max(0.0);
-        let delay = ARRIVAL_WINDOW.mul_f64(excess).min(MAX_EXCESS_DELAY);
-        shed.iter_mut().for_each(|shed| shed.retry_after += delay);
         shed
     }
 
+    /// Reserves a turn for a caller that is refused at `now`.
+    fn retry_after(&mut self, now: Moment, deadline: Moment) -> Duration {
+        let demand = RetryDemand {
+            capacity: 1.0 / self.start_interval(now).as_secs_f64().max(MIN_INTERVAL),
+            arrivals: self.arrivals.rate(),
+            backlog: self.queue.retry_after(),
+        };
+        self.schedule.reserve(now, demand, deadline.saturating_sub(now))
+    }
+
+    /// Mean time between two starts of many requests, by the slots and the rate limit.
+    fn start_interval(&self, now: Moment) -> Duration {
+        self.slot_interval().max(self.rate_limiter.interval(now))
+    }
+
     /// Arriving load as a ratio of the capacity of the upstream; more than 1 under overload.
     fn utilization(&self, now: Moment) -> f64 {
-        self.arrivals.rate * self.slot_interval().max(self.rate_limiter.interval(now)).as_secs_f64()
+        self.arrivals.rate() * self.start_interval(now).as_secs_f64()
     }
 
     /// Starts the next waiting request, if there is a free slot and the rate limit of the upstream allows it. To
@@ -224,7 +246,7 @@
             || !self.rate_limiter.try_acquire(now)
         {
             let shed = self.queue.expire(now);
-            return PopResult { next: None, shed: self.add_excess_delay(now, shed) };
+            return PopResult { next: None, shed: self.schedule_retries(now, shed) };
         }
         let PopResult { next, shed } = self.queue.pop(now);
         if next.is_some() {
@@ -232,7 +254,7 @@
         } else {
             self.rate_limiter.put_back();
         }
-        PopResult { next, shed: self.add_excess_delay(now, shed) }
+        PopResult { next, shed: self.schedule_retries(now, shed) }
     }
 
     /// Frees a slot. `service_time` is `None` for a request without a response.
@@ -241,6 +263,9 @@
         let Some(seconds) = service_time.map(|time| time.as_secs_f64()) else { return };
         let weight = if self.mean == 0.0 { 1.0 } else { MEAN_WEIGHT };
         self.mean += (seconds - self.mean) * weight;
+        let above = seconds - self.shortest;
+        let rises = above > 0.0 && self.shortest > 0.0;
+        self.shortest += if rises { above * SHORTEST_WEIGHT } else { above };
     }
 
     /// When [`AdmissionController::start_next`] is to be called although no slot becomes free, because requests
--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -11,7 +11,8 @@
 //! [`IdempotencyCache`] gives a repeated request the response to the first one.
 //!
 //! In the daemon next to an upstream, an [`AdmissionController`] combines a queue, the upstream's
-//! slots and a [`RateLimiter`].
+//! slots and a [`RateLimiter`]. The queue orders by flow with [`FlowShares`], and a [`RetrySchedule`] tells refused
+//! callers when to return.
 //!
 //! ```
 //! use std::time::Duration;
@@ -42,13 +43,16 @@
 mod attempt_outcome;
 mod cold_start;
 mod concurrency_limiter;
+mod flow_shares;
 mod head_limit;
 mod hedge_budget;
 mod idempotency_cache;
 mod load_report;
 mod queue;
 mod rate_limiter;
+mod rate_meter;
 mod retry_budget;
+mod retry_schedule;
 mod selector;
 mod slice_meter;
 mod token_bucket;
@@ -60,6 +64,7 @@
 pub use attempt_outcome::AttemptOutcome;
 pub use cold_start::ColdStart;
 pub use concurrency_limiter::ConcurrencyLimiter;
+pub use flow_shares::FlowShares;
 pub use head_limit::HeadLimit;
 pub use hedge_budget::HedgeBudget;
 pub use idempotency_cache::Completion;
@@ -72,7 +77,10 @@
 pub use queue::ShedRequest;
 pub use queue::Throughput;
 pub use rate_limiter::RateLimiter;
+use rate_meter::RateMeter;
 pub use retry_budget::RetryBudget;
+pub use retry_schedule::RetryDemand;
+pub use retry_schedule::RetrySchedule;
 pub use selector::Selector;
 pub use selector::UpstreamKey;
 pub use slice_meter::SliceMeter;
--- a/crates/rattanarch_admission/src/queue.rs
+++ b/crates/rattanarch_admission/src/queue.rs
@@ -1,12 +1,16 @@
 //! Queue of requests that wait for a slot.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use rattanarch_types::FlowId;
 use rattanarch_types::Moment;
 use rattanarch_types::Rank;
 
+use crate::FlowShares;
+
 /// Shortest time after which a shed caller is told to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -28,6 +32,8 @@
 pub struct ShedRequest<T> {
     /// The request as it was pushed.
     pub item: T,
+    /// When its response had to arrive.
+    pub deadline: Moment,
     /// Time after which a retry may succeed.
     pub retry_after: Duration,
 }
@@ -44,17 +50,25 @@
 #[derive(Debug)]
 struct Entry<T> {
     item: T,
+    flow: Option<FlowId>,
     deadline: Moment,
     /// Time until which the request may wait.
     wait_until: Moment,
 }
 
-/// Bounded priority queue, first in, first out within a rank.
+impl<T> Entry<T> {
+    fn shed(self, retry_after: Duration) -> ShedRequest<T> {
+        ShedRequest { item: self.item, deadline: self.deadline, retry_after }
+    }
+}
+
+/// Bounded priority queue. Within a rank, requests of flows that are over their share of the upstream wait behind the
+/// others, each group first in, first out; requests without a flow are never over a share.
 ///
 /// A request that cannot get its response by its deadline at the upstream's [`Throughput`] is shed: when it is
 /// pushed, or when more urgent requests delay it. A request that has waited for half of the time to its deadline
-/// is shed as well, so that its caller has time to retry elsewhere. A full queue sheds the newest request of
-/// the least urgent rank.
+/// is shed as well, so that its caller has time to retry elsewhere. A full queue sheds from the least urgent rank: the
+/// newest request of the flow that has most of them there. Requests without a flow count as flows of one request.
 ///
 /// ```
 /// use std::time::Duration;
@@ -78,13 +92,20 @@
     throughput: Throughput,
     /// Shortest mean time between two starts.
     start_interval: Duration,
+    shares: FlowShares,
 }
 
 impl<T> Queue<T> {
     /// An empty queue of at most `capacity` requests.
     pub fn new(capacity: usize) -> Self {
         let throughput = Throughput { concurrency: 1, service_time: Duration::ZERO };
-        Self { by_rank: BTreeMap::new(), capacity, throughput, start_interval: Duration::ZERO }
+        Self {
+            by_rank: BTreeMap::new(),
+            capacity,
+            throughput,
+            start_interval: Duration::ZERO,
+            shares: FlowShares::default(),
+        }
     }
 
     /// Sets the current throughput of the upstream.
@@ -118,12 +139,36 @@
         self.by_rank.range(..=rank.into()).map(|(_, requests)| requests.len()).sum()
     }
 
-    /// Expected time until a new request of `rank` starts, while all slots are taken.
+    /// Number of requests that would run before a new one of `rank` and `flow`.
+    fn ahead_of_flow(&self, now: Moment, rank: Rank, flow: Option<FlowId>) -> usize {
+        let requests = self.by_rank.get(&rank);
+        let same_flow = |entry: &&Entry<T>| flow.is_some() && entry.flow == flow;
+        let of_flow = requests.map_or(0, |requests| requests.iter().filter(same_flow).count());
+        let over = flow.is_some_and(|flow| self.shares.is_over(now, flow, of_flow));
+        let behind = requests.filter(|_| !over).map_or(0, |requests| {
+            self.over_share(now, requests).into_iter().filter(|over| *over).count()
+        });
+        self.ahead(rank) - behind
+    }
+
+    /// Expected time until a new request of `rank` without a flow starts, while all slots are taken.
     pub fn expected_wait(&self, rank: impl Into<Rank>) -> Duration {
         self.time_for(self.ahead(rank) + 1)
     }
 
-    /// Adds a request whose response must arrive by `deadline`. Returns the requests that are shed, of
+    /// As [`Queue::expected_wait`], for a new request of `flow`.
+    pub fn wait_of_flow(&self, now: Moment, rank: Rank, flow: Option<FlowId>) -> Duration {
+        self.time_for(self.ahead_of_flow(now, rank, flow) + 1)
+    }
+
+    /// Counts a request of `flow` that has started without waiting here.
+    pub fn count_start(&mut self, now: Moment, flow: Option<FlowId>) {
+        if let Some(flow) = flow {
+            self.shares.record_start(now, flow);
+        }
+    }
+
+    /// Adds a request without a flow, whose response must arrive by `deadline`. Returns the requests that are shed, of
     /// which this may be one.
     pub fn push(
         &mut self,
@@ -131,13 +176,25 @@
         rank: impl Into<Rank>,
         deadline: Moment,
         item: T,
+    ) -> Vec<ShedRequest<T>> {
+        self.push_to_flow(now, rank.into(), None, deadline, item)
+    }
+
+    /// As [`Queue::push`], for a request of `flow`.
+    pub fn push_to_flow(
+        &mut self,
+        now: Moment,
+        rank: Rank,
+        flow: Option<FlowId>,
+        deadline: Moment,
+        item: T,
     ) -> Vec<ShedRequest<T>> {
         let wait_until = now + deadline.saturating_sub(now).mul_f64(MAX_WAIT_RATIO);
-        let entry = Entry { item, deadline, wait_until };
-        self.by_rank.entry(rank.into()).or_default().push_back(entry);
+        let entry = Entry { item, flow, deadline, wait_until };
+        self.by_rank.entry(rank).or_default().push_back(entry);
         let mut shed = self.expire(now);
         if self.len() > self.capacity {
-            shed.extend(self.shed_newest());
+            shed.extend(self.shed_largest());
         }
         shed
     }
@@ -145,13 +202,14 @@
     /// Takes the next request to run. A slot must be free for it.
     pub fn pop(&mut self, now: Moment) -> PopResult<T> {
         let shed = self.shed_late(now, 0);
-        let Some(mut requests) = self.by_rank.first_entry() else {
+        let Some((&rank, requests)) = self.by_rank.first_key_value() else {
             return PopResult { next: None, shed };
         };
-        let next = requests.get_mut().pop_front().map(|entry| entry.item);
-        if requests.get().is_empty() {
-            requests.remove();
-        }
+        let first = self.over_share(now, requests).into_iter().position(|over| !over).unwrap_or(0);
+        let next = self.remove(rank, first).map(|entry| {
+            self.count_start(now, entry.flow);
+            entry.item
+        });
         PopResult { next, shed }
     }
 
@@ -160,7 +218,7 @@
         let retry_after = self.retry_after();
         let ranks = self.by_rank.split_off(&rank.into());
         let entries = ranks.into_values().flatten();
-        entries.map(|entry| ShedRequest { item: entry.item, retry_after }).collect()
+        entries.map(|entry| entry.shed(retry_after)).collect()
     }
 
     /// Drops waiting requests for which `keep` is false, such as those of callers that have disconnected.
@@ -182,19 +240,38 @@
         let mut shed = Vec::new();
         let mut ahead = running;
         for (rank, requests) in std::mem::take(&mut self.by_rank) {
-            for entry in requests {
+            let over = self.over_share(now, &requests);
+            let mut kept = vec![false; requests.len()];
+            for index in run_order(&over) {
+                let Entry { deadline, wait_until, .. } = requests[index];
                 let response_at = now + self.time_for(ahead) + self.throughput.service_time;
                 // With a free slot the request starts now, however long it has waited.
-                if response_at < entry.deadline && (ahead == 0 || now < entry.wait_until) {
+                kept[index] = response_at < deadline && (ahead == 0 || now < wait_until);
+                ahead += usize::from(kept[index]);
+            }
+            for (entry, kept) in requests.into_iter().zip(kept) {
+                if kept {
                     self.by_rank.entry(rank).or_default().push_back(entry);
-                    ahead += 1;
                 } else {
-                    shed.push(entry.item);
+                    shed.push(entry);
                 }
             }
         }
         let retry_after = self.retry_after();
-        shed.into_iter().map(|item| ShedRequest { item, retry_after }).collect()
+        shed.into_iter().map(|entry| entry.shed(retry_after)).collect()
+    }
+
+    /// Whether each of the requests of one rank is over the share of its flow, given those of its flow ahead of it.
+    fn over_share(&self, now: Moment, requests: &VecDeque<Entry<T>>) -> Vec<bool> {
+        let mut ahead: HashMap<FlowId, usize> = HashMap::new();
+        let over = requests.iter().map(|entry| {
+            entry.flow.is_some_and(|flow| {
+                let ahead = ahead.entry(flow).or_default();
+                *ahead += 1;
+                self.shares.is_over(now, flow, *ahead - 1)
+            })
+        });
+        over.collect()
     }
 
     /// Time in which the upstream completes `count` requests.
@@ -205,17 +282,38 @@
     }
 
     /// Time until all requests that wait now have run.
-    fn retry_after(&self) -> Duration {
+    pub fn retry_after(&self) -> Duration {
         self.time_for(self.len() + 1).max(MIN_RETRY_AFTER)
     }
 
-    fn shed_newest(&mut self) -> Option<ShedRequest<T>> {
+    /// Sheds the newest request of the flow that has most requests of the least urgent rank.
+    fn shed_largest(&mut self) -> Option<ShedRequest<T>> {
         let retry_after = self.retry_after();
-        let mut requests = self.by_rank.last_entry()?;
-        let newest = requests.get_mut().pop_back();
-        if requests.get().is_empty() {
-            requests.remove();
+        let (&rank, requests) = self.by_rank.last_key_value()?;
+        let mut counts: HashMap<FlowId, usize> = HashMap::new();
+        for flow in requests.iter().filter_map(|entry| entry.flow) {
+            *counts.entry(flow).or_default() += 1;
         }
-        newest.map(|entry| ShedRequest { item: entry.item, retry_after })
+        let size = |entry: &Entry<T>| entry.flow.map_or(1, |flow| counts[&flow]);
+        // Of equals, `max_by_key` returns the last one, which is the newest.
+        let largest = requests.iter().enumerate().max_by_key(|(_, entry)| size(entry));
+        let index = largest.map(|(index, _)| index)?;
+        self.remove(rank, index).map(|entry| entry.shed(retry_after))
     }
+
+    /// Removes one request of `rank`.
+    fn remove(&mut self, rank: Rank, index: usize) -> Option<Entry<T>> {
+        let requests = self.by_rank.get_mut(&rank)?;
+        let removed = requests.remove(index);
+        if requests.is_empty() {
+            self.by_rank.remove(&rank);
+        }
+        removed
+    }
+}
+
+/// Indexes of the requests of one rank in the order in which they run, given which are over their share.
+fn run_order(over: &[bool]) -> impl Iterator<Item = usize> {
+    let within = (0..over.len()).filter(|index| !over[*index]);
+    within.chain((0..over.len()).filter(|index| over[*index]))
 }
--- a/crates/rattanarchd/src/request/admission.rs
+++ b/crates/rattanarchd/src/request/admission.rs
@@ -178,7 +178,7 @@
 }
 
 fn reject_shed(shed: Vec<ShedRequest<Waiter>>) {
-    for ShedRequest { item, retry_after } in shed {
+    for ShedRequest { item, retry_after, .. } in shed {
         // The receiver may be gone; then nobody needs the result.
         let _ = item.send(Err(retry_after));
     }
