--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -14,6 +14,8 @@
 use crate::RetrySchedule;
 use crate::ShedRequest;
 use crate::Throughput;
+use crate::WorkClass;
+use crate::WorkTimes;
 
 /// Waiting requests per slot. Requests further back would be late in any case.
 const QUEUE_PER_SLOT: usize = 4;
@@ -107,6 +109,7 @@
     shortest: f64,
     arrivals: RateMeter,
     schedule: RetrySchedule,
+    work_times: WorkTimes,
 }
 
 impl<T> AdmissionController<T> {
@@ -123,6 +126,7 @@
             shortest: 0.0,
             arrivals: RateMeter::default(),
             schedule: RetrySchedule::default(),
+            work_times: WorkTimes::default(),
         }
     }
 
@@ -180,7 +184,10 @@
             return OfferResult { started: Some(request.item), shed: Vec::new() };
         }
         let wait = self.queue.wait_of_flow(now, request.rank, request.flow);
-        let expected = wait + self.mean_service_time();
+        let PendingRequest { rank, objective, deadline, .. } = request;
+        let class = WorkClass::new(rank, objective, deadline);
+        let work = self.work_times.mean(class).unwrap_or_else(|| self.mean_service_time());
+        let expected = wait + work;
         let late = now + expected.mul_f64(SAFETY_FACTOR) > request.objective;
         let rank = if late { request.rank.saturating_add(LATE_RANK_OFFSET) } else { request.rank };
         let PendingRequest { flow, deadline, item, .. } = request;
@@ -257,6 +264,14 @@
         PopResult { next, shed: self.schedule_retries(now, shed) }
     }
 
+    /// As [`AdmissionController::finish`], for a request of `class`.
+    pub fn finish_class(&mut self, class: WorkClass, service_time: Option<Duration>) {
+        self.finish(service_time);
+        if let Some(time) = service_time {
+            self.work_times.record(class, time);
+        }
+    }
+
     /// Frees a slot. `service_time` is `None` for a request without a response.
     pub fn finish(&mut self, service_time: Option<Duration>) {
         self.running = self.running.saturating_sub(1);
--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -57,6 +57,7 @@
 mod slice_meter;
 mod token_bucket;
 mod uplink_backlog;
+mod work_times;
 
 pub use admission_controller::AdmissionController;
 pub use admission_controller::OfferResult;
@@ -85,3 +86,5 @@
 pub use selector::UpstreamKey;
 pub use slice_meter::SliceMeter;
 pub use uplink_backlog::UplinkBacklog;
+pub use work_times::WorkClass;
+pub use work_times::WorkTimes;
--- a/crates/rattanarch_admission/tests/queue.rs
+++ b/crates/rattanarch_admission/tests/queue.rs
@@ -110,3 +110,16 @@
         !late && out == (0..events.len()).collect::<Vec<_>>()
     }
 }
+
+/// Guards against a full queue that sheds the only request of a flow for the many of another.
+#[test]
+fn largest_flow_shed() {
+    let mut queue = Queue::new(3);
+    for (flow, item) in [(1, 1), (1, 2), (2, 3)] {
+        assert!(queue.push_to_flow(ms(0), 1, Some(flow), ms(1_000), item).is_empty());
+    }
+    let shed = queue.push_to_flow(ms(0), 1, Some(3), ms(1_000), 4);
+    assert_eq!(shed.iter().map(|shed| shed.item).collect::<Vec<_>>(), [2]);
+    let order: Vec<_> = (0..3).filter_map(|_| queue.pop(ms(1)).next).collect();
+    assert_eq!(order, [1, 3, 4]);
+}
