Use class times, scheduled delays and the check of the time left in the daemon

Permits record service times by class. Delays of refusals for lack of capacity are sent without jitter: a forwarded one got up to 96 % more than its turn, since both daemons added it. Before a request is sent, after the connection is ready, its work must still be able to end. New metric rattanarch_retry_times.

--- a/crates/rattanarch_admission/src/retry_schedule.rs
+++ b/crates/rattanarch_admission/src/retry_schedule.rs
@@ -66,7 +66,7 @@
     pub fn reserve(&mut self, now: Moment, demand: RetryDemand, left: Duration) -> Duration {
         let turn = self.next_turn.max(now + demand.backlog);
         let interval = self.spare_interval(demand);
-        if turn - now <= left.mul_f64(HONOURED_RATIO) {
+        if Self::is_honoured(turn - now, left) {
             self.next_turn = turn + interval;
             self.reservations.count(now);
             return turn - now;
@@ -76,6 +76,11 @@
         untold - now
     }
 
+    /// Whether a caller that has `left` until its deadline waits for `delay`, so that its turn is reserved.
+    pub fn is_honoured(delay: Duration, left: Duration) -> bool {
+        delay <= left.mul_f64(HONOURED_RATIO)
+    }
+
     /// Mean time between two turns.
     fn spare_interval(&self, demand: RetryDemand) -> Duration {
         let first_attempts = (demand.arrivals - self.reservations.rate()).max(0.0);
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -64,6 +64,13 @@
         self.metrics.add("rattanarch_admitted", "Requests admitted to the upstream", &labels, 1);
     }
 
+    /// Counts a request that was refused for lack of capacity: whether its caller has a reserved time to return.
+    pub(crate) fn scheduled(&self, reserved: bool) {
+        let labels = labels(&[("reserved", if reserved { "yes" } else { "no" })]);
+        let help = "Requests refused for lack of capacity, by whether a time to return is reserved";
+        self.metrics.add("rattanarch_retry_times", help, &labels, 1);
+    }
+
     /// Records how long the upstream took for a response.
     pub(crate) fn served(&self, service: &str, took: Duration) {
         let help = "Time that the upstream took to respond";
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Whether the time to return is the caller's own by a schedule, so that no jitter is needed.
+    pub(crate) fn is_scheduled(self) -> bool {
+        matches!(self, Self::Overloaded | Self::RateLimited)
+    }
+
     /// Whether another instance of a service without keys may take the request.
     pub(crate) fn allows_other_instance(self) -> bool {
         !matches!(self, Self::NoConfiguration | Self::NoInstance | Self::NoKey)
--- a/crates/rattanarch_mesh/src/request/responses.rs
+++ b/crates/rattanarch_mesh/src/request/responses.rs
@@ -18,7 +18,8 @@
 /// Shortest delay that a refused caller is told: the cause of a refusal lasts longer than a round trip.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
-/// Jitter of the delay as a ratio, so that callers do not retry all at once.
+/// Jitter of the delay as a ratio, so that callers do not retry all at once. Scheduled times have none: it would take
+/// callers past their turn.
 const RETRY_AFTER_JITTER: f64 = 0.4;
 
 /// A response with `status` and a short text.
@@ -46,9 +47,9 @@
 /// The response to a request that has not run.
 pub(crate) fn refused(refusal: Refusal) -> Response<ResponseBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.to_string());
-    let draw = random_fraction();
+    let jitter = if refusal.reason.is_scheduled() { 0.0 } else { RETRY_AFTER_JITTER };
     let retry_after =
-        refusal.retry_after.max(MIN_RETRY_AFTER).mul_f64(1.0 + RETRY_AFTER_JITTER * draw);
+        refusal.retry_after.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter * random_fraction());
     set_retry_after(response.headers_mut(), retry_after);
     response
 }
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use rattanarch_admission::PendingRequest;
+use rattanarch_admission::RetrySchedule;
 use rattanarch_admission::ShedRequest;
+use rattanarch_admission::WorkClass;
 use rattanarch_routing::ResponseSize;
 use rattanarch_types::Moment;
 use tokio::sync::oneshot;
@@ -33,6 +35,8 @@
     shared: Rc<Shared>,
     id: String,
     key: Option<u16>,
+    /// Class of the request; `None` until one is assigned.
+    class: Option<WorkClass>,
     started_at: Moment,
     /// Service time; `None` while there is no response.
     service_time: Option<Duration>,
@@ -50,7 +54,10 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let mut state = self.shared.upstream.state.borrow_mut();
-        state.admission.finish(self.service_time);
+        match self.class {
+            Some(class) => state.admission.finish_class(class, self.service_time),
+            None => state.admission.finish(self.service_time),
+        }
         state.end_request(&self.id, self.key);
         drop(state);
         start_waiting(&self.shared);
@@ -191,6 +198,7 @@
     fn assign(&mut self, call: &Call) {
         self.id.clone_from(&call.id);
         self.key = call.key;
+        self.class = Some(WorkClass::new(call.rank, call.objective, call.deadline));
         self.started_at = self.shared.now();
         self.shared.upstream.state.borrow_mut().start_request(&call.id, call.key, call.retry.get());
     }
@@ -216,6 +224,7 @@
         shared: Rc::clone(shared),
         id: String::new(),
         key: None,
+        class: None,
         started_at,
         service_time: None,
     };
@@ -226,7 +235,10 @@
 fn refuse(shared: &Shared, shed: Vec<ShedRequest<PermitSender>>) {
     let limited = shared.upstream.state.borrow().admission.is_rate_limited();
     let reason = if limited { Reason::RateLimited } else { Reason::Overloaded };
+    let now = shared.now();
     for shed in shed {
+        let left = shed.deadline.saturating_sub(now);
+        shared.meters.scheduled(RetrySchedule::is_honoured(shed.retry_after, left));
         // A caller that has gone needs no response.
         let _ = shed.item.send(Err(Refusal::new(reason, shed.retry_after)));
     }
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -76,8 +76,14 @@
         Ok(connection) => connection,
         Err(refusal) => return Outcome::Refused(refusal),
     };
-    let left = call.deadline.saturating_sub(shared.now());
-    if left < MIN_SEND_TIME {
+    let now = shared.now();
+    let left = call.deadline.saturating_sub(now);
+    // The connection may have taken the time that the work needs.
+    let can_end = {
+        let state = shared.upstream.state.borrow();
+        state.admission.running() == 1 || state.admission.can_end(now, call.deadline)
+    };
+    if left < MIN_SEND_TIME || !can_end {
         return Outcome::Refused(Refusal::new(Reason::Overloaded, Duration::ZERO));
     }
     let Some((request, life)) = build_request(&shared, &call, left) else {
