Reserve no turn for a caller whose work cannot end after it returns

Such a caller could be told a time within a third of what it had left and return in vain. It is told all of its time now. too_little_time checks this. Tests competing_requests, gate, queue and retry_schedule pass; clippy of rattanarch_admission is clean.

--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -223,14 +223,20 @@
         shed
     }
 
-    /// Reserves a turn for a caller that is refused at `now`.
+    /// Reserves a turn for a caller that is refused at `now`. One whose work could not end after it returns is told all
+    /// the time that it has left.
     fn retry_after(&mut self, now: Moment, deadline: Moment) -> Duration {
+        let left = deadline.saturating_sub(now);
+        let backlog = self.queue.retry_after();
+        if !self.can_end(now + backlog, deadline) {
+            return left.max(backlog);
+        }
         let demand = RetryDemand {
             capacity: 1.0 / self.start_interval(now).as_secs_f64().max(MIN_INTERVAL),
             arrivals: self.arrivals.rate(),
-            backlog: self.queue.retry_after(),
+            backlog,
         };
-        self.schedule.reserve(now, demand, deadline.saturating_sub(now))
+        self.schedule.reserve(now, demand, left)
     }
 
     /// Mean time between two starts of many requests, by the slots and the rate limit.
--- a/crates/rattanarch_admission/tests/retry_schedule.rs
+++ b/crates/rattanarch_admission/tests/retry_schedule.rs
@@ -47,15 +47,17 @@
 }
 
 /// Guards against work that takes a slot and cannot end before its deadline, and against an estimate that refuses
-/// requests forever: an idle upstream takes any, and refusals lower the estimate.
+/// requests forever: an idle upstream takes any, and refusals lower the estimate. A caller whose work cannot end is not
+/// told to return in time.
 #[test]
 fn too_little_time() {
     let mut controller = AdmissionController::new(4);
     let now = ms(5_000);
     controller.finish(Some(ms(100)));
     assert!(controller.offer(now, request(now, ms(50))).started.is_some());
-    let refused = controller.offer(now, request(now, ms(50)));
+    let refused = controller.offer(now, request(now, ms(90)));
     assert_eq!((refused.started, refused.shed.len()), (None, 1));
+    assert!(refused.shed[0].retry_after >= ms(90), "{refused:?}");
     assert!(controller.offer(now, request(now, ms(150))).started.is_some());
     let accepted = |_| controller.offer(now, request(now, ms(50))).started.is_some();
     assert!((0..20).any(accepted));
