--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -6,11 +6,15 @@
 use rattanarch_types::Moment;
 use rattanarch_types::Rank;
 
+use crate::AttemptOutcome;
+use crate::PaceChange;
+use crate::PaceForecast;
 use crate::PopResult;
 use crate::Queue;
 use crate::RateLimiter;
 use crate::ShedRequest;
 use crate::Throughput;
+use crate::UpstreamPace;
 
 /// Waiting requests per slot. Requests further back would be late in any case.
 const QUEUE_PER_SLOT: usize = 4;
@@ -100,6 +104,8 @@
     running: u32,
     queue: Queue<T>,
     rate_limiter: RateLimiter,
+    /// Rate and concurrency that the state of the upstream allows.
+    pace: UpstreamPace,
     /// Mean service time in seconds; 0 before the first response.
     mean: f64,
     arrivals: Arrivals,
@@ -135,18 +141,56 @@
         let slots = slots.max(1);
         let queue = Queue::new(slots as usize * QUEUE_PER_SLOT);
         let arrivals = Arrivals::default();
-        Self { slots, running: 0, queue, rate_limiter: RateLimiter::default(), mean: 0.0, arrivals }
+        let pace = UpstreamPace::new(slots);
+        let rate_limiter = RateLimiter::default();
+        Self { slots, running: 0, queue, rate_limiter, pace, mean: 0.0, arrivals }
     }
 
     /// Sets the number of slots, which may change when the upstream restarts.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
+        self.pace.set_slots(self.slots);
         self.queue.set_capacity(self.slots as usize * QUEUE_PER_SLOT);
     }
 
-    /// Limits the upstream, which stays cold for `remaining` from `now`, to `rate` requests a second.
+    /// Records that a new life of the upstream begins at `now`.
+    pub fn begin_life(&mut self, now: Moment) {
+        self.pace.begin_life();
+        self.apply_pace(now);
+    }
+
+    /// Limits the upstream, which stays cold for `remaining` from `now` and then takes `rate` requests a second.
     pub fn set_cold(&mut self, now: Moment, remaining: Duration, rate: f64) {
-        self.rate_limiter.set_cold(now, remaining, rate);
+        self.pace.set_cold(now, remaining, rate);
+        self.apply_pace(now);
+    }
+
+    /// Records the outcome at `now` of a request sent at `sent` that still holds its slot.
+    pub fn observe(&mut self, now: Moment, sent: Moment, outcome: AttemptOutcome) {
+        self.pace.observe(now, sent, outcome, self.running);
+        self.apply_pace(now);
+    }
+
+    /// Sets the rate limit that the pace of the upstream has at `now`.
+    fn apply_pace(&mut self, now: Moment) {
+        self.pace.update(now);
+        let burst = self.pace.take_burst();
+        self.rate_limiter.set_pace(now, self.pace.rate(), burst);
+    }
+
+    /// What senders may expect of the upstream after `now`.
+    pub fn forecast(&self, now: Moment) -> PaceForecast {
+        self.pace.forecast(now)
+    }
+
+    /// Whether the upstream may have become cold without notice.
+    pub fn suspects_cold(&self) -> bool {
+        self.pace.suspects_cold()
+    }
+
+    /// Takes the changes of the upstream's state since the last call.
+    pub fn take_changes(&mut self) -> Vec<PaceChange> {
+        self.pace.take_changes()
     }
 
     /// Sets the requests a second that the upstream itself takes; `None` without a limit.
@@ -172,7 +216,7 @@
 
     /// Whether the upstream is cold at `now`.
     pub fn is_cold(&self, now: Moment) -> bool {
-        self.rate_limiter.is_cold(now)
+        self.pace.is_cold(now)
     }
 
     /// Offers a request: it starts, waits, or is shed.
@@ -180,7 +224,7 @@
         self.arrivals.count(now);
         self.update_throughput(now);
         if self.queue.ahead(request.rank) == 0
-            && self.running < self.slots
+            && self.running < self.pace.concurrency()
             && self.rate_limiter.try_acquire(now)
         {
             self.running += 1;
@@ -190,28 +234,28 @@
         let late = now + expected.mul_f64(SAFETY_FACTOR) > request.objective;
         let rank = if late { request.rank.saturating_add(LATE_RANK_OFFSET) } else { request.rank };
         let mut shed = self.queue.push(now, rank, request.deadline, request.item);
-        if self.utilization(now) > SATURATED_UTILIZATION {
+        if self.utilization() > SATURATED_UTILIZATION {
             shed.extend(self.queue.shed_from(LATE_RANK_OFFSET));
         }
-        OfferResult { started: None, shed: self.add_excess_delay(now, shed) }
+        OfferResult { started: None, shed: self.add_excess_delay(shed) }
     }
 
     /// Adds to the retry delays of refused callers the time in which the slots could work off the recent excess load.
     /// Under lasting overload, the queue is just as full again once the requests in it have run: callers that retry
     /// then would be refused again.
-    fn add_excess_delay(&self, now: Moment, mut shed: Vec<ShedRequest<T>>) -> Vec<ShedRequest<T>> {
+    fn add_excess_delay(&self, mut shed: Vec<ShedRequest<T>>) -> Vec<ShedRequest<T>> {
         if shed.is_empty() {
             return shed;
         }
-        let excess = (self.utilization(now) - 1.0).max(0.0);
+        let excess = (self.utilization() - 1.0).max(0.0);
         let delay = ARRIVAL_WINDOW.mul_f64(excess).min(MAX_EXCESS_DELAY);
         shed.iter_mut().for_each(|shed| shed.retry_after += delay);
         shed
     }
 
     /// Arriving load as a ratio of the capacity of the upstream; more than 1 under overload.
-    fn utilization(&self, now: Moment) -> f64 {
-        self.arrivals.rate * self.slot_interval().max(self.rate_limiter.interval(now)).as_secs_f64()
+    fn utilization(&self) -> f64 {
+        self.arrivals.rate * self.slot_interval().max(self.rate_limiter.interval()).as_secs_f64()
     }
 
     /// Starts the next waiting request, if there is a free slot and the rate limit of the upstream allows it. To
@@ -220,11 +264,11 @@
     pub fn start_next(&mut self, now: Moment) -> PopResult<T> {
         self.update_throughput(now);
         if self.queue.is_empty()
-            || self.running >= self.slots
+            || self.running >= self.pace.concurrency()
             || !self.rate_limiter.try_acquire(now)
         {
             let shed = self.queue.expire(now);
-            return PopResult { next: None, shed: self.add_excess_delay(now, shed) };
+            return PopResult { next: None, shed: self.add_excess_delay(shed) };
         }
         let PopResult { next, shed } = self.queue.pop(now);
         if next.is_some() {
@@ -232,7 +276,7 @@
         } else {
             self.rate_limiter.put_back();
         }
-        PopResult { next, shed: self.add_excess_delay(now, shed) }
+        PopResult { next, shed: self.add_excess_delay(shed) }
     }
 
     /// Frees a slot. `service_time` is `None` for a request without a response.
@@ -245,9 +289,9 @@
 
     /// When [`AdmissionController::start_next`] is to be called although no slot becomes free, because requests
     /// wait for the rate limit of the upstream.
-    pub fn next_start(&self, now: Moment) -> Option<Moment> {
-        let rate_limited = !self.queue.is_empty() && self.running < self.slots;
-        self.rate_limiter.next_permit(now).filter(|_| rate_limited)
+    pub fn next_start(&self) -> Option<Moment> {
+        let rate_limited = !self.queue.is_empty() && self.running < self.pace.concurrency();
+        self.rate_limiter.next_permit().filter(|_| rate_limited)
     }
 
     /// Drops waiting requests for which `keep` is false.
@@ -282,8 +326,10 @@
 
     /// Updates the throughput of the queue.
     fn update_throughput(&mut self, now: Moment) {
+        self.apply_pace(now);
         let service_time = self.mean_service_time();
-        self.queue.set_throughput(Throughput { concurrency: self.slots, service_time });
-        self.queue.set_start_interval(self.rate_limiter.interval(now));
+        let concurrency = self.pace.concurrency();
+        self.queue.set_throughput(Throughput { concurrency, service_time });
+        self.queue.set_start_interval(self.rate_limiter.interval());
     }
 }
--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -11,7 +11,7 @@
 //! [`IdempotencyCache`] gives a repeated request the response to the first one.
 //!
 //! In the daemon next to an upstream, an [`AdmissionController`] combines a queue, the upstream's
-//! slots and a [`RateLimiter`].
+//! slots, a [`RateLimiter`] and an [`UpstreamPace`], which limits an upstream that is cold or recovers.
 //!
 //! ```
 //! use std::time::Duration;
@@ -53,6 +53,7 @@
 mod slice_meter;
 mod token_bucket;
 mod uplink_backlog;
+mod upstream_pace;
 
 pub use admission_controller::AdmissionController;
 pub use admission_controller::OfferResult;
@@ -77,3 +78,8 @@
 pub use selector::UpstreamKey;
 pub use slice_meter::SliceMeter;
 pub use uplink_backlog::UplinkBacklog;
+pub use upstream_pace::PaceCause;
+pub use upstream_pace::PaceChange;
+pub use upstream_pace::PaceForecast;
+pub use upstream_pace::PaceState;
+pub use upstream_pace::UpstreamPace;
--- a/crates/rattanarch_admission/tests/gate.rs
+++ b/crates/rattanarch_admission/tests/gate.rs
@@ -194,7 +194,7 @@
     };
     assert!(controller.offer(now, request()).started.is_some());
     assert!(controller.offer(now, request()).started.is_none());
-    let start = controller.next_start(now).expect("a request waits for the rate limit");
+    let start = controller.next_start().expect("a request waits for the rate limit");
     assert!(start > now && start <= now + Duration::from_millis(100));
     assert!(controller.start_next(start + Duration::from_millis(1)).next.is_some());
 }
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -238,7 +238,7 @@
 /// Sets a timer for the next request that the rate limit of the upstream allows.
 fn schedule_next_start(shared: &Rc<Shared>) {
     let now = shared.now();
-    let Some(next_start) = shared.upstream.state.borrow().admission.next_start(now) else { return };
+    let Some(next_start) = shared.upstream.state.borrow().admission.next_start() else { return };
     if shared.upstream.pace_timer.replace(true) {
         return;
     }
