Feed the upstream's pace from the exchange with it, and tell peers its concurrency

Cause: the admission controller held the pace, but only the cold time of heartbeats reached it. Change: each response, refusal (503 not run), failure on a fresh connection and timeout that had 4 times the mean service time of the present life is observed; X-Cold-Ms of any response sets the cold time; slow responses cause a health check, at most one a second. LoadHeader::concurrency is filled, and senders count it as the slots for 3 s.

--- a/crates/rattanarch_admission/src/upstream_pace.rs
+++ b/crates/rattanarch_admission/src/upstream_pace.rs
@@ -177,6 +177,8 @@
 /// What senders may expect of the upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PaceForecast {
+    /// State now.
+    pub state: PaceState,
     /// Requests that it may run at once.
     pub concurrency: u32,
     /// Time for which it says that it stays cold.
@@ -543,7 +545,7 @@
             Heat::Cold { until } => until.saturating_sub(now),
             Heat::Warming { .. } | Heat::Warm => Duration::ZERO,
         };
-        PaceForecast { concurrency: self.concurrency(), cold_left }
+        PaceForecast { state: self.state(), concurrency: self.concurrency(), cold_left }
     }
 
     /// Takes the changes of the state since the last call.
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rattanarch_admission::PaceChange;
 use rattanarch_process::Labels;
 use rattanarch_process::Metrics;
 use rattanarch_process::dropped_lines;
@@ -121,6 +122,15 @@
         self.metrics.add("rattanarch_heartbeats", "Heartbeats of the upstream", &labels, 1);
     }
 
+    /// Counts a change of the upstream's pace.
+    pub(crate) fn pace_change(&self, change: &PaceChange) {
+        let (from, to, cause) =
+            (change.from.to_string(), change.to.to_string(), change.cause.to_string());
+        let labels = labels(&[("from", &from), ("to", &to), ("cause", &cause)]);
+        let help = "Changes of the state that limits the upstream's requests";
+        self.metrics.add("rattanarch_upstream_pace_changes", help, &labels, 1);
+    }
+
     /// Counts an update of the ownership record.
     pub(crate) fn record_write(&self, outcome: &str) {
         let labels = labels(&[("outcome", outcome)]);
@@ -147,7 +157,7 @@
     }
 }
 
-fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 20] {
+fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 22] {
     let now = shared.now();
     let state = shared.upstream.state.borrow();
     let knowledge = shared.knowledge.borrow();
@@ -213,6 +223,16 @@
                 .and_then(|life| life.rate_limit)
                 .map_or(-1, |rate| (rate * 1e3) as i64),
         ),
+        (
+            "rattanarch_upstream_concurrency",
+            "Requests that the upstream may run at once now",
+            i64::from(state.admission.forecast(now).concurrency),
+        ),
+        (
+            "rattanarch_upstream_cold_ms",
+            "Time for which the upstream says that it stays cold",
+            state.admission.forecast(now).cold_left.as_millis() as i64,
+        ),
         (
             "rattanarch_upstream_connections",
             "Connections opened to the upstream so far",
--- a/crates/rattanarch_mesh/src/request/forward_headers.rs
+++ b/crates/rattanarch_mesh/src/request/forward_headers.rs
@@ -145,7 +145,7 @@
     pub(crate) limit_interval: Duration,
     /// Time until the upstream's next heartbeat is due; zero if not told.
     pub(crate) next_heartbeat: Duration,
-    /// Requests that the upstream may run at once now; 0 if not told.
+    /// Requests that the upstream may run at once now, its slots at most; 0 if not told.
     pub(crate) concurrency: u32,
 }
 
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -132,6 +132,6 @@
         lag: shared.lag.get(),
         limit_interval: state.admission.limit_interval(),
         next_heartbeat: Duration::ZERO,
-        concurrency: 0,
+        concurrency: state.admission.forecast(now).concurrency,
     }
 }
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -171,10 +171,11 @@
         let running = fresh.map(|(_, load)| load.running + load.waiting);
         let recent = report.filter(|(at, _)| now.saturating_sub(*at) < UTILIZATION_LIFETIME);
         let mean_running = recent.map(|(_, load)| load.used_percent * load.slots / 100);
+        let told = recent.map(|(_, load)| load.concurrency).filter(|told| *told > 0);
         let reported = running.or(mean_running).unwrap_or_default();
         Candidate {
             local,
-            slots: report.map_or(slots, |(_, load)| load.slots),
+            slots: told.or(report.map(|(_, load)| load.slots)).unwrap_or(slots),
             in_flight: reported.max(in_flight),
             recent_load: fresh.is_some(),
             mean_time: report.map(|(_, load)| load.mean_time).unwrap_or_default(),
--- a/crates/rattanarch_mesh/src/request/target.rs
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -115,7 +115,7 @@
     let usable = state.life.as_ref().is_some_and(|life| life.refused.is_none());
     Candidate {
         local: true,
-        slots: state.admission.slots(),
+        slots: state.admission.forecast(now).concurrency,
         in_flight: state.admission.running() + state.admission.waiting(),
         recent_load: true,
         mean_time: state.admission.mean_service_time(),
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -39,11 +39,17 @@
 }
 
 impl Permit {
-    /// Records that the upstream has responded.
-    pub(crate) fn record_response(&mut self) {
+    /// When the request was admitted.
+    pub(crate) fn started_at(&self) -> Moment {
+        self.started_at
+    }
+
+    /// Records that the upstream has responded; returns its service time.
+    pub(crate) fn record_response(&mut self) -> Duration {
         let service_time = self.shared.now().saturating_sub(self.started_at);
         self.shared.meters.served(&self.shared.settings.service, service_time);
         self.service_time = Some(service_time);
+        service_time
     }
 }
 
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -9,12 +9,15 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
 use rattanarch_adapter::headers;
+use rattanarch_adapter::headers::RateNotice;
 use rattanarch_adapter::headers::ResponseHead;
 use rattanarch_adapter::headers::UpstreamHeaders;
+use rattanarch_admission::AttemptOutcome;
 
 use crate::connection::BufferError;
 use crate::connection::Checkout;
@@ -37,6 +40,7 @@
 use crate::upstream::life::LifeKey;
 use crate::upstream::notices::FromLeaving;
 use crate::upstream::notices::apply_notices;
+use crate::upstream::pace;
 
 /// Shortest time to the deadline with which a request is sent.
 const MIN_SEND_TIME: Duration = Duration::from_millis(5);
@@ -86,14 +90,20 @@
     let reused = connection.is_reused();
     let sent = within(left, connection.send(request)).await;
     let response = match sent {
-        None => return Outcome::Failed(Failure::TimedOut),
+        None => {
+            pace::observe_timeout(&shared, &life, permit.started_at(), left);
+            return Outcome::Failed(Failure::TimedOut);
+        }
         Some(Ok(response)) => response,
         Some(Err(SendError::Unsent(_))) => {
             return Outcome::Refused(Refusal::new(Reason::NoUpstream, Duration::from_millis(20)));
         }
         Some(Err(SendError::Broken(reason))) => {
+            // A reused connection may have been closed for being idle.
             if reused {
                 shared.upstream.pool.clear();
+            } else {
+                pace::observe(&shared, &life, permit.started_at(), AttemptOutcome::Failed);
             }
             return Outcome::Failed(Failure::Cut(reason));
         }
@@ -164,9 +174,14 @@
     apply_notices(shared, life, &head);
     let left = call.deadline.saturating_sub(shared.now());
     let body = match within(left, shared.buffers.read(body)).await {
-        None => return Outcome::Failed(Failure::TimedOut),
+        None => {
+            pace::observe_timeout(shared, life, permit.started_at(), left);
+            return Outcome::Failed(Failure::TimedOut);
+        }
         Some(Err(error)) => {
-            if !matches!(error, BufferError::Broken(_)) {
+            if matches!(error, BufferError::Broken(_)) {
+                pace::observe(shared, life, permit.started_at(), AttemptOutcome::Failed);
+            } else {
                 log::warn!(id:% = call.id, life:% = life.id, reason:% = error;
                     "upstream response too large");
             }
@@ -176,13 +191,17 @@
     };
     shared.upstream.pool.put_back(connection);
     if head.not_run {
+        if is_overload(parts.status, &head) {
+            pace::observe(shared, life, permit.started_at(), AttemptOutcome::Refused);
+        }
         return Outcome::Refused(upstream_refusal(shared, call, &head));
     }
     let malformed = parts.headers.contains_key(header::CONTENT_ENCODING);
     if malformed || parts.status.is_success() && !head.from_upstream {
         return Outcome::Failed(Failure::Spoilt);
     }
-    permit.record_response();
+    let service_time = permit.record_response();
+    pace::observe(shared, life, permit.started_at(), AttemptOutcome::Responded(service_time));
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     if head.leaving {
@@ -191,6 +210,12 @@
     Outcome::Answered(Response::from_parts(parts, ResponseBody::scheduled(&shared.uplink, body)))
 }
 
+/// Whether the upstream refused a request because it can't take more. One that names a limit on its rate may refuse what
+/// exceeds that.
+fn is_overload(status: StatusCode, head: &ResponseHead) -> bool {
+    status == StatusCode::SERVICE_UNAVAILABLE && head.rate == RateNotice::Unlimited && !head.leaving
+}
+
 /// Whether the response with `headers` belongs to `call`.
 fn is_response_to(headers: &HeaderMap, call: &Call) -> bool {
     let id: Option<&HeaderValue> = headers::caller_request_id(&call.headers);
--- a/crates/rattanarch_mesh/src/upstream/health_check.rs
+++ b/crates/rattanarch_mesh/src/upstream/health_check.rs
@@ -20,6 +20,7 @@
 use crate::upstream::life::Life;
 use crate::upstream::life::LifeKey;
 use crate::upstream::notices::apply_notices;
+use crate::upstream::pace;
 
 /// Time without a response after which an upstream with a rate limit is checked. While its limit lets nothing through,
 /// nothing else would tell that the limit has changed.
@@ -50,8 +51,8 @@
     knowledge.routes().is_none() || spec.is_some_and(|spec| spec.health_path.is_some())
 }
 
-/// Starts a check if one is due: at the start of a life, and each second without a response while a rate limit is in
-/// force.
+/// Starts a check if one is due: at the start of a life, each second without a response while a rate limit is in force,
+/// and each second while slow responses suggest that the upstream has become cold.
 pub(crate) fn check_if_due(shared: &Rc<Shared>) {
     let now = shared.now();
     let service = &shared.settings.service;
@@ -60,8 +61,12 @@
         spec.and_then(|spec| spec.health_path.clone())
     });
     let Some(path) = path else { return };
+    let has_cold_rate = pace::cold_rate(shared).is_finite();
     let mut state = shared.upstream.state.borrow_mut();
-    let Some(life) = state.life.as_mut().filter(|life| is_due(life, now)) else { return };
+    let may_be_cold = has_cold_rate && state.admission.suspects_cold();
+    let Some(life) = state.life.as_mut().filter(|life| is_due(life, now, may_be_cold)) else {
+        return;
+    };
     life.checked = Some(now);
     let key = life.key();
     drop(state);
@@ -74,12 +79,13 @@
     });
 }
 
-fn is_due(life: &Life, now: Moment) -> bool {
+fn is_due(life: &Life, now: Moment, may_be_cold: bool) -> bool {
     let is_recent = |at: Option<Moment>| at.is_some_and(|at| now < at + CHECK_INTERVAL);
     let is_first = life.heard.is_none() && life.checked.is_none();
     let is_overdue =
         life.rate_limit.is_some() && !is_recent(life.heard) && !is_recent(life.checked);
-    life.refused.is_none() && (is_first || is_overdue)
+    let is_suspect = may_be_cold && !is_recent(life.checked);
+    life.refused.is_none() && (is_first || is_overdue || is_suspect)
 }
 
 /// Sends a health check and applies what the response says about the life `key` of the upstream.
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -30,6 +30,7 @@
 use crate::upstream::life::HeartbeatOrder;
 use crate::upstream::life::LeavingSource;
 use crate::upstream::log_grant_changes;
+use crate::upstream::pace;
 use crate::upstream::start_waiting;
 
 /// Largest heartbeat that is read, in bytes: enough for a row for each slice and more.
@@ -142,6 +143,8 @@
     let mut state = shared.upstream.state.borrow_mut();
     state.life = Some(Life::new(id, beat, now));
     state.admission.set_rate_limit(now, None);
+    state.admission.begin_life(now);
+    pace::report_changes(shared, &mut state);
     drop(state);
     shared.upstream.pool.clear();
     log::info!(life:% = id, born = beat.started_at_ms, slots = beat.slots, first = first; "upstream started");
@@ -150,15 +153,14 @@
 
 /// Updates the state of the upstream from a heartbeat.
 fn apply(shared: &Shared, beat: &Heartbeat, now: Moment) {
-    let rate = shared.knowledge.borrow().routes().and_then(|routes| {
-        routes.service(&shared.settings.service).map(|service| service.cold_rate)
-    });
+    let cold_rate = pace::cold_rate(shared);
     let mut state = shared.upstream.state.borrow_mut();
     let state = &mut *state;
     state.admission.set_slots(u32::from(beat.slots));
     if !beat.cold_time_left.is_zero() {
-        state.admission.set_cold(now, beat.cold_time_left, rate.unwrap_or(DEFAULT_COLD_RATE));
+        state.admission.set_cold(now, beat.cold_time_left, cold_rate);
     }
+    pace::report_changes(shared, state);
     if let Some(life) = &mut state.life {
         life.sequence = beat.sequence;
         life.last_heartbeat = now;
@@ -179,9 +181,6 @@
     state.grants.apply_heartbeat(now, beat.sequence, |slice| held[usize::from(slice)]);
 }
 
-/// Requests a second that a cold upstream gets while the configuration is unknown.
-const DEFAULT_COLD_RATE: f64 = 10.0;
-
 /// Number of keys in a slice.
 fn slice_width(slices: SliceId) -> u32 {
     (u32::from(u16::MAX) + 1) / u32::from(slices.max(1))
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod heartbeat;
 mod life;
 mod notices;
+mod pace;
 mod state;
 mod upstream_snapshot;
 
--- a/crates/rattanarch_mesh/src/upstream/notices.rs
+++ b/crates/rattanarch_mesh/src/upstream/notices.rs
@@ -11,6 +11,7 @@
 use crate::upstream::life::LeavingSource;
 use crate::upstream::life::Life;
 use crate::upstream::life::LifeKey;
+use crate::upstream::pace;
 use crate::upstream::start_waiting;
 
 /// Mark of a response whose upstream says in it that it is leaving.
@@ -21,6 +22,7 @@
 /// nothing about the present one.
 pub(crate) fn apply_notices(shared: &Rc<Shared>, key: &LifeKey, head: &ResponseHead) {
     let now = shared.now();
+    let cold_rate = pace::cold_rate(shared);
     let mut guard = shared.upstream.state.borrow_mut();
     let state = &mut *guard;
     let Some(life) = state.life.as_mut().filter(|life| life.has_key(key)) else { return };
@@ -33,8 +35,13 @@
             "upstream rate limit changed");
         state.admission.set_rate_limit(now, limit);
     }
+    let cold = head.cold_time_left.filter(|left| !left.is_zero());
+    if let Some(left) = cold {
+        state.admission.set_cold(now, left, cold_rate);
+        pace::report_changes(shared, state);
+    }
     drop(guard);
-    if is_changed {
+    if is_changed || cold.is_some() {
         start_waiting(shared);
     }
     if head.leaving {
--- a/crates/rattanarch_mesh/src/upstream/upstream_snapshot.rs
+++ b/crates/rattanarch_mesh/src/upstream/upstream_snapshot.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use rattanarch_admission::PaceState;
 use rattanarch_types::Version;
 
 use crate::process::Shared;
@@ -11,7 +12,7 @@
 #[derive(Clone, Debug, Display)]
 #[display(
     "life {life} heard {}ms ago, lease {}ms, record {record}, {running} of {slots} slots, \
-     {waiting} waiting, mean {}ms",
+     {waiting} waiting, mean {}ms, {pace}, {concurrency} at once",
     heard.as_millis(), lease.as_millis(), mean.as_millis()
 )]
 pub(crate) struct UpstreamSnapshot {
@@ -26,6 +27,9 @@
     waiting: u32,
     /// Mean service time.
     mean: Duration,
+    pace: PaceState,
+    /// Requests that may run at once now.
+    concurrency: u32,
 }
 
 impl UpstreamSnapshot {
@@ -34,6 +38,7 @@
         let now = shared.now();
         let state = shared.upstream.state.borrow();
         let life = state.life.as_ref();
+        let forecast = state.admission.forecast(now);
         Self {
             life: life.map_or_else(|| "none".to_owned(), |life| life.id.clone()),
             heard: life.map(|life| now.saturating_sub(life.last_heartbeat)).unwrap_or_default(),
@@ -47,6 +52,8 @@
             slots: state.admission.slots(),
             waiting: state.admission.waiting(),
             mean: state.admission.mean_service_time(),
+            pace: forecast.state,
+            concurrency: forecast.concurrency,
         }
     }
 }
