--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -6,6 +6,9 @@
 use rattanarch_types::Moment;
 use rattanarch_types::Rank;
 
+use crate::AttemptOutcome;
+use crate::PaceChange;
+use crate::PaceForecast;
 use crate::PopResult;
 use crate::Queue;
 use crate::RateLimiter;
@@ -14,6 +17,7 @@
 use crate::RetrySchedule;
 use crate::ShedRequest;
 use crate::Throughput;
+use crate::UpstreamPace;
 use crate::WorkClass;
 use crate::WorkTimes;
 
@@ -103,6 +107,8 @@
     running: u32,
     queue: Queue<T>,
     rate_limiter: RateLimiter,
+    /// Rate and concurrency that the state of the upstream allows.
+    pace: UpstreamPace,
     /// Mean service time in seconds; 0 before the first response.
     mean: f64,
     /// Time in seconds that nearly all responses exceed; 0 before the first response.
@@ -122,6 +128,7 @@
             running: 0,
             queue,
             rate_limiter: RateLimiter::default(),
+            pace: UpstreamPace::new(slots),
             mean: 0.0,
             shortest: 0.0,
             arrivals: RateMeter::default(),
@@ -133,12 +140,48 @@
     /// Sets the number of slots, which may change when the upstream restarts.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
+        self.pace.set_slots(self.slots);
         self.queue.set_capacity(self.slots as usize * QUEUE_PER_SLOT);
     }
 
-    /// Limits the upstream, which stays cold for `remaining` from `now`, to `rate` requests a second.
+    /// Records that a new life of the upstream begins at `now`.
+    pub fn begin_life(&mut self, now: Moment) {
+        self.pace.begin_life();
+        self.apply_pace(now);
+    }
+
+    /// Limits the upstream, which stays cold for `remaining` from `now` and then takes `rate` requests a second.
     pub fn set_cold(&mut self, now: Moment, remaining: Duration, rate: f64) {
-        self.rate_limiter.set_cold(now, remaining, rate);
+        self.pace.set_cold(now, remaining, rate);
+        self.apply_pace(now);
+    }
+
+    /// Records the outcome at `now` of a request sent at `sent` that still holds its slot.
+    pub fn observe(&mut self, now: Moment, sent: Moment, outcome: AttemptOutcome) {
+        self.pace.observe(now, sent, outcome, self.running);
+        self.apply_pace(now);
+    }
+
+    /// Sets the rate limit that the pace of the upstream has at `now`.
+    fn apply_pace(&mut self, now: Moment) {
+        self.pace.update(now);
+        let burst = self.pace.take_burst();
+        self.rate_limiter.set_pace(now, self.pace.rate(), burst);
+    }
+
+    /// What senders may expect of the upstream after `now`.
+    pub fn forecast(&self, now: Moment) -> PaceForecast {
+        self.pace.forecast(now)
+    }
+
+    /// Whether the upstream may have become cold without notice.
+    pub fn suspects_cold(&self) -> bool {
+        self.pace.suspects_cold()
+    }
+
+    /// Takes the changes of the upstream's state since the last call.
+    pub fn take_changes(&mut self) -> Vec<PaceChange> {
+        self.pace.take_changes()
     }
 
     /// Sets the requests a second that the upstream itself takes; `None` without a limit.
@@ -164,7 +207,7 @@
 
     /// Whether the upstream is cold at `now`.
     pub fn is_cold(&self, now: Moment) -> bool {
-        self.rate_limiter.is_cold(now)
+        self.pace.is_cold(now)
     }
 
     /// Offers a request: it starts, waits, or is shed.
@@ -176,7 +219,7 @@
             return OfferResult { started: None, shed: vec![self.refuse(now, request)] };
         }
         if self.queue.ahead(request.rank) == 0
-            && self.running < self.slots
+            && self.running < self.pace.concurrency()
             && self.rate_limiter.try_acquire(now)
         {
             self.running += 1;
@@ -192,7 +235,7 @@
         let rank = if late { request.rank.saturating_add(LATE_RANK_OFFSET) } else { request.rank };
         let PendingRequest { flow, deadline, item, .. } = request;
         let mut shed = self.queue.push_to_flow(now, rank, flow, deadline, item);
-        if self.utilization(now) > SATURATED_UTILIZATION {
+        if self.utilization() > SATURATED_UTILIZATION {
             shed.extend(self.queue.shed_from(LATE_RANK_OFFSET));
         }
         OfferResult { started: None, shed: self.schedule_retries(now, shed) }
@@ -232,7 +275,7 @@
             return left.max(backlog);
         }
         let demand = RetryDemand {
-            capacity: 1.0 / self.start_interval(now).as_secs_f64().max(MIN_INTERVAL),
+            capacity: 1.0 / self.start_interval().as_secs_f64().max(MIN_INTERVAL),
             arrivals: self.arrivals.rate(),
             backlog,
         };
@@ -240,13 +283,13 @@
     }
 
     /// Mean time between two starts of many requests, by the slots and the rate limit.
-    fn start_interval(&self, now: Moment) -> Duration {
-        self.slot_interval().max(self.rate_limiter.interval(now))
+    fn start_interval(&self) -> Duration {
+        self.slot_interval().max(self.rate_limiter.interval())
     }
 
     /// Arriving load as a ratio of the capacity of the upstream; more than 1 under overload.
-    fn utilization(&self, now: Moment) -> f64 {
-        self.arrivals.rate() * self.start_interval(now).as_secs_f64()
+    fn utilization(&self) -> f64 {
+        self.arrivals.rate() * self.start_interval().as_secs_f64()
     }
 
     /// Starts the next waiting request, if there is a free slot and the rate limit of the upstream allows it. To
@@ -255,7 +298,7 @@
     pub fn start_next(&mut self, now: Moment) -> PopResult<T> {
         self.update_throughput(now);
         if self.queue.is_empty()
-            || self.running >= self.slots
+            || self.running >= self.pace.concurrency()
             || !self.rate_limiter.try_acquire(now)
         {
             let shed = self.queue.expire(now);
@@ -291,9 +334,9 @@
 
     /// When [`AdmissionController::start_next`] is to be called although no slot becomes free, because requests
     /// wait for the rate limit of the upstream.
-    pub fn next_start(&self, now: Moment) -> Option<Moment> {
-        let rate_limited = !self.queue.is_empty() && self.running < self.slots;
-        self.rate_limiter.next_permit(now).filter(|_| rate_limited)
+    pub fn next_start(&self) -> Option<Moment> {
+        let rate_limited = !self.queue.is_empty() && self.running < self.pace.concurrency();
+        self.rate_limiter.next_permit().filter(|_| rate_limited)
     }
 
     /// Drops waiting requests for which `keep` is false.
@@ -328,8 +371,10 @@
 
     /// Updates the throughput of the queue.
     fn update_throughput(&mut self, now: Moment) {
+        self.apply_pace(now);
         let service_time = self.mean_service_time();
-        self.queue.set_throughput(Throughput { concurrency: self.slots, service_time });
-        self.queue.set_start_interval(self.rate_limiter.interval(now));
+        let concurrency = self.pace.concurrency();
+        self.queue.set_throughput(Throughput { concurrency, service_time });
+        self.queue.set_start_interval(self.rate_limiter.interval());
     }
 }
--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -11,8 +11,8 @@
 //! [`IdempotencyCache`] gives a repeated request the response to the first one.
 //!
 //! In the daemon next to an upstream, an [`AdmissionController`] combines a queue, the upstream's
-//! slots and a [`RateLimiter`]. The queue orders by flow with [`FlowShares`], and a [`RetrySchedule`] tells refused
-//! callers when to return.
+//! slots, a [`RateLimiter`] and an [`UpstreamPace`], which limits an upstream that is cold or recovers. The queue orders by
+//! flow with [`FlowShares`], and a [`RetrySchedule`] tells refused callers when to return.
 //!
 //! ```
 //! use std::time::Duration;
@@ -57,6 +57,7 @@
 mod slice_meter;
 mod token_bucket;
 mod uplink_backlog;
+mod upstream_pace;
 mod work_times;
 
 pub use admission_controller::AdmissionController;
@@ -86,5 +87,10 @@
 pub use selector::UpstreamKey;
 pub use slice_meter::SliceMeter;
 pub use uplink_backlog::UplinkBacklog;
+pub use upstream_pace::PaceCause;
+pub use upstream_pace::PaceChange;
+pub use upstream_pace::PaceForecast;
+pub use upstream_pace::PaceState;
+pub use upstream_pace::UpstreamPace;
 pub use work_times::WorkClass;
 pub use work_times::WorkTimes;
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -43,11 +43,17 @@
 }
 
 impl Permit {
-    /// Records that the upstream has responded.
-    pub(crate) fn record_response(&mut self) {
+    /// When the request was admitted.
+    pub(crate) fn started_at(&self) -> Moment {
+        self.started_at
+    }
+
+    /// Records that the upstream has responded; returns its service time.
+    pub(crate) fn record_response(&mut self) -> Duration {
         let service_time = self.shared.now().saturating_sub(self.started_at);
         self.shared.meters.served(&self.shared.settings.service, service_time);
         self.service_time = Some(service_time);
+        service_time
     }
 }
 
@@ -250,7 +256,7 @@
 /// Sets a timer for the next request that the rate limit of the upstream allows.
 fn schedule_next_start(shared: &Rc<Shared>) {
     let now = shared.now();
-    let Some(next_start) = shared.upstream.state.borrow().admission.next_start(now) else { return };
+    let Some(next_start) = shared.upstream.state.borrow().admission.next_start() else { return };
     if shared.upstream.pace_timer.replace(true) {
         return;
     }
