--- a/crates/rattanarch_admission/tests/competing_requests.rs
+++ b/crates/rattanarch_admission/tests/competing_requests.rs
@@ -370,18 +370,16 @@
     assert!(present.worst_second() >= former.worst_second() + 5.0, "{seen}");
 }
 
-/// Guards against callers that lose by the rules for mixed work and for returns where all work is alike: the counts
-/// differ by half a percent at most, which is the difference between two draws of the jitter.
+/// Guards against callers that lose by the rules for mixed work and for returns where all work is alike.
 #[test]
 fn bursts_of_uniform_work() {
     let [present, former] = play_both(true);
     let seen = format!("present {}, former {}", present.summary(), former.summary());
-    let not_less = |present: u32, former: u32| present + former / 200 >= former;
-    assert!(not_less(present.in_time, former.in_time), "{seen}");
-    assert!(not_less(present.served, former.served), "{seen}");
-    assert!(not_less(former.attempts, present.attempts), "{seen}");
-    assert!(not_less(former.refused_twice, present.refused_twice), "{seen}");
-    assert!(present.worst_second() >= former.worst_second() - 0.5, "{seen}");
+    assert!(present.in_time >= former.in_time, "{seen}");
+    assert!(present.served >= former.served, "{seen}");
+    assert!(present.attempts <= former.attempts, "{seen}");
+    assert!(present.refused_twice <= former.refused_twice, "{seen}");
+    assert!(present.worst_second() >= former.worst_second(), "{seen}");
 }
 
 /// Shares of requests served in time by flow, in percent, if the first sends its usual number and `excess` times it.
@@ -409,10 +407,9 @@
     assert!(shares[1..].iter().all(|(usual, excess)| excess + 2.0 >= *usual), "{shares:?}");
 }
 
-/// Guards against the same with all ranks, where urgent requests of the flow in excess precede those of other ranks:
-/// the others lose a third of what they lose without fair order (14 %) at most.
+/// Guards against the same with all ranks, where urgent requests of the flow in excess precede those of other ranks.
 #[test]
 fn excess_in_all_ranks() {
     let shares = play_flows(None, 5);
-    assert!(shares[1..].iter().all(|(usual, excess)| excess + 5.0 >= *usual), "{shares:?}");
+    assert!(shares[1..].iter().all(|(usual, excess)| excess + 4.0 >= *usual), "{shares:?}");
 }
