Decide moves of slices by expected gain and cost

Cause: a member gave slices away from 50 % utilization and 1.2 times the mean, whatever the move cost. Change: plan_slice_moves compares what owner and receiver cannot serve in time with and without the move, over the time for which the load is expected to last, with the requests in the gap. SliceMeter measures steady rates, LoadHistory the utilization over 1.5, 6 and 24 s. Metrics and the log line report gain, cost and skipped slices; a refusal of a moving key names the time at which the next owner is expected to serve it. The tests slice_relief and limited_members pass the new arguments; their assertions are unchanged.

--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rattanarch_placement::MovePlan;
 use rattanarch_process::Labels;
 use rattanarch_process::Metrics;
 use rattanarch_process::dropped_lines;
@@ -133,6 +134,25 @@
         self.metrics.add("rattanarch_released_slices", help, &Labels::new(), slices as u64);
     }
 
+    /// Counts a plan of moves because of load; `started` says whether the release of its slices has begun.
+    pub(crate) fn move_plan(&self, plan: &MovePlan, started: bool) {
+        let moved = if started { plan.moves.len() } else { 0 };
+        let skipped = plan.skipped + plan.moves.len() - moved;
+        let help = "Slices whose move because of load was decided, by outcome";
+        for (outcome, slices) in [("planned", moved), ("skipped", skipped)] {
+            let labels = labels(&[("outcome", outcome)]);
+            self.metrics.add("rattanarch_slice_moves", help, &labels, slices as u64);
+        }
+        if started {
+            let help =
+                "Requests, by the estimates on which moves of slices because of load were decided";
+            for (estimate, requests) in [("gain", plan.gain), ("cost", plan.cost)] {
+                let labels = labels(&[("estimate", estimate)]);
+                self.metrics.add("rattanarch_slice_move_requests", help, &labels, requests as u64);
+            }
+        }
+    }
+
     /// All metrics as text, with the current values of the gauges.
     pub(crate) fn text(&self, shared: &Shared) -> String {
         for (name, help, value) in gauges(shared) {
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -155,12 +155,11 @@
         self.backoff_until.get().checked_sub(now).filter(|left| !left.is_zero())
     }
 
-    /// Ratio of its capacity in use, and the ratio that one request a second takes, if reported recently.
-    pub(crate) fn utilization(&self, now: Moment) -> Option<(f64, f64)> {
-        let (at, load) =
-            self.load.get().filter(|(at, _)| now.saturating_sub(*at) < UTILIZATION_LIFETIME)?;
-        let request_cost = load.time_per_request().as_secs_f64();
-        (at <= now).then(|| (f64::from(load.used_percent) / 100.0, request_cost))
+    /// Load of its upstream, if reported recently, and the time since.
+    pub(crate) fn recent_load(&self, now: Moment) -> Option<(LoadHeader, Duration)> {
+        let (at, load) = self.load.get()?;
+        let age = now.checked_sub(at).filter(|age| *age < UTILIZATION_LIFETIME)?;
+        Some((load, age))
     }
 
     /// This peer as a candidate for a request without a key.
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +13,7 @@
 use rattanarch_admission::SliceMeter;
 use rattanarch_ownership::Grants;
 use rattanarch_ownership::Serving;
+use rattanarch_placement::LoadHistory;
 use rattanarch_types::KeyHash;
 use rattanarch_types::Moment;
 use rattanarch_types::SliceId;
@@ -70,6 +72,10 @@
     requests: HashMap<String, ActiveRequest>,
     /// Load by slice.
     pub(crate) meter: SliceMeter,
+    /// Utilization over the last seconds.
+    pub(crate) history: LoadHistory,
+    /// When slices that were last moved because of load are expected to be served by their next owners.
+    pub(crate) expected_moves: BTreeMap<SliceId, Moment>,
     /// When it was last checked whether the upstream is lost.
     last_check: Moment,
     /// When this process last resumed after a pause.
@@ -99,6 +105,8 @@
             running: Vec::new(),
             requests: HashMap::new(),
             meter: SliceMeter::default(),
+            history: LoadHistory::default(),
+            expected_moves: BTreeMap::new(),
             last_check: Moment::ZERO,
             resumed_at: Moment::ZERO,
         };
@@ -111,6 +119,8 @@
     /// Clears the grants of an earlier life. An earlier daemon process may have granted any slice until `until`.
     pub(crate) fn reset_grants(&mut self, now: Moment, slices: SliceId, until: Moment) {
         self.meter = SliceMeter::new(slices, now);
+        self.history = LoadHistory::default();
+        self.expected_moves.clear();
         self.grants = Grants::new(slices, until);
         self.running.resize(usize::from(slices), 0);
         self.serving = Serving::default();
@@ -166,7 +176,11 @@
             Ok(()) if self.grants.is_served(now, self.slice(key)) => Readiness::Ready,
             Ok(()) => Readiness::NotYet(Reason::NoGrant, next),
             Err(Refusal::LeaseEnded) => Readiness::NotYet(Reason::LeaseEnded, next),
-            Err(Refusal::Moving) => Readiness::NotYet(Reason::Moving, next),
+            Err(Refusal::Moving) => {
+                let expected = self.expected_moves.get(&self.slice(key)).copied();
+                let expected = expected.filter(|expected| *expected > now).unwrap_or(next);
+                Readiness::NotYet(Reason::Moving, expected)
+            }
             Err(Refusal::Elsewhere(_)) => Readiness::Refused(Reason::NotOwner),
             Err(Refusal::Unowned) => Readiness::Refused(Reason::Unowned),
         }
--- a/crates/rattanarch_placement/src/lib.rs
+++ b/crates/rattanarch_placement/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`plan_moves`] lists the moves that bring every member to its target, in the order in which members
 //!   make them.
 //! - [`Spread`] says whether slices are spread by count or by load; with the latter, [`plan_slice_moves`]
-//!   chooses the slices that a busy member gives away.
+//!   chooses the slices that a busy member gives away, from the loads of members and its own [`LoadHistory`].
 //! - [`HotKeys`] finds the hottest keys of a member, and [`plan_key_moves`] chooses those that an
 //!   overloaded member gives away.
 //!
@@ -48,6 +48,9 @@
 mod balance;
 mod hot_keys;
 mod key_moves;
+mod load_history;
+mod member_load;
+mod move_gap;
 mod rendezvous;
 mod slice_moves;
 mod spread;
@@ -61,8 +64,12 @@
 pub use key_moves::MAX_HOT_KEYS;
 pub use key_moves::MAX_KEY_MOVES;
 pub use key_moves::plan_key_moves;
+pub use load_history::LastingLoad;
+pub use load_history::LoadHistory;
+pub use member_load::MemberLoad;
+pub use move_gap::expected_gap;
 pub use rendezvous::rendezvous_weight;
-pub use slice_moves::MemberLoad;
+pub use slice_moves::MovePlan;
 pub use slice_moves::SliceLoad;
 pub use slice_moves::plan_slice_moves;
 pub use spread::Spread;
--- a/crates/rattanarch_placement/tests/limited_members.rs
+++ b/crates/rattanarch_placement/tests/limited_members.rs
@@ -1,7 +1,9 @@
 //! Slices leave members whose upstreams take fewer requests a second than their slots could do.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
+use rattanarch_placement::LastingLoad;
 use rattanarch_placement::MemberLoad;
 use rattanarch_placement::SliceLoad;
 use rattanarch_placement::plan_slice_moves;
@@ -48,7 +50,8 @@
 
     fn load(&self, member: BootId) -> MemberLoad {
         let request_cost = 1.0 / self.capacities[&member];
-        MemberLoad { member, utilization: self.rate(member) * request_cost, request_cost }
+        let utilization = self.rate(member) * request_cost;
+        MemberLoad { member, utilization, request_cost, slots: 12, gap: Duration::from_millis(600) }
     }
 
     /// All members plan with the same loads and move their slices at the same time.
@@ -57,8 +60,14 @@
         let plans = loads.iter().map(|own| {
             let others: Vec<_> = loads.iter().filter(|l| l.member != own.member).copied().collect();
             let slices = (0..SLICES).filter(|s| self.owners[usize::from(*s)] == own.member);
-            let load = |slice| SliceLoad { slice, rate: self.rates[usize::from(slice)] };
-            plan_slice_moves(*own, &slices.map(load).collect::<Vec<_>>(), &others)
+            let load = |slice| {
+                let rate = self.rates[usize::from(slice)];
+                SliceLoad { slice, rate, steady_rate: rate }
+            };
+            let lasting =
+                LastingLoad { span: Duration::from_secs(24), utilization: own.utilization };
+            let slices: Vec<_> = slices.map(load).collect();
+            plan_slice_moves(*own, &[lasting], &slices, &others).moves
         });
         let moves: Vec<(SliceId, BootId)> = plans.flatten().collect();
         self.moved += moves.len();
--- a/crates/rattanarch_placement/tests/slice_relief.rs
+++ b/crates/rattanarch_placement/tests/slice_relief.rs
@@ -1,21 +1,49 @@
 //! Slices that a busy member gives to others.
 
+use std::time::Duration;
+
+use rattanarch_placement::LastingLoad;
 use rattanarch_placement::MemberLoad;
+use rattanarch_placement::MovePlan;
 use rattanarch_placement::SliceLoad;
-use rattanarch_placement::plan_slice_moves;
+use rattanarch_types::BootId;
+use rattanarch_types::SliceId;
 
 /// Part of a regular member's capacity that one request per second takes.
 const REQUEST_COST: f64 = 0.01;
 
 fn member(member: u64, utilization: f64) -> MemberLoad {
-    MemberLoad { member, utilization, request_cost: REQUEST_COST }
+    MemberLoad { member, utilization, request_cost: REQUEST_COST, slots: 12, gap: GAP }
+}
+
+/// Time during which a moved slice is not served.
+const GAP: Duration = Duration::from_millis(600);
+
+/// Plan of a member whose load has lasted for `seconds`.
+fn plan_after(
+    seconds: u64,
+    own: MemberLoad,
+    slices: &[SliceLoad],
+    others: &[MemberLoad],
+) -> MovePlan {
+    let lasting = LastingLoad { span: Duration::from_secs(seconds), utilization: own.utilization };
+    rattanarch_placement::plan_slice_moves(own, &[lasting], slices, others)
+}
+
+/// Moves of a member with a lasting load.
+fn plan_slice_moves(
+    own: MemberLoad,
+    slices: &[SliceLoad],
+    others: &[MemberLoad],
+) -> Vec<(SliceId, BootId)> {
+    plan_after(24, own, slices, others).moves
 }
 
 fn slices(rates: &[f64]) -> Vec<SliceLoad> {
     rates
         .iter()
         .enumerate()
-        .map(|(slice, rate)| SliceLoad { slice: slice as u16, rate: *rate })
+        .map(|(slice, rate)| SliceLoad { slice: slice as u16, rate: *rate, steady_rate: *rate })
         .collect()
 }
 
@@ -83,3 +111,45 @@
     let moves = plan_slice_moves(slow, &rates, &equal);
     assert!(moves.iter().all(|(slice, _)| *slice != 0), "{moves:?}");
 }
+
+/// A surge that has just begun moves nothing that it does not pay for soon: the member may be idle again before the moved
+/// slices are served.
+#[test]
+fn short_surge() {
+    let rates = slices(&[10.0; 10]);
+    let others = [member(2, 0.2), member(3, 0.3)];
+    let moves_after = |seconds| plan_after(seconds, member(1, 0.9), &rates, &others).moves.len();
+    assert_eq!(moves_after(1), 0);
+    assert!(moves_after(24) > 0);
+}
+
+/// A slice that was busy only briefly does not move because of the member's lasting load: it would not relieve it.
+#[test]
+fn briefly_busy_slices() {
+    let mut rates = slices(&[20.0, 20.0, 10.0, 10.0, 10.0, 10.0, 10.0]);
+    rates[0].steady_rate = 0.5;
+    let moves = plan_slice_moves(member(1, 0.9), &rates, &[member(2, 0.2), member(3, 0.2)]);
+    assert!(!moves.is_empty());
+    assert!(moves.iter().all(|(slice, _)| *slice != 0), "{moves:?}");
+}
+
+/// Of receivers that are alike, the one whose upstream's heartbeat comes first after the release gets the slices: every
+/// other one would serve them later.
+#[test]
+fn shortest_gap() {
+    let soon = MemberLoad { gap: Duration::from_millis(250), ..member(9, 0.2) };
+    let others = [member(2, 0.2), member(3, 0.2), soon, member(10, 0.2)];
+    let moves = plan_slice_moves(member(1, 0.8), &slices(&[10.0; 8]), &others);
+    assert!(!moves.is_empty());
+    assert!(moves.iter().all(|(_, to)| *to == 9), "{moves:?}");
+}
+
+/// The expected gain of a plan is a multiple of its cost; moves without that are counted as skipped.
+#[test]
+fn gain_exceeds_cost() {
+    let others = [member(2, 0.2), member(3, 0.3)];
+    let plan = plan_after(24, member(1, 1.1), &slices(&[10.0; 11]), &others);
+    assert!(!plan.moves.is_empty() && plan.gain >= plan.cost * 1.5, "{plan:?}");
+    let plan = plan_after(6, member(1, 0.75), &slices(&[10.0; 7]), &others);
+    assert!(plan.moves.is_empty() && plan.skipped > 0, "{plan:?}");
+}
