Tell peers when the upstream's next heartbeat is due

Cause: grants are sent in replies to heartbeats only, so a slice is not served until the next heartbeat of its new owner's upstream; the owner that gives it away did not know when that is, and assumed the mean. Change: the load header has the time until the next heartbeat (item 10); the gap of a move is computed from it, so that of receivers that are alike the one with the earliest heartbeat after the record gets the slice.

--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -121,6 +120,8 @@
 fn load_header(shared: &Shared) -> LoadHeader {
     let now = shared.now();
     let state = shared.upstream.state.borrow();
+    let interval = shared.settings.heartbeat;
+    let next_heartbeat = state.life.as_ref().map(|life| life.next_heartbeat(now, interval));
     LoadHeader {
         running: state.admission.running(),
         waiting: state.admission.waiting(),
@@ -131,7 +132,7 @@
         send_time: shared.uplink.backlog.borrow().expected_time(now),
         lag: shared.lag.get(),
         limit_interval: state.admission.limit_interval(),
-        next_heartbeat: Duration::ZERO,
+        next_heartbeat: next_heartbeat.unwrap_or_default(),
         concurrency: 0,
     }
 }
--- a/crates/rattanarch_mesh/src/upstream/life.rs
+++ b/crates/rattanarch_mesh/src/upstream/life.rs
@@ -1,5 +1,7 @@
 //! One life of the upstream, from a start to the next.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use rattanarch_adapter::Heartbeat;
 use rattanarch_types::Moment;
@@ -84,6 +86,12 @@
         }
     }
 
+    /// Time until the next heartbeat is due, at least a millisecond; `interval` is that between two heartbeats.
+    pub(crate) fn next_heartbeat(&self, now: Moment, interval: Duration) -> Duration {
+        let due = (self.last_heartbeat + interval).saturating_sub(now);
+        due.max(Duration::from_millis(1))
+    }
+
     /// What tells this life from all others.
     pub(crate) fn key(&self) -> LifeKey {
         LifeKey { id: self.id.clone(), started_at_ms: self.started_at_ms }
