Hold requests for moving slices where they still meet their objective

Cause: a request for a slice between two owners was refused if its owner was not expected within 0.4 of the time to its deadline, although it could still meet its objective; the next owner refused it as not-owner if it did not know the record yet by which it was chosen, and the sender then waited for a newer record that did not exist; the sender waited for the record that names the next owner for 150 ms only. Change: requests are held up to their objective less the mean service time; the forward header names the version of the record, and the receiver waits up to 150 ms for it; a sender waits up to half the time to the objective for the next owner. Only refusals that have not run are followed by another attempt; the retry budget is unchanged.

--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -34,6 +34,10 @@
 /// no newer information.
 const MAX_REFUSALS: u32 = 3;
 
+/// Part of the time to its objective that a refused request may wait for the record that names the next owner of its key;
+/// the rest has to suffice for the next attempt.
+const RECORD_WAIT_DIVISOR: u32 = 2;
+
 /// Interval at which the retry share is checked again for a parallel attempt: requests that arrive in
 /// the meantime add to the share.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
@@ -336,6 +340,8 @@
         }
         let is_new_owner =
             |found: Target| found.version > target.version && found.address != target.address;
-        self.wait_for_target(MAX_RECORD_WAIT, is_new_owner).await.then_some(()).ok_or(GiveUp::Owner)
+        let left = self.call.objective.saturating_sub(shared.now());
+        let timeout = MAX_RECORD_WAIT.max(left / RECORD_WAIT_DIVISOR);
+        self.wait_for_target(timeout, is_new_owner).await.then_some(()).ok_or(GiveUp::Owner)
     }
 }
--- a/crates/rattanarch_mesh/src/request/call.rs
+++ b/crates/rattanarch_mesh/src/request/call.rs
@@ -13,6 +13,7 @@
 use rattanarch_types::Moment;
 use rattanarch_types::Rank;
 use rattanarch_types::ServiceName;
+use rattanarch_types::Version;
 
 /// Header fields that concern one connection only (RFC 9110, section 7.6.1).
 const CONNECTION_HEADERS: [HeaderName; 8] = [
@@ -49,6 +50,8 @@
     /// When the caller gets a response in any case.
     pub(crate) deadline: Moment,
     pub(crate) key: Option<u16>,
+    /// Version of the record by which another daemon chose this one; 0 if none did, or if it did not tell.
+    pub(crate) version: Version,
     /// Group of requests that shares the upstream fairly with others.
     pub(crate) flow: Option<FlowId>,
     /// Expected size of the response.
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -89,7 +89,7 @@
         return unreachable();
     };
     let left = call.deadline.saturating_sub(shared.now());
-    let Some(request) = request(shared, peer, call, left) else { return unreachable() };
+    let Some(request) = request(shared, peer, attempt, left) else { return unreachable() };
     let response = probe_while_waiting(shared, peer, attempt, connection.send(request));
     match within(left + RESPONSE_ALLOWANCE, response).await {
         None => {
@@ -178,9 +178,10 @@
 fn request(
     shared: &Shared,
     peer: &Peer,
-    call: &Call,
+    attempt: &ForwardedAttempt<'_>,
     left: Duration,
 ) -> Option<Request<Full<bytes::Bytes>>> {
+    let call = attempt.call;
     let forward_header = ForwardHeader {
         service: call.service.clone(),
         origin_service: call.origin_service.clone(),
@@ -192,6 +193,7 @@
         size: call.size,
         retry: call.retry.get(),
         leaving: peer.leaving_notice(shared.now()),
+        version: attempt.target.version,
     };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/crates/rattanarch_mesh/src/request/forward_headers.rs
+++ b/crates/rattanarch_mesh/src/request/forward_headers.rs
@@ -9,6 +9,7 @@
 use rattanarch_routing::ResponseSize;
 use rattanarch_types::Rank;
 use rattanarch_types::Verdict;
+use rattanarch_types::Version;
 
 /// Metadata of a forwarded request.
 pub(crate) const FORWARD: HeaderName = HeaderName::from_static("rattanarch-forward");
@@ -29,10 +30,10 @@
 const LOAD: HeaderName = HeaderName::from_static("rattanarch-load");
 
 /// Metadata of a forwarded request, written as
-/// `service origin rank objective-ms left-ms once|safe key|- large|small again|first [life@age-ms]`.
+/// `service origin rank objective-ms left-ms once|safe key|- large|small again|first life@age-ms|- record-version`.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[display(
-    "{service} {origin_service} {rank} {} {} {} {} {} {}{}",
+    "{service} {origin_service} {rank} {} {} {} {} {} {} {} {version}",
     objective.as_millis(),
     left.as_millis(),
     if *idempotent { IDEMPOTENT } else { AT_MOST_ONCE },
@@ -42,7 +43,7 @@
         ResponseSize::Large => LARGE,
     },
     if *retry { RETRY } else { FIRST_RUN },
-    leaving.as_ref().map(|notice| format!(" {notice}")).unwrap_or_default()
+    leaving.as_ref().map_or_else(|| NO_NOTICE.to_owned(), LeavingNotice::to_string)
 )]
 pub(crate) struct ForwardHeader {
     pub(crate) service: String,
@@ -59,6 +60,8 @@
     pub(crate) retry: bool,
     /// What the sender knows of the upstream's leaving; the receiver may have started since.
     pub(crate) leaving: Option<LeavingNotice>,
+    /// Version of the record by which the sender chose the receiver; 0 if not told.
+    pub(crate) version: Version,
 }
 
 /// A life of an upstream that has said that it is leaving, written as `life@age-ms`.
@@ -89,6 +92,9 @@
 /// lost.
 const NO_KEY: &str = "-";
 
+/// Written if nothing is known of the upstream's leaving.
+const NO_NOTICE: &str = "-";
+
 impl ForwardHeader {
     /// Reads the header of a request; `None` if it is missing or malformed.
     pub(crate) fn read(headers: &HeaderMap) -> Option<Self> {
@@ -113,6 +119,7 @@
             },
             retry: next() == Some(RETRY),
             leaving: next().and_then(LeavingNotice::read),
+            version: next().and_then(|version| version.parse().ok()).unwrap_or_default(),
         })
     }
 }
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -85,6 +85,7 @@
         objective: now + header.objective,
         deadline: now + header.left,
         key: header.key,
+        version: header.version,
         flow,
         size: header.size,
         retry: Cell::new(header.retry),
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -162,6 +162,7 @@
             objective: received + rule.target_latency.saturating_sub(spent),
             deadline: received + timeout.min(rule.timeout),
             key,
+            version: 0,
             flow: None,
             size: match rule.retry_policy {
                 RetryPolicy::Download => ResponseSize::Large,
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -5,11 +5,13 @@
 
 use rattanarch_admission::PendingRequest;
 use rattanarch_admission::ShedRequest;
+use rattanarch_dissemination::MAX_RECORD_WAIT;
 use rattanarch_routing::ResponseSize;
 use rattanarch_types::Moment;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
 
+use crate::control;
 use crate::process::Shared;
 use crate::request::Call;
 use crate::request::Decision;
@@ -21,8 +23,8 @@
 use crate::upstream::health_check::awaits_first_response;
 use crate::upstream::state::PermitSender;
 
-/// Ratio of the time to its deadline that a request may wait until its key is served here: the rest has to suffice
-/// for the work, and a refused caller needs time to retry.
+/// Ratio of the time to its deadline that a request may wait until its key is served here, if it can't meet its objective:
+/// the rest has to suffice for the work, and a refused caller needs time to retry.
 const KEY_WAIT_RATIO: f64 = 0.4;
 
 /// Delay after which an expected change is visible here.
@@ -124,12 +126,20 @@
     let arrived = shared.now();
     let mut traced = false;
     let left = call.deadline.saturating_sub(arrived);
-    let wait_end = arrived + left.mul_f64(KEY_WAIT_RATIO);
+    let in_time = call.objective.saturating_sub(mean_service_time(shared));
+    let wait_end = in_time.max(arrived + left.mul_f64(KEY_WAIT_RATIO));
+    let record_end = wait_end.min(arrived + MAX_RECORD_WAIT);
     loop {
         let changed = shared.state_changed.notified();
         let (reason, next) = match readiness(shared, call.key) {
             Readiness::Ready => return Ok(()),
-            Readiness::Refused(reason) => return Err(reason.into()),
+            Readiness::Refused(reason) => {
+                if !lacks_record(shared, call, reason) || shared.now() >= record_end {
+                    return Err(reason.into());
+                }
+                control::refresh_records(shared, &call.service);
+                (reason, record_end.saturating_sub(CHANGE_DELAY))
+            }
             Readiness::NotYet(reason, next) => (reason, next),
         };
         let now = shared.now();
@@ -147,6 +157,16 @@
     }
 }
 
+/// Whether `call` was refused for `reason` by an older record than the one by which its sender chose this daemon.
+fn lacks_record(shared: &Shared, call: &Call, reason: Reason) -> bool {
+    let by_record = matches!(reason, Reason::NotOwner | Reason::Unowned);
+    by_record && shared.upstream.state.borrow().serving.record.version < call.version
+}
+
+fn mean_service_time(shared: &Shared) -> Duration {
+    shared.upstream.state.borrow().admission.mean_service_time()
+}
+
 async fn wait_for_slot(
     shared: &Rc<Shared>,
     call: &Call,
