--- a/crates/rattanarch_mesh/src/control/rebalancing.rs
+++ b/crates/rattanarch_mesh/src/control/rebalancing.rs
@@ -98,7 +98,12 @@
 }
 
 fn other_load(shared: &Shared, now: Moment, id: BootId, member: &Member) -> Option<MemberLoad> {
-    let (load, age) = shared.peers.get(member.caller).recent_load(now)?;
+    let peer = shared.peers.get(member.caller);
+    let (load, age) = peer.recent_load(now)?;
+    // A cold upstream takes far fewer requests than its slots and mean service time say.
+    if load.cold || peer.backoff_left(now).is_some() || peer.is_leaving(id) {
+        return None;
+    }
     let told = Some((load.next_heartbeat, age)).filter(|(next, _)| !next.is_zero());
     Some(MemberLoad {
         member: id,
