--- a/crates/rattanarch_placement/tests/moves_over_time.rs
+++ b/crates/rattanarch_placement/tests/moves_over_time.rs
@@ -367,3 +367,37 @@
         compare("busy", 30.0, |rule, seed| Fleet::new(rule, seed, |_| 1.0, (3_700.0, 0.5)));
     assert!(by_cost.lost() <= former.lost());
 }
+
+/// Loads of some 20 to 40 s on changing slices, as campaigns or shifts cause them, must be relieved by fewer moves.
+#[test]
+fn drifting_load() {
+    let (former, by_cost) = compare("drift", 90.0, |rule, seed| {
+        let mut fleet = uneven(rule, seed);
+        let drift = |number: u32| {
+            let from = 8.0 * f64::from(number);
+            let slice = (number as usize * 1_237 + 17) % SLICES;
+            HotKey { slice, rate: 70.0, from, to: from + 20.0 + f64::from(number % 3) * 10.0 }
+        };
+        fleet.hot = (0..11).map(drift).collect();
+        fleet
+    });
+    assert!(by_cost.lost() < former.lost());
+    assert!(by_cost.moves < former.moves);
+}
+
+/// Hot keys that go after three seconds each must not be followed: the move would be done when the load has gone.
+#[test]
+fn flickering_keys() {
+    let (former, by_cost) = compare("flicker", 60.0, |rule, seed| {
+        let mut fleet = uneven(rule, seed);
+        let flicker = |number: u32| {
+            let from = 1.5 * f64::from(number);
+            let slice = (number as usize * 1_237 + 17) % SLICES;
+            HotKey { slice, rate: 100.0, from, to: from + 3.0 }
+        };
+        fleet.hot = (0..40).map(flicker).collect();
+        fleet
+    });
+    assert!(by_cost.lost() < former.lost());
+    assert!(by_cost.moves < former.moves);
+}
