Client accounts: keys, names for upstreams, priority and flow

Configurations may have accounts; requests then need a key of one, and nothing read or enforced that. Nested calls are accepted by the id of a running request or one that ended in the last 3 s; a nested call of a nested call had no parent before, since only the part up to the first dot was looked up.

--- a/crates/rattanarch_mesh/src/request/decision.rs
+++ b/crates/rattanarch_mesh/src/request/decision.rs
@@ -8,6 +8,7 @@
 use rattanarch_types::Version;
 
 use crate::request::Failure;
+use crate::request::KeyError;
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::upstream::UpstreamSnapshot;
@@ -18,6 +19,9 @@
     /// No route matches the path.
     #[display("path {path:?} in version {version}")]
     NoRoute { path: String, version: u64 },
+    /// The request belongs to no client account.
+    #[display("{_0}")]
+    Unauthorized(KeyError),
     /// The request waits until its key may be served here.
     #[display("{reason}, {view}")]
     Held { reason: Reason, view: UpstreamSnapshot },
@@ -55,6 +59,7 @@
     pub(crate) fn name(&self) -> &'static str {
         match self {
             Self::NoRoute { .. } => "no-route",
+            Self::Unauthorized(_) => "unauthorized",
             Self::Held { .. } => "held",
             Self::Queued(_) => "queued",
             Self::Admitted { .. } => "admitted",
--- a/crates/rattanarch_mesh/src/request/mod.rs
+++ b/crates/rattanarch_mesh/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! Handling of a single request: routing, forwarding, retries and its log lines.
 
 mod attempts;
+mod authentication;
 mod call;
 mod caller_timeouts;
 mod decision;
@@ -18,6 +19,7 @@
 mod retry_shares;
 mod target;
 
+pub(crate) use authentication::KeyError;
 pub(crate) use call::Call;
 pub(crate) use call::strip_connection_headers;
 pub(crate) use decision::Decision;
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -14,6 +14,8 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header;
+use hyper::header::HeaderValue;
+use rattanarch_accounts::Account;
 use rattanarch_adapter::headers;
 use rattanarch_process::random;
 use rattanarch_routing::ResponseSize;
@@ -34,6 +36,8 @@
 use crate::request::Reason;
 use crate::request::RequestTrace;
 use crate::request::attempts::Attempts;
+use crate::request::authentication::Rejection;
+use crate::request::authentication::authenticate;
 use crate::request::call::strip_connection_headers;
 use crate::request::caller_timeouts::CallerTimeouts;
 use crate::request::forward_headers::FLOW;
@@ -82,7 +86,11 @@
         let rule = host(&request).and_then(|host| routes.find(&host, request.uri().path()));
         let Some(rule) = rule else { return no_route(&trace, &request, &routes) };
         trace.set_route(&rule.name);
-        let call = match self.read(request, &rule, received, &routes).await {
+        let account = match self.account(&request, &rule, &routes) {
+            Ok(account) => account,
+            Err(rejection) => return rejected(&trace, rejection),
+        };
+        let call = match self.read(request, (&rule, account.as_deref()), received, &routes).await {
             Ok(call) => Rc::new(call),
             Err(response) => return finish(&trace, Outcome::Answered(response)),
         };
@@ -120,6 +128,19 @@
     finish(trace, Outcome::Answered(response))
 }
 
+fn rejected(trace: &RequestTrace, rejection: Rejection) -> Response<ResponseBody> {
+    let error = match rejection {
+        Rejection::Undecided(refusal) => return finish(trace, Outcome::Refused(refusal)),
+        Rejection::Key(error) => error,
+    };
+    trace.add(Decision::Unauthorized(error));
+    let mut response = responses::plain(StatusCode::UNAUTHORIZED, error.to_string());
+    // Required by RFC 9110, section 15.5.2.
+    let scheme = HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+    finish(trace, Outcome::Answered(response))
+}
+
 fn host(request: &Request<Incoming>) -> Option<String> {
     if let Some(host) = request.uri().host() {
         return Some(host.to_owned());
@@ -128,11 +149,24 @@
 }
 
 impl Outbound {
+    /// The client account that sends the request, if the configuration has accounts and the request needs one.
+    fn account(
+        &self,
+        request: &Request<Incoming>,
+        rule: &Rule,
+        routes: &RouteTable,
+    ) -> Result<Option<Rc<Account>>, Rejection> {
+        let Some(accounts) = &routes.accounts else { return Ok(None) };
+        let headers = request.headers();
+        let id = headers::caller_request_id(headers).and_then(|id| id.to_str().ok());
+        authenticate(&self.shared, (headers, id.unwrap_or_default()), rule, accounts)
+    }
+
     /// Reads the request with its whole body.
     async fn read(
         &self,
         request: Request<Incoming>,
-        rule: &Rule,
+        (rule, account): (&Rule, Option<&Account>),
         received: Moment,
         routes: &RouteTable,
     ) -> Result<Call, Response<ResponseBody>> {
@@ -144,12 +178,17 @@
         parts.headers.remove(FORWARD);
         parts.headers.remove(FLOW);
         parts.headers.remove(header::CONTENT_LENGTH);
+        if routes.accounts.is_some() {
+            let name = account.map(|account| account.name.as_str());
+            headers::replace_account_key(&mut parts.headers, name);
+        }
         let id = headers::caller_request_id(&parts.headers).and_then(|id| id.to_str().ok());
         let id = id.unwrap_or_default().to_owned();
         let service = rule.target(random()).cloned().unwrap_or_default();
         let key = key_of(&parts.headers, &service, routes);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = path.parse().unwrap_or_else(|_| parts.uri.clone());
+        let rank = account.and_then(|account| account.priority).unwrap_or(rule.rank);
         Ok(Call {
             method: parts.method,
             uri,
@@ -157,12 +196,12 @@
             body,
             service,
             origin_service: self.shared.settings.service.clone(),
-            rank: if self.is_nested_call(&id) { NESTED_CALL_RANK } else { rule.rank },
+            rank: if self.is_nested_call(&id) { NESTED_CALL_RANK } else { rank },
             idempotent: rule.retry_policy.is_idempotent(),
             objective: received + rule.target_latency.saturating_sub(spent),
             deadline: received + timeout.min(rule.timeout),
             key,
-            flow: None,
+            flow: account.map(|account| account.flow),
             size: match rule.retry_policy {
                 RetryPolicy::Download => ResponseSize::Large,
                 RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => ResponseSize::Small,
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -62,13 +62,16 @@
     /// The daemon beside the upstream does not respond.
     #[display("silent")]
     Silent,
+    /// The process has started a moment ago and can't tell whether the request is a nested call.
+    #[display("starting")]
+    Starting,
     /// The process is stopping.
     #[display("stopping")]
     Stopping,
 }
 
 impl Reason {
-    const ALL: [Self; 19] = [
+    const ALL: [Self; 20] = [
         Self::NoConfiguration,
         Self::NoInstance,
         Self::NoKey,
@@ -87,6 +90,7 @@
         Self::NoUpstream,
         Self::Unreachable,
         Self::Silent,
+        Self::Starting,
         Self::Stopping,
     ];
 
@@ -109,6 +113,7 @@
             | Self::OtherService
             | Self::Unreachable
             | Self::Silent
+            | Self::Starting
             | Self::Stopping => Duration::from_millis(500),
         }
     }
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -49,9 +49,10 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        let now = self.shared.now();
         let mut state = self.shared.upstream.state.borrow_mut();
         state.admission.finish(self.service_time);
-        state.end_request(&self.id, self.key);
+        state.end_request(now, &self.id, self.key);
         drop(state);
         start_waiting(&self.shared);
     }
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! The upstream on this machine: its heartbeats, the admission of requests and their exchange.
 
 mod admission;
+mod ended_requests;
 mod exchange;
 mod grant_log;
 mod health_check;
@@ -13,6 +14,7 @@
 pub(crate) use admission::Permit;
 pub(crate) use admission::admit;
 pub(crate) use admission::start_waiting;
+pub(crate) use ended_requests::ENDED_REQUEST_TIME;
 pub(crate) use exchange::run;
 pub(crate) use grant_log::log_grant_changes;
 pub(crate) use health_check::check_if_due;
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -21,6 +21,7 @@
 use crate::connection::Pool;
 use crate::request::Reason;
 use crate::upstream::Life;
+use crate::upstream::ended_requests::EndedRequests;
 
 /// How long before the end of a bound the daemon stops sending: requests that were sent just before still
 /// have to arrive, and timers fire late on a busy machine.
@@ -68,6 +69,8 @@
     pub(crate) running: Vec<u32>,
     /// Running requests by id.
     requests: HashMap<String, ActiveRequest>,
+    /// Requests that ended a moment ago.
+    ended: EndedRequests,
     /// Load by slice.
     pub(crate) meter: SliceMeter,
     /// When it was last checked whether the upstream is lost.
@@ -98,6 +101,7 @@
             keyed: false,
             running: Vec::new(),
             requests: HashMap::new(),
+            ended: EndedRequests::default(),
             meter: SliceMeter::default(),
             last_check: Moment::ZERO,
             resumed_at: Moment::ZERO,
@@ -185,8 +189,12 @@
     /// The running request on whose behalf the upstream makes the request `id`, if `id` begins with its id.
     /// Requests without a known parent count as requests of callers.
     pub(crate) fn parent_request(&self, id: &str) -> Option<&ActiveRequest> {
-        let (parent, _) = id.split_once('.')?;
-        self.requests.get(parent)
+        parent_ids(id).find_map(|parent| self.requests.get(parent))
+    }
+
+    /// Whether the upstream may make the request `id` on behalf of a request that ended a moment ago.
+    pub(crate) fn has_ended_parent(&self, now: Moment, id: &str) -> bool {
+        parent_ids(id).any(|parent| self.ended.contains(now, parent))
     }
 
     /// Records that the request `id` for `key` starts to run; `retry` says whether it is a retry.
@@ -200,11 +208,12 @@
     }
 
     /// Records that the request `id` for `key` has ended.
-    pub(crate) fn end_request(&mut self, id: &str, key: Option<u16>) {
+    pub(crate) fn end_request(&mut self, now: Moment, id: &str, key: Option<u16>) {
         if let Some(request) = self.requests.get_mut(id) {
             request.count -= 1;
             if request.count == 0 {
                 self.requests.remove(id);
+                self.ended.add(now, id);
             }
         }
         if let Some(running) = self.running_for(key) {
@@ -235,5 +244,17 @@
     }
 }
 
+/// Maximum number of parents that are considered for one request: nested calls are a few levels deep, and looking up
+/// an id takes time proportional to its length.
+const MAX_NESTING: usize = 8;
+
+/// Possible ids of the request on whose behalf the request `id` is made, the closest first: the parent may itself be a
+/// nested call, whose id has a dot.
+fn parent_ids(id: &str) -> impl Iterator<Item = &str> {
+    let first = id.split_once('.').map(|(first, _)| first);
+    let closest = id.rmatch_indices('.').take(MAX_NESTING).map(|(index, _)| &id[..index]);
+    closest.chain(first).filter(|parent| !parent.is_empty())
+}
+
 /// Shortest time after which a key that isn't ready is checked again.
 const MIN_RECHECK: Duration = Duration::from_millis(50);
--- a/crates/rattanarch_routing/src/lib.rs
+++ b/crates/rattanarch_routing/src/lib.rs
@@ -18,6 +18,7 @@
 //!     target_latency: Duration::from_millis(500),
 //!     attempts: 2,
 //!     rank: 2,
+//!     no_auth: false,
 //! };
 //! let table = RouteTable::new(7, vec![rule], [], Limits::default());
 //! assert_eq!(table.find("pound.example", "/stock/crayfish").map(|rule| rule.rank), Some(2));
--- a/crates/rattanarch_routing/src/rule.rs
+++ b/crates/rattanarch_routing/src/rule.rs
@@ -53,6 +53,8 @@
     pub attempts: u32,
     /// Urgency of its requests, 0 the most urgent.
     pub rank: Rank,
+    /// Whether its requests need no key of an account.
+    pub no_auth: bool,
 }
 
 impl Rule {
--- a/crates/rattanarch_routing/src/table.rs
+++ b/crates/rattanarch_routing/src/table.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use rattanarch_accounts::AccountTable;
 use rattanarch_types::ServiceName;
 use rattanarch_types::Version;
 
@@ -18,6 +19,8 @@
     pub version: Version,
     /// Limits on what callers send.
     pub limits: Limits,
+    /// Client accounts; `None` if requests need no key.
+    pub accounts: Option<AccountTable>,
     services: BTreeMap<ServiceName, ServiceSpec>,
     hosts: HashMap<String, HashMap<String, Rc<Rule>>>,
 }
@@ -36,7 +39,12 @@
             prefixes.insert(rule.prefix.clone(), Rc::new(rule));
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service));
-        Self { version, limits, services: services.collect(), hosts }
+        Self { version, limits, accounts: None, services: services.collect(), hosts }
+    }
+
+    /// This table with client accounts, so that requests need a key.
+    pub fn with_accounts(self, accounts: AccountTable) -> Self {
+        Self { accounts: Some(accounts), ..self }
     }
 
     /// The rule with the longest prefix of `path` at `host`. `path` has no query; `host` may include a port.
--- a/crates/rattanarch_routing/tests/routes.rs
+++ b/crates/rattanarch_routing/tests/routes.rs
@@ -18,6 +18,7 @@
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(300),
         attempts: 2,
+        no_auth: false,
         rank: 1,
     }
 }
--- a/crates/rattanarchd/tests/mesh_support/site.rs
+++ b/crates/rattanarchd/tests/mesh_support/site.rs
@@ -234,6 +234,17 @@
         self.caller.get(self.daemons[daemon].addresses.callers, path, id, key)
     }
 
+    /// Like [`Site::get`], with the additional header fields `fields`.
+    pub fn get_with(
+        &self,
+        daemon: usize,
+        path: &str,
+        id: &str,
+        fields: &[(&str, &str)],
+    ) -> Response {
+        self.caller.get_with(self.daemons[daemon].addresses.callers, path, (id, 0), fields)
+    }
+
     /// Like [`Site::get`], with a POST request and `body`.
     pub fn post(&self, daemon: usize, path: &str, id: &str, key: u16, body: &str) -> Response {
         self.caller.post(self.daemons[daemon].addresses.callers, path, id, key, body)
