Quotas of client accounts: decisions of daemons and coordinators

Limits of accounts were read and not enforced.

Tokens granted in advance are bounded by the excess plus a quarter of the burst, by which the bucket then holds less.

--- /dev/null
+++ b/crates/rattanarch_accounts/src/token_bucket.rs
@@ -0,0 +1,100 @@
+//! Bucket of an account at its coordinator.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rattanarch_types::Moment;
+
+use crate::QuotaRule;
+use crate::QuotaWant;
+use crate::RateLimit;
+
+/// How long a token granted in advance is valid.
+pub(crate) const SPARE_TIME: Duration = Duration::from_secs(1);
+
+/// Part of the level that one request may take in advance, so that the others find tokens too.
+const SPARE_LEVEL_RATIO: f64 = 0.25;
+
+/// Part of the burst that may be granted in advance in addition to [`QuotaRule::spare`]. The bucket then holds less by
+/// as much, which costs nothing while the account stays below its rate.
+const SPARE_CAP_RATIO: f64 = 0.25;
+
+/// Longest wait that is told: callers do not honour a longer one.
+pub(crate) const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// Fraction of all daemons that a coordinator counts, and its integral over time in seconds, by which buckets fill.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Fill {
+    pub(crate) fraction: f64,
+    pub(crate) seconds: f64,
+}
+
+/// Bucket of an account at its coordinator.
+#[derive(Debug, Default)]
+pub(crate) struct TokenBucket {
+    /// Tokens. Together with those in `spare` they are at most the fraction of the burst (at least 1) and of
+    /// [`QuotaRule::spare`], so that no more can run at once.
+    level: f64,
+    /// [`Fill::seconds`] up to which the bucket was filled; 0 at first, so that it holds what it would have got since the
+    /// coordinator took over.
+    filled: f64,
+    /// Tokens granted in advance within the last [`SPARE_TIME`].
+    spare: VecDeque<(Moment, u32)>,
+    /// When there is a token for the next request that gets none.
+    next_free: Moment,
+}
+
+impl TokenBucket {
+    /// Grants what `want` asks for as far as there are tokens; returns the number, and the wait for the first request
+    /// that gets none.
+    pub(crate) fn grant(
+        &mut self,
+        now: Moment,
+        want: QuotaWant,
+        (rule, limit): (&QuotaRule, RateLimit),
+        fill: Fill,
+    ) -> (u32, Duration) {
+        let burst = limit.burst() * fill.fraction;
+        let spare = rule.spare(limit) * fill.fraction;
+        let excess = (self.unused_spare(now) - spare).max(0.0);
+        let cap = (burst - excess).max(1.0);
+        self.level = (self.level + limit.rate() * (fill.seconds - self.filled)).min(cap);
+        self.filled = fill.seconds;
+        let granted = want.waiting.min(self.level as u32);
+        self.level -= f64::from(granted);
+        let missing = want.waiting - granted;
+        if missing > 0 {
+            return (granted, self.wait(now, missing, limit.rate() * fill.fraction));
+        }
+        let spare = self.take_spare(now, want.spare, spare + burst * SPARE_CAP_RATIO);
+        (granted + spare, Duration::ZERO)
+    }
+
+    fn take_spare(&mut self, now: Moment, wanted: u32, bound: f64) -> u32 {
+        let room = (bound - self.unused_spare(now)).max(0.0) as u32;
+        let spare = wanted.min((self.level * SPARE_LEVEL_RATIO) as u32).min(room);
+        if spare > 0 {
+            self.level -= f64::from(spare);
+            self.spare.push_back((now, spare));
+        }
+        spare
+    }
+
+    /// Most tokens granted in advance that may be unused.
+    fn unused_spare(&mut self, now: Moment) -> f64 {
+        while self.spare.front().is_some_and(|(at, _)| *at + SPARE_TIME < now) {
+            self.spare.pop_front();
+        }
+        f64::from(self.spare.iter().map(|(_, count)| count).sum::<u32>())
+    }
+
+    /// Time until there is a token for the next request that gets none; each of `missing` requests is told a later one.
+    fn wait(&mut self, now: Moment, missing: u32, rate: f64) -> Duration {
+        let time = |tokens: f64| {
+            Duration::try_from_secs_f64(tokens / rate).unwrap_or(MAX_WAIT).min(MAX_WAIT)
+        };
+        let free = self.next_free.max(now + time(1.0 - self.level));
+        self.next_free = (free + time(f64::from(missing))).min(now + MAX_WAIT);
+        free.saturating_sub(now)
+    }
+}
