Quotas of client accounts in the daemon: 429 with Retry-After, metrics, log lines

The decisions of rattanarch_accounts are wired: quota messages in datagrams, a request of an account with a limit takes a token before its body is read, and gives it back if the daemons refuse it. Enabled by accounts in the configuration together with the bounds quota_window, quota_excess and quota_slack.

--- a/crates/rattanarch_accounts/src/lib.rs
+++ b/crates/rattanarch_accounts/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod account;
 mod account_table;
+mod account_use;
 mod allowance;
 mod quota_client;
 mod quota_coordinator;
@@ -30,6 +31,8 @@
 pub use account::Account;
 pub use account_table::AccountError;
 pub use account_table::AccountTable;
+pub use account_use::AccountCounts;
+pub use account_use::AccountUse;
 pub use quota_client::QuotaClient;
 pub use quota_client::QuotaOutput;
 pub use quota_client::QuotaVerdict;
--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -241,9 +241,9 @@
         output
     }
 
-    /// Whether the coordinators of all groups reply.
-    pub fn is_coordinated(&self) -> bool {
-        self.groups.iter().all(|group| group.coordinator.is_some() && group.misses == 0)
+    /// Coordinators that do not reply.
+    pub fn silent(&self) -> impl Iterator<Item = QuotaMember> {
+        self.silent.keys().copied()
     }
 
     /// Ends waits that took too long.
--- a/crates/rattanarch_accounts/src/quota_token.rs
+++ b/crates/rattanarch_accounts/src/quota_token.rs
@@ -13,6 +13,11 @@
     /// A token of a static share.
     pub(crate) const STATIC: Self = Self { expires: Moment::ZERO };
 
+    /// Whether it comes from the static share of the daemon, for lack of a coordinator.
+    pub fn is_static(&self) -> bool {
+        *self == Self::STATIC
+    }
+
     pub(crate) fn is_valid(&self, now: Moment) -> bool {
         now < self.expires
     }
--- a/crates/rattanarch_mesh/src/control/socket.rs
+++ b/crates/rattanarch_mesh/src/control/socket.rs
@@ -13,10 +13,13 @@
 use rattanarch_wire::Knowledge;
 use rattanarch_wire::MAX_DATAGRAM_BYTES;
 use rattanarch_wire::Packet;
+use rattanarch_wire::QuotaMessage;
 use rattanarch_wire::WireMessage;
+use rattanarch_wire::WireQuota;
 use tokio::net::UdpSocket;
 
 use crate::control::gossip;
+use crate::control::quotas::handle_quota_message;
 use crate::control::step;
 use crate::process::Shared;
 
@@ -70,6 +73,13 @@
         }
     }
 
+    /// Sends a quota message to the daemon at `to`.
+    pub(crate) fn send_quota(&self, message: &WireQuota, to: SocketAddr) {
+        if let Ok(frame) = self.codec.encode(message) {
+            self.try_send(&frame, to);
+        }
+    }
+
     /// Sends a frame, and drops it on an error: the protocol tolerates lost datagrams.
     fn try_send(&self, frame: &[u8], to: SocketAddr) {
         let _ = self.socket.try_send_to(frame, to);
@@ -101,6 +111,13 @@
         }
         return;
     }
+    if let Ok(message) = codec.decode::<WireQuota>(frame, MAX_DATAGRAM_BYTES) {
+        match QuotaMessage::try_from(message) {
+            Ok(message) => handle_quota_message(shared, from, &message),
+            Err(error) => log::warn!(from:% = from, reason:% = error; "datagram malformed"),
+        }
+        return;
+    }
     if let Ok(digest) = codec.decode::<Digest>(frame, MAX_DATAGRAM_BYTES) {
         gossip::handle_digest(shared, &digest, from);
     }
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -1,18 +1,24 @@
 //! The daemon's counters, gauges and histograms; docs/OPERATIONS.md lists them.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
+use rattanarch_accounts::Account;
+use rattanarch_accounts::AccountUse;
 use rattanarch_process::Labels;
 use rattanarch_process::Metrics;
 use rattanarch_process::dropped_lines;
 use rattanarch_routing::ProbeResult;
 
+use crate::control::quota_numbers;
 use crate::process::Shared;
 
 /// The daemon's metrics by name.
 #[derive(Debug, Default)]
 pub(crate) struct Meters {
     metrics: Metrics,
+    /// Requests by client account.
+    accounts: RefCell<AccountUse>,
 }
 
 /// Labels of a request that has ended.
@@ -127,6 +133,50 @@
         self.metrics.add("rattanarch_record_writes", "Updates of the record", &labels, 1);
     }
 
+    /// Counts a request of a client account that was `admitted`, or refused because it was over the quota.
+    pub(crate) fn account_request(&self, account: &Account, admitted: bool) {
+        self.accounts.borrow_mut().count(account, admitted);
+    }
+
+    /// Counts a request without a valid key of a client account.
+    pub(crate) fn refused_key(&self, reason: &str) {
+        let help = "Requests without a valid key of a client account";
+        self.metrics.add("rattanarch_refused_keys", help, &labels(&[("reason", reason)]), 1);
+    }
+
+    /// Counts a request that was admitted by the static share, for lack of a coordinator.
+    pub(crate) fn static_quota(&self) {
+        let help = "Requests admitted by the static share of their account's quota";
+        self.metrics.add("rattanarch_static_quota", help, &Labels::new(), 1);
+    }
+
+    /// Counts a datagram about quotas that is sent: a `request` or a `grant`.
+    pub(crate) fn quota_datagram(&self, kind: &str) {
+        let labels = labels(&[("kind", kind)]);
+        self.metrics.add("rattanarch_quota_datagrams", "Datagrams about quotas", &labels, 1);
+    }
+
+    /// Sets the gauges of client accounts.
+    fn set_accounts(&self, shared: &Shared) {
+        // Accounts may have left the busiest ones.
+        self.metrics.clear_gauge("rattanarch_account_admitted");
+        self.metrics.clear_gauge("rattanarch_account_over_quota");
+        for counts in self.accounts.borrow().busiest() {
+            let labels = labels(&[("account", &counts.name)]);
+            let help = "Requests of client accounts that were admitted";
+            let admitted = counts.admitted as i64;
+            self.metrics.set("rattanarch_account_admitted", help, &labels, admitted);
+            let help = "Requests of client accounts that were over their quota";
+            let over_quota = counts.over_quota as i64;
+            self.metrics.set("rattanarch_account_over_quota", help, &labels, over_quota);
+        }
+        let (groups, silent) = quota_numbers(shared);
+        let help = "Groups of client accounts that this daemon coordinates";
+        self.metrics.set("rattanarch_quota_groups", help, &Labels::new(), groups as i64);
+        let help = "Coordinators of quotas that do not reply";
+        self.metrics.set("rattanarch_quota_silent", help, &Labels::new(), silent as i64);
+    }
+
     /// Counts slices that this member has begun to release.
     pub(crate) fn released(&self, slices: usize) {
         let help = "Slices that this member began to release";
@@ -143,6 +193,7 @@
             let labels = labels(&[("call", &call), ("kind", kind)]);
             self.metrics.set("rattanarch_store_calls", "Calls to the store", &labels, count as i64);
         }
+        self.set_accounts(shared);
         self.metrics.text()
     }
 }
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -26,6 +26,7 @@
 use crate::control;
 use crate::control::Control;
 use crate::control::PeerSocket;
+use crate::control::Quotas;
 use crate::process::ActiveCount;
 use crate::process::Phase;
 use crate::process::Settings;
@@ -108,6 +109,7 @@
     tokio::task::spawn_local(control::receive(Rc::clone(&shared)));
     tokio::task::spawn_local(control::run(Rc::clone(&shared)));
     tokio::task::spawn_local(control::gossip(Rc::clone(&shared)));
+    tokio::task::spawn_local(control::run_quotas(Rc::clone(&shared)));
     tokio::task::spawn_local(reload_settings(Rc::clone(&shared), reload, path));
     tokio::task::spawn_local(log_usage(Rc::clone(&shared)));
     tokio::task::spawn_local(measure_lag(Rc::clone(&shared)));
@@ -134,6 +136,7 @@
         upstream: Upstream::new(settings.upstream),
         control: RefCell::new(Control::new(timing, clock.now())),
         socket,
+        quotas: Quotas::default(),
         peers: Peers::default(),
         buffers: Buffers::default(),
         uplink: UplinkScheduler::new(settings.link, clock),
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -15,6 +15,7 @@
 use crate::connection::UplinkScheduler;
 use crate::control::Control;
 use crate::control::PeerSocket;
+use crate::control::Quotas;
 use crate::process::ActiveCount;
 use crate::process::Phase;
 use crate::process::Settings;
@@ -42,6 +43,7 @@
     pub(crate) upstream: Upstream,
     pub(crate) control: RefCell<Control>,
     pub(crate) socket: PeerSocket,
+    pub(crate) quotas: Quotas,
     pub(crate) peers: Peers,
     /// Buffers of the upstream's responses.
     pub(crate) buffers: Buffers,
--- a/crates/rattanarch_mesh/src/request/decision.rs
+++ b/crates/rattanarch_mesh/src/request/decision.rs
@@ -22,6 +22,9 @@
     /// The request belongs to no client account.
     #[display("{_0}")]
     Unauthorized(KeyError),
+    /// The client account of the request is over its quota.
+    #[display("account {account}, retry after {}ms", retry_after.as_millis())]
+    OverQuota { account: String, retry_after: Duration },
     /// The request waits until its key may be served here.
     #[display("{reason}, {view}")]
     Held { reason: Reason, view: UpstreamSnapshot },
@@ -60,6 +63,7 @@
         match self {
             Self::NoRoute { .. } => "no-route",
             Self::Unauthorized(_) => "unauthorized",
+            Self::OverQuota { .. } => "over-quota",
             Self::Held { .. } => "held",
             Self::Queued(_) => "queued",
             Self::Admitted { .. } => "admitted",
--- a/crates/rattanarch_mesh/src/request/mod.rs
+++ b/crates/rattanarch_mesh/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Handling of a single request: routing, forwarding, retries and its log lines.
 
+mod account_request;
 mod attempts;
 mod authentication;
 mod call;
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -35,6 +35,7 @@
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::RequestTrace;
+use crate::request::account_request::AccountRequest;
 use crate::request::attempts::Attempts;
 use crate::request::authentication::Rejection;
 use crate::request::authentication::authenticate;
@@ -88,22 +89,22 @@
         trace.set_route(&rule.name);
         let account = match self.account(&request, &rule, &routes) {
             Ok(account) => account,
-            Err(rejection) => return rejected(&trace, rejection),
+            Err(rejection) => return self.rejected(&trace, rejection),
         };
-        let call = match self.read(request, (&rule, account.as_deref()), received, &routes).await {
-            Ok(call) => Rc::new(call),
-            Err(response) => return finish(&trace, Outcome::Answered(response)),
+        let account = account.as_deref();
+        let admitted = match AccountRequest::admit(&self.shared, account, &trace).await {
+            Ok(admitted) => admitted,
+            Err(refusal) => return finish(&trace, Outcome::Refused(refusal)),
         };
-        trace.set_service(&call.service);
-        if !self.ends_in_time(&call) {
-            return finish(&trace, Outcome::Refused(Reason::Stopping.into()));
-        }
-        let attempts = Attempts { outbound: &self, call: &call, rule: &rule, trace: &trace };
-        let outcome = tokio::select! {
-            biased;
-            outcome = attempts.run() => outcome,
-            () = self.wait_for_closing() => Outcome::Failed(Failure::Ended),
+        let call = match self.read(request, (&rule, account), received, &routes).await {
+            Ok(call) => Rc::new(call),
+            Err(response) => {
+                admitted.give_back();
+                return finish(&trace, Outcome::Answered(response));
+            }
         };
+        let outcome = self.run(&call, &rule, &trace).await;
+        admitted.end(&outcome);
         finish(&trace, outcome)
     }
 }
@@ -128,19 +129,6 @@
     finish(trace, Outcome::Answered(response))
 }
 
-fn rejected(trace: &RequestTrace, rejection: Rejection) -> Response<ResponseBody> {
-    let error = match rejection {
-        Rejection::Undecided(refusal) => return finish(trace, Outcome::Refused(refusal)),
-        Rejection::Key(error) => error,
-    };
-    trace.add(Decision::Unauthorized(error));
-    let mut response = responses::plain(StatusCode::UNAUTHORIZED, error.to_string());
-    // Required by RFC 9110, section 15.5.2.
-    let scheme = HeaderValue::from_static("Bearer");
-    response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
-    finish(trace, Outcome::Answered(response))
-}
-
 fn host(request: &Request<Incoming>) -> Option<String> {
     if let Some(host) = request.uri().host() {
         return Some(host.to_owned());
@@ -162,6 +150,36 @@
         authenticate(&self.shared, (headers, id.unwrap_or_default()), rule, accounts)
     }
 
+    /// Responds to a request that no client account sends.
+    fn rejected(&self, trace: &RequestTrace, rejection: Rejection) -> Response<ResponseBody> {
+        let error = match rejection {
+            Rejection::Undecided(refusal) => return finish(trace, Outcome::Refused(refusal)),
+            Rejection::Key(error) => error,
+        };
+        self.shared.meters.refused_key(&error.to_string());
+        log::warn!(id:% = trace.id(), reason:% = error; "request unauthorized");
+        trace.add(Decision::Unauthorized(error));
+        let mut response = responses::plain(StatusCode::UNAUTHORIZED, error.to_string());
+        // Required by RFC 9110, section 15.5.2.
+        let scheme = HeaderValue::from_static("Bearer");
+        response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+        finish(trace, Outcome::Answered(response))
+    }
+
+    /// Runs a request that has been read.
+    async fn run(&self, call: &Rc<Call>, rule: &Rule, trace: &RequestTrace) -> Outcome {
+        trace.set_service(&call.service);
+        if !self.ends_in_time(call) {
+            return Outcome::Refused(Reason::Stopping.into());
+        }
+        let attempts = Attempts { outbound: self, call, rule, trace };
+        tokio::select! {
+            biased;
+            outcome = attempts.run() => outcome,
+            () = self.wait_for_closing() => Outcome::Failed(Failure::Ended),
+        }
+    }
+
     /// Reads the request with its whole body.
     async fn read(
         &self,
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -41,6 +41,9 @@
     /// The response would come too late, since the upstream has named a limit on its rate of requests.
     #[display("rate-limited")]
     RateLimited,
+    /// The client account is over its quota.
+    #[display("over-quota")]
+    OverQuota,
     /// The link of the upstream's machine could not carry the response in time.
     #[display("link-full")]
     LinkFull,
@@ -71,7 +74,7 @@
 }
 
 impl Reason {
-    const ALL: [Self; 20] = [
+    const ALL: [Self; 21] = [
         Self::NoConfiguration,
         Self::NoInstance,
         Self::NoKey,
@@ -83,6 +86,7 @@
         Self::NoGrant,
         Self::Overloaded,
         Self::RateLimited,
+        Self::OverQuota,
         Self::LinkFull,
         Self::UpstreamRefused,
         Self::Draining,
@@ -101,7 +105,9 @@
             Self::NotOwner | Self::Draining | Self::Evacuated => Duration::from_millis(100),
             // Time in which the next heartbeat arrives.
             Self::NoGrant | Self::Moving | Self::LeaseEnded => Duration::from_millis(300),
-            Self::Overloaded | Self::RateLimited | Self::LinkFull => Duration::from_millis(150),
+            Self::Overloaded | Self::RateLimited | Self::OverQuota | Self::LinkFull => {
+                Duration::from_millis(150)
+            }
             // It refuses some requests and accepts others.
             Self::UpstreamRefused => Duration::from_millis(50),
             // Time for a process to start or its keys to move.
--- a/crates/rattanarch_mesh/src/request/request_trace.rs
+++ b/crates/rattanarch_mesh/src/request/request_trace.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Id of the request.
+    pub(crate) fn id(&self) -> &str {
+        &self.id
+    }
+
     /// Sets the route of the request.
     pub(crate) fn set_route(&self, route: &str) {
         route.clone_into(&mut self.route.borrow_mut());
--- a/crates/rattanarch_mesh/src/request/responses.rs
+++ b/crates/rattanarch_mesh/src/request/responses.rs
@@ -13,6 +13,7 @@
 
 use crate::connection::ResponseBody;
 use crate::request::Failure;
+use crate::request::Reason;
 use crate::request::Refusal;
 
 /// Shortest delay that a refused caller is told: the cause of a refusal lasts longer than a round trip.
@@ -45,7 +46,11 @@
 
 /// The response to a request that has not run.
 pub(crate) fn refused(refusal: Refusal) -> Response<ResponseBody> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.to_string());
+    let status = match refusal.reason {
+        Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = plain(status, refusal.reason.to_string());
     let draw = random_fraction();
     let retry_after =
         refusal.retry_after.max(MIN_RETRY_AFTER).mul_f64(1.0 + RETRY_AFTER_JITTER * draw);
--- a/crates/rattanarch_process/src/metrics.rs
+++ b/crates/rattanarch_process/src/metrics.rs
@@ -55,6 +55,14 @@
         gauge.get_or_create(labels).set(value);
     }
 
+    /// Removes all series of a gauge.
+    pub fn clear_gauge(&self, name: &'static str) {
+        let inner = self.inner.borrow();
+        if let Some((_, gauge)) = inner.gauges.iter().find(|(known, _)| *known == name) {
+            gauge.clear();
+        }
+    }
+
     /// Records a duration in a histogram.
     pub fn observe(&self, name: &'static str, help: &str, labels: &Labels, seconds: f64) {
         let Inner { registry, histograms, .. } = &mut *self.inner.borrow_mut();
--- a/crates/rattanarch_wire/src/lib.rs
+++ b/crates/rattanarch_wire/src/lib.rs
@@ -1,7 +1,8 @@
 //! Wire types and the authenticated codec between daemons.
 //!
 //! Daemons exchange two kinds of frame. A [`Packet`] or a [`Digest`] is one datagram: lease messages to one
-//! member with the sender's versions, or the sender's versions alone. A [`Pull`] and its [`PullReply`] are one
+//! member with the sender's versions, or the sender's versions alone. A [`WireQuota`] is a
+//! datagram between a daemon and the coordinator of client accounts. A [`Pull`] and its [`PullReply`] are one
 //! exchange over a WebSocket connection, for content that does not fit in a datagram. Each frame is CBOR after
 //! a tag that [`Codec`] computes with the shared secret. A frame that has no valid tag, is malformed or is for
 //! another member is rejected with an error and has no effect.
@@ -15,6 +16,7 @@
 mod message;
 mod packet;
 mod pull;
+mod quota;
 mod record;
 mod replay_window;
 
@@ -27,6 +29,8 @@
 pub use packet::Packet;
 pub use pull::Pull;
 pub use pull::PullReply;
+pub use quota::QuotaMessage;
+pub use quota::WireQuota;
 pub use record::WireMember;
 pub use record::WireRecord;
 pub use replay_window::ReplayWindow;
--- /dev/null
+++ b/crates/rattanarchd/tests/mesh_quotas.rs
@@ -0,0 +1,147 @@
+//! Quotas of client accounts over several daemons.
+
+mod mesh_support;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mesh_support::Site;
+use mesh_support::wait_until;
+use rattanarch_adapter_standins::FILES;
+use rattanarch_adapter_standins::Store;
+use rattanarch_adapter_standins::Upstream;
+use serde_json::json;
+
+/// Length of the spans in which the platform counts requests (`quota_window`).
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Most requests of the account `small` in a span: `(10 x 5 + 10) x 1.1 + 20`.
+const SMALL_ALLOWED: usize = 86;
+
+/// Time after which the coordinators count all daemons.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+fn start() -> Site {
+    let store = Store::start();
+    store.configure_accounts(
+        5,
+        &json!([
+            { "name": "small", "api_keys": ["small-key"], "rate_per_s": 10.0, "burst": 10 },
+            { "name": "large", "api_keys": ["large-key"], "rate_per_s": 400, "burst": 400 },
+            { "name": "free", "api_keys": ["free-key"] },
+        ]),
+    );
+    let mut site = Site::empty(store);
+    for index in 0..3 {
+        site.add(FILES, &format!("files-{index}"), &format!("centre-{index}"));
+    }
+    wait_until("every daemon is ready", || {
+        site.daemons.iter().all(|daemon| site.is_ready(daemon.addresses.ready))
+    });
+    thread::sleep(SETTLE_TIME);
+    site
+}
+
+/// Requests of one account that were answered with 200 and 429, and how many of those were told when to return.
+#[derive(Default)]
+struct Counts {
+    served: usize,
+    limited: usize,
+    with_time: usize,
+}
+
+/// Sends requests with `key` to each of `daemons` from an own thread for `time`, one every `pause`.
+fn send(site: &Site, daemons: &[usize], key: &str, (time, pause): (Duration, Duration)) -> Counts {
+    let end = Instant::now() + time;
+    let credentials = format!("Bearer {key}");
+    let name = key.trim_end_matches("-key");
+    let run = |daemon: usize| {
+        let mut counts = Counts::default();
+        let mut index = 0;
+        while Instant::now() < end {
+            index += 1;
+            let id = format!("{name}-{daemon}-{index}-{:p}", &end);
+            let response =
+                site.get_with(daemon, "/files/a", &id, &[("authorization", &credentials)]);
+            counts.served += usize::from(response.status == 200);
+            counts.limited += usize::from(response.status == 429);
+            let has_time = response.retry_after.is_some();
+            counts.with_time += usize::from(response.status == 429 && has_time);
+            thread::sleep(pause);
+        }
+        counts
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = daemons.iter().map(|daemon| scope.spawn(|| run(*daemon))).collect();
+        threads.into_iter().fold(Counts::default(), |sum, thread| {
+            let counts = thread.join().expect("the caller ends");
+            Counts {
+                served: sum.served + counts.served,
+                limited: sum.limited + counts.limited,
+                with_time: sum.with_time + counts.with_time,
+            }
+        })
+    })
+}
+
+/// Largest number of requests of `account` that arrived at upstreams in one span.
+fn most_in_window(site: &Site, account: &str) -> usize {
+    let arrivals = site.upstreams.iter().flat_map(Upstream::arrivals);
+    let mut times: Vec<_> = arrivals.filter(|a| a.id.starts_with(account)).map(|a| a.at).collect();
+    times.sort_unstable();
+    let count = |first: Instant| times.partition_point(|at| *at <= first + WINDOW);
+    (0..times.len()).map(|index| count(times[index]) - index).max().unwrap_or_default()
+}
+
+/// Guards against an account that gets its limit at each daemon, against refusals of accounts that are within theirs, and
+/// against a refusal that does not say when to return.
+#[test]
+fn over_quota() {
+    let site = start();
+    let (time, all) = (Duration::from_secs(7), [0, 1, 2]);
+    thread::scope(|scope| {
+        let small =
+            scope.spawn(|| send(&site, &all, "small-key", (time, Duration::from_millis(5))));
+        let large =
+            scope.spawn(|| send(&site, &all, "large-key", (time, Duration::from_millis(40))));
+        let free = scope.spawn(|| send(&site, &[1], "free-key", (time, Duration::from_millis(40))));
+        let small = small.join().expect("the callers end");
+        let large = large.join().expect("the callers end");
+        let free = free.join().expect("the callers end");
+        assert!(small.limited > 0 && small.with_time == small.limited, "{}", small.limited);
+        // Half of what the rate allows in that time.
+        assert!(small.served >= 35, "{} served", small.served);
+        assert_eq!((large.limited, free.limited), (0, 0));
+        assert!(large.served > 0 && free.served > 0);
+    });
+    let most = most_in_window(&site, "small");
+    assert!(most <= SMALL_ALLOWED, "{most} in a window");
+    let metrics = site.metrics(0);
+    assert!(metrics.contains("rattanarch_account_over_quota{account=\"small\"}"), "{metrics}");
+    let log = site.daemons[0].log();
+    assert!(log.contains("over-quota") && !log.contains("small-key"), "the reason is logged");
+}
+
+/// Guards against accounts that are refused for good after the loss of their coordinator, and against daemons that then
+/// admit more than the quota.
+#[test]
+fn lost_coordinators() {
+    let mut site = start();
+    let pause = Duration::from_millis(10);
+    let grants = |daemon| site.metric(daemon, "rattanarch_quota_datagrams_total{kind=\"grant\"}");
+    let before: Vec<_> = (0..3).map(grants).collect();
+    send(&site, &[0, 1, 2], "small-key", (Duration::from_secs(2), pause));
+    // The coordinator of the account has sent most grants.
+    let sent =
+        |daemon: &usize| grants(*daemon).unwrap_or_default() - before[*daemon].unwrap_or_default();
+    let coordinator = (0..3).max_by_key(sent).expect("there are daemons");
+    site.daemons[coordinator].kill();
+    let left: Vec<usize> = (0..3).filter(|daemon| *daemon != coordinator).collect();
+    send(&site, &left, "small-key", (Duration::from_secs(3), pause));
+    let later = send(&site, &left, "small-key", (Duration::from_secs(5), pause));
+    // Two of three daemons are left, which get two thirds of the rate: 33. Half of that.
+    assert!(later.served >= 16, "{} served", later.served);
+    let most = most_in_window(&site, "small");
+    assert!(most <= SMALL_ALLOWED, "{most} in a window");
+}
--- a/crates/rattanarchd/tests/mesh_support/daemon.rs
+++ b/crates/rattanarchd/tests/mesh_support/daemon.rs
@@ -83,7 +83,8 @@
             "instance = \"{instance}\"\ndata_centre = \"{centre}\"\nservice = \"{service}\"\n\
              upstream = \"{upstream}\"\nheartbeat = \"200ms\"\nstore = \"{store}\"\n\
              link = {LINK_MEGABITS}\n\
-             bounds = [\"grace=6s\", \"drain=2s\"]\nunheard_of = 5\n\
+             bounds = [\"grace=6s\", \"drain=2s\", \"quota_window=5s\", \"quota_excess=0.1\", \
+             \"quota_slack=20\"]\nunheard_of = 5\n\
              [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\ndatagrams = \"{datagrams}\"\n\
              ready = \"{ready}\"\nupstream = \"{control}\"\nmetrics = \"{metrics}\"\n\
              [log]\nlevel = \"info\"\nsample = 1\n"
