Quotas: buckets of small fractions hold no token of their own

With 66 parts of a network, each coordinator's bucket held one token at least, 66 in sum, over the 41 that an account with a burst of 3 may run. A bucket now holds its fraction of the burst, and one token at least from half of the daemons on; daemons of a coordinator that can't grant any use their static shares.

--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -395,7 +395,7 @@
                 verdicts.extend(waiting.map(|(_, waiter)| (waiter, QuotaVerdict::Refused(wait))));
             }
             Some(_) => {}
-            // The coordinator does not know the account yet.
+            // The coordinator does not know the account yet, or counts too few daemons.
             None => {
                 while let Some((_, waiter)) = allowance.waiting.pop_front() {
                     let verdict = static_verdict(rule, members, allowance, (now, want.flow));
--- a/crates/rattanarch_accounts/src/quota_coordinator.rs
+++ b/crates/rattanarch_accounts/src/quota_coordinator.rs
@@ -85,7 +85,9 @@
                 group.heard.insert(from, now);
             }
             let shares = request.accounts.iter().filter_map(|want| {
-                let limit = limit(want.flow)?;
+                // Without a share in the reply, daemons use their static shares.
+                let limit = limit(want.flow)
+                    .filter(|limit| TokenBucket::can_hold_token(*limit, group.fill))?;
                 let bucket = group.buckets.entry(want.flow).or_default();
                 let (granted, wait) = bucket.grant(now, *want, (&self.rule, limit), group.fill);
                 Some(QuotaShare { flow: want.flow, granted, wait_ms: wait.as_millis() as u32 })
--- a/crates/rattanarch_accounts/src/quota_messages.rs
+++ b/crates/rattanarch_accounts/src/quota_messages.rs
@@ -48,6 +48,6 @@
     pub sequence: u64,
     /// The group.
     pub group: QuotaGroupId,
-    /// Accounts of the request that the coordinator knows.
+    /// Accounts of the request that the coordinator knows and can grant tokens of.
     pub accounts: Vec<QuotaShare>,
 }
--- a/crates/rattanarch_accounts/src/quota_rule.rs
+++ b/crates/rattanarch_accounts/src/quota_rule.rs
@@ -11,7 +11,7 @@
 
 /// Part of the excess that the static shares of all daemons may use. The rest of the rate's excess, 0.2 s of the rate
 /// with the platform's figures, is for tokens whose reply was late or whose request was refused; the rest of the slack
-/// is for the one token that a bucket holds at least.
+/// is for the one token that two buckets may hold at least.
 const STATIC_RATE_RATIO: f64 = 0.3;
 const STATIC_BURST_RATIO: f64 = 0.5;
 const STATIC_SLACK_RATIO: f64 = 0.8;
--- a/crates/rattanarch_accounts/src/token_bucket.rs
+++ b/crates/rattanarch_accounts/src/token_bucket.rs
@@ -19,6 +19,10 @@
 /// as much, which costs nothing while the account stays below its rate.
 const SPARE_CAP_RATIO: f64 = 0.25;
 
+/// Fraction of the daemons from which on a bucket holds at least one token, also if the burst is lower: of all coordinators
+/// of a group, two at most count so many.
+const MIN_TOKEN_FRACTION: f64 = 0.5;
+
 /// Longest wait that is told: callers do not honour a longer one.
 pub(crate) const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -32,7 +36,7 @@
 /// Bucket of an account at its coordinator.
 #[derive(Debug, Default)]
 pub(crate) struct TokenBucket {
-    /// Tokens. Together with those in `spare` they are at most the fraction of the burst (at least 1) and of
+    /// Tokens. Together with those in `spare` they are at most the fraction of the burst (see [`MIN_TOKEN_FRACTION`]) and of
     /// [`QuotaRule::spare`], so that no more can run at once.
     level: f64,
     /// [`Fill::seconds`] up to which the bucket was filled; 0 at first, so that it holds what it would have got since the
@@ -45,6 +49,11 @@
 }
 
 impl TokenBucket {
+    /// Whether a bucket of `limit` can ever hold a token.
+    pub(crate) fn can_hold_token(limit: RateLimit, fill: Fill) -> bool {
+        fill.fraction >= MIN_TOKEN_FRACTION || limit.burst() * fill.fraction >= 1.0
+    }
+
     /// Grants what `want` asks for as far as there are tokens; returns the number, and the wait for the first request
     /// that gets none.
     pub(crate) fn grant(
@@ -57,7 +66,8 @@
         let burst = limit.burst() * fill.fraction;
         let spare = rule.spare(limit) * fill.fraction;
         let excess = (self.unused_spare(now) - spare).max(0.0);
-        let cap = (burst - excess).max(1.0);
+        let min = if fill.fraction >= MIN_TOKEN_FRACTION { 1.0 } else { 0.0 };
+        let cap = (burst - excess).max(min);
         self.level = (self.level + limit.rate() * (fill.seconds - self.filled)).min(cap);
         self.filled = fill.seconds;
         let granted = want.waiting.min(self.level as u32);
--- a/crates/rattanarch_accounts/tests/quota_sums.rs
+++ b/crates/rattanarch_accounts/tests/quota_sums.rs
@@ -117,6 +117,39 @@
     fleet.assert_bounded("partition", Moment::ZERO);
 }
 
+/// Guards against daemons that are counted by several coordinators, while the network splits in other ways again and
+/// again.
+#[test]
+fn repeated_partitions() {
+    let mut fleet = surging();
+    fleet.run(seconds(8));
+    for round in 0..8 {
+        for (daemon, side) in fleet.sides.iter_mut().enumerate() {
+            *side = u8::from((daemon >> (round % 3)) % 2 == round % 2);
+        }
+        fleet.run(Duration::from_millis(1_300));
+    }
+    fleet.sides.fill(0);
+    fleet.run(seconds(8));
+    fleet.assert_bounded("repeated partitions", Moment::ZERO);
+}
+
+/// Guards against shares that are small for each daemon and not in their sum, when no daemon reaches another.
+#[test]
+fn isolated_daemons() {
+    let mut fleet = surging();
+    let sides = fleet.sides.iter_mut().enumerate();
+    sides.for_each(|(daemon, side)| *side = daemon as u8);
+    fleet.demands.iter_mut().for_each(|demand| demand.rates.fill(2.0));
+    fleet.run(seconds(30));
+    fleet.assert_bounded("isolated", Moment::ZERO);
+    for demand in &fleet.demands[..3] {
+        let runs = Fleet::count_since(&fleet.runs, demand.flow, fleet.now - seconds(10)) as f64;
+        let used = runs / 10.0 / demand.limit.rate();
+        eprintln!("isolated: rate {:.0}, used {used:.2}", demand.limit.rate());
+    }
+}
+
 /// Guards against a coordinator that grants on after a pause, while another one has taken over, and against one that is
 /// gone for good.
 #[test]
