--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -228,10 +228,9 @@
     /// after [`Self::request`] and [`Self::handle`], and at least every 20 ms.
     pub fn poll(&mut self, now: Moment) -> QuotaOutput<T> {
         let mut output = QuotaOutput { messages: Vec::new(), verdicts: Vec::new() };
+        self.choose_if_changed(now, &mut output.messages);
         self.expire(now, &mut output.verdicts);
-        if std::mem::take(&mut self.changed) {
-            self.choose(now, &mut output.messages);
-        }
+        self.choose_if_changed(now, &mut output.messages);
         for id in 0..QUOTA_GROUPS {
             let group = &mut self.groups[usize::from(id)];
             if let Some(message) = group.next_request(now, (id, &mut self.sequence)) {
@@ -283,8 +282,11 @@
         }
     }
 
-    /// Chooses the coordinator of each group.
-    fn choose(&mut self, now: Moment, messages: &mut Vec<(QuotaMember, QuotaRequest)>) {
+    /// Chooses the coordinator of each group, if the members or those that reply have changed.
+    fn choose_if_changed(&mut self, now: Moment, messages: &mut Vec<(QuotaMember, QuotaRequest)>) {
+        if !std::mem::take(&mut self.changed) {
+            return;
+        }
         for id in 0..QUOTA_GROUPS {
             let group = &mut self.groups[usize::from(id)];
             let candidates = self.members.iter().filter(|id| !self.silent.contains_key(id));
