--- a/crates/rattanarchd/tests/mesh_support/daemon.rs
+++ b/crates/rattanarchd/tests/mesh_support/daemon.rs
@@ -100,6 +100,16 @@
         fs::write(&self.settings, text).unwrap();
     }
 
+    /// Sets the memory of its machine in MB and its descriptors, which are in force after the next restart.
+    pub fn set_machine(&self, memory: usize, descriptors: usize) {
+        let text = fs::read_to_string(&self.settings).unwrap();
+        fs::write(
+            &self.settings,
+            format!("memory = {memory}\ndescriptors = {descriptors}\n{text}"),
+        )
+        .unwrap();
+    }
+
     /// Starts the process again after it has ended.
     pub fn restart(&mut self) {
         self.child = spawn(&self.settings, &self.log);
@@ -141,8 +151,22 @@
 
     /// Returns its resident memory in bytes.
     pub fn resident_bytes(&self) -> usize {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// Returns the largest resident memory in bytes that the process has had.
+    pub fn peak_resident_bytes(&self) -> usize {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// Returns the number of descriptors that it has open.
+    pub fn open_descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    fn status_bytes(&self, name: &str) -> usize {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
         let kilobytes: usize = line.trim().trim_end_matches(" kB").parse().unwrap();
         kilobytes << 10
     }
