Budget of held bytes, connection bounds and progress, without I/O; settings memory and descriptors

rattanarch_admission decides how many bytes bodies and responses may hold, whose body gives way, and how many connections each listener has, from the memory and descriptors of the machine. Not wired yet: the daemon behaves as before.

--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -13,6 +13,9 @@
 //! In the daemon next to an upstream, an [`AdmissionController`] combines a queue, the upstream's
 //! slots and a [`RateLimiter`].
 //!
+//! What callers make a process hold is bounded by a [`ByteBudget`] with the shares of a [`CapacityPlan`];
+//! a [`ProgressMeter`] finds bodies that stand still, and [`BytesUnderWay`] bounds what the upstream holds.
+//!
 //! ```
 //! use std::time::Duration;
 //! use rattanarch_admission::{AttemptOutcome, ConcurrencyLimiter, Queue, Throughput};
@@ -40,12 +43,16 @@
 
 mod admission_controller;
 mod attempt_outcome;
+mod byte_budget;
+mod bytes_under_way;
+mod capacity_plan;
 mod cold_start;
 mod concurrency_limiter;
 mod head_limit;
 mod hedge_budget;
 mod idempotency_cache;
 mod load_report;
+mod progress_meter;
 mod queue;
 mod rate_limiter;
 mod retry_budget;
@@ -58,6 +65,12 @@
 pub use admission_controller::OfferResult;
 pub use admission_controller::PendingRequest;
 pub use attempt_outcome::AttemptOutcome;
+pub use byte_budget::ByteBudget;
+pub use byte_budget::FIRST_BYTES;
+pub use byte_budget::HolderKey;
+pub use byte_budget::Reservation;
+pub use bytes_under_way::BytesUnderWay;
+pub use capacity_plan::CapacityPlan;
 pub use cold_start::ColdStart;
 pub use concurrency_limiter::ConcurrencyLimiter;
 pub use head_limit::HeadLimit;
@@ -67,6 +80,8 @@
 pub use idempotency_cache::IdempotencyEntry;
 pub use idempotency_cache::Lookup;
 pub use load_report::LoadReport;
+pub use progress_meter::PROGRESS_TIME;
+pub use progress_meter::ProgressMeter;
 pub use queue::PopResult;
 pub use queue::Queue;
 pub use queue::ShedRequest;
--- a/crates/rattanarch_mesh/src/process/settings.rs
+++ b/crates/rattanarch_mesh/src/process/settings.rs
@@ -35,6 +35,12 @@
     /// Rate of the machine's link in megabits a second; 0 if unknown, which sets no limit.
     #[serde(default)]
     pub link: f64,
+    /// Memory of the machine in MB; 0 if unknown.
+    #[serde(default)]
+    pub memory: usize,
+    /// Descriptors that the process may open; 0 if unknown.
+    #[serde(default)]
+    pub descriptors: usize,
     /// Whether the whole system starts for the first time, so that the store can't have lost anything.
     #[serde(default)]
     pub bootstrap: bool,
