Read bodies into blocks under one budget of bytes

Cause: bodies were collected whole, as many at once as callers sent, and one chunk cost a buffer of its own; to bound one body, 16 MiB were the most, although configurations allow 64 MiB. Bodies of callers, peers and the upstream's heartbeats are now copied into blocks of at most 64 KiB, each reserved in the budget of the machine's memory before it is allocated; a body without progress gives way (503 `buffers-full`) and one that brings less than 1 KiB in 10 s gets 408. The tests unfinished_bodies, unfinished_chunks, tiny_chunks and largest_body failed before.

--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -2,6 +2,9 @@
 
 mod body;
 mod buffers;
+mod held_body;
+mod held_bytes;
+mod limit_log;
 mod limited_stream;
 mod pool;
 mod post;
@@ -12,6 +15,12 @@
 pub(crate) use body::ResponseBody;
 pub(crate) use buffers::BufferError;
 pub(crate) use buffers::Buffers;
+pub(crate) use held_body::HeldBody;
+pub(crate) use held_body::ReadError;
+pub(crate) use held_body::RequestBody;
+pub(crate) use held_bytes::HeldBytes;
+pub(crate) use held_bytes::HeldGuard;
+pub(crate) use limit_log::LimitEvent;
 pub(crate) use pool::Checkout;
 pub(crate) use pool::Pool;
 pub(crate) use pool::PooledConnection;
--- a/crates/rattanarch_mesh/src/connection/pool.rs
+++ b/crates/rattanarch_mesh/src/connection/pool.rs
@@ -7,8 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -21,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::connection::MAX_ONE_WAY_DELAY;
+use crate::connection::RequestBody;
 use crate::connection::limited_stream::LimitedStream;
 use crate::connection::limited_stream::SharedLimit;
 use crate::process::ADMIT_AFTER_STOP;
@@ -64,7 +63,7 @@
 /// An open connection; closed when dropped.
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     driver: JoinHandle<()>,
     limit: SharedLimit,
     idle_since: Instant,
@@ -188,7 +187,7 @@
     /// [`SendError::Unsent`] guarantees that no byte was sent.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
         self.limit.borrow_mut().expect_head();
         let sent = self.sender.try_send_request(request).await;
--- a/crates/rattanarch_mesh/src/connection/post.rs
+++ b/crates/rattanarch_mesh/src/connection/post.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
@@ -17,8 +16,10 @@
 use serde::de::DeserializeOwned;
 
 use crate::connection::Checkout;
+use crate::connection::HeldBody;
 use crate::connection::Pool;
 use crate::connection::PooledConnection;
+use crate::connection::RequestBody;
 use crate::connection::SendError;
 use crate::process::Shared;
 
@@ -114,7 +115,7 @@
     let body = serde_json::to_vec(body).map_err(|error| unsent(&error))?;
     let request = Request::post(path)
         .header(header::HOST, address.to_string())
-        .body(Full::new(Bytes::from(body)))
+        .body(RequestBody::from(Bytes::from(body)))
         .map_err(|error| unsent(&error))?;
     let connection = pool.checkout(Checkout::Reuse).await;
     let mut connection = connection.map_err(|error| unsent(&error))?;
@@ -124,9 +125,10 @@
 
 /// Reads the body of `request` as JSON; `None` if it is cut short, malformed or longer than `limit` bytes.
 pub(crate) async fn read_json<T: DeserializeOwned>(
+    shared: &Shared,
     request: Request<Incoming>,
     limit: usize,
 ) -> Option<T> {
-    let body = Limited::new(request.into_body(), limit).collect().await.ok()?;
+    let body = HeldBody::read(&shared.held, request.into_body(), limit).await.ok()?;
     serde_json::from_slice(&body.to_bytes()).ok()
 }
--- a/crates/rattanarch_mesh/src/control/change_requests.rs
+++ b/crates/rattanarch_mesh/src/control/change_requests.rs
@@ -95,7 +95,7 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let Some(body) = read_json::<DelegatedRequest>(request, MAX_REQUEST_BYTES).await else {
+    let Some(body) = read_json::<DelegatedRequest>(shared, request, MAX_REQUEST_BYTES).await else {
         return responses::plain(StatusCode::BAD_REQUEST, "malformed petition".to_owned());
     };
     let ready =
--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -367,7 +367,7 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let Some(mut versions) = read_json::<Versions>(request, MAX_STATE_BYTES).await else {
+    let Some(mut versions) = read_json::<Versions>(shared, request, MAX_STATE_BYTES).await else {
         return responses::plain(StatusCode::BAD_REQUEST, String::new());
     };
     let (now, link) = (shared.now(), shared.settings.link);
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -10,6 +10,7 @@
 use std::time::SystemTime;
 
 use rattanarch_adapter::Store;
+use rattanarch_admission::CapacityPlan;
 use rattanarch_process::Clock;
 use rattanarch_process::LogError;
 use rattanarch_process::LogOptions;
@@ -22,6 +23,7 @@
 use tokio::task::LocalSet;
 
 use crate::connection::Buffers;
+use crate::connection::HeldBytes;
 use crate::connection::UplinkScheduler;
 use crate::control;
 use crate::control::Control;
@@ -135,6 +137,7 @@
         control: RefCell::new(Control::new(timing, clock.now())),
         socket,
         peers: Peers::default(),
+        held: HeldBytes::new(CapacityPlan::new(settings.memory, settings.descriptors), clock),
         buffers: Buffers::default(),
         uplink: UplinkScheduler::new(settings.link, clock),
         phase,
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::connection::Buffers;
+use crate::connection::HeldBytes;
 use crate::connection::UplinkScheduler;
 use crate::control::Control;
 use crate::control::PeerSocket;
@@ -43,6 +44,8 @@
     pub(crate) control: RefCell<Control>,
     pub(crate) socket: PeerSocket,
     pub(crate) peers: Peers,
+    /// What callers and peers make this process hold.
+    pub(crate) held: HeldBytes,
     /// Buffers of the upstream's responses.
     pub(crate) buffers: Buffers,
     /// Schedules large responses on the uplink of this machine.
--- a/crates/rattanarch_mesh/src/process/store_relay.rs
+++ b/crates/rattanarch_mesh/src/process/store_relay.rs
@@ -201,7 +201,7 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let Some(call) = read_json::<StoreCall>(request, MAX_CALL_BYTES).await else {
+    let Some(call) = read_json::<StoreCall>(shared, request, MAX_CALL_BYTES).await else {
         return responses::plain(StatusCode::BAD_REQUEST, "malformed call".to_owned());
     };
     let result = if shared.is_store_unreachable() {
--- a/crates/rattanarch_mesh/src/request/call.rs
+++ b/crates/rattanarch_mesh/src/request/call.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 
-use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Uri;
@@ -14,6 +13,8 @@
 use rattanarch_types::Rank;
 use rattanarch_types::ServiceName;
 
+use crate::connection::HeldBody;
+
 /// Header fields that concern one connection only (RFC 9110, section 7.6.1).
 const CONNECTION_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -36,7 +37,7 @@
     pub(crate) uri: Uri,
     /// The caller's header fields, without those of a single connection.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// Service that the request is sent to.
     pub(crate) service: ServiceName,
     /// Service of the daemon that received the request from its caller.
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -20,6 +19,7 @@
 
 use crate::connection::Checkout;
 use crate::connection::PooledConnection;
+use crate::connection::RequestBody;
 use crate::connection::ResponseBody;
 use crate::connection::SendError;
 use crate::connection::within;
@@ -180,7 +180,7 @@
     peer: &Peer,
     call: &Call,
     left: Duration,
-) -> Option<Request<Full<bytes::Bytes>>> {
+) -> Option<Request<RequestBody>> {
     let forward_header = ForwardHeader {
         service: call.service.clone(),
         origin_service: call.origin_service.clone(),
@@ -193,7 +193,7 @@
         retry: call.retry.get(),
         leaving: peer.leaving_notice(shared.now()),
     };
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(call.body.to_request());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     let headers = request.headers_mut();
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -14,19 +12,21 @@
 use rattanarch_types::Verdict;
 
 use crate::connection::Handler;
+use crate::connection::HeldBody;
+use crate::connection::ReadError;
 use crate::connection::ResponseBody;
 use crate::control;
 use crate::process;
 use crate::process::Shared;
 use crate::request::Call;
 use crate::request::Outcome;
+use crate::request::Reason;
 use crate::request::call::strip_connection_headers;
 use crate::request::forward_headers::FLOW;
 use crate::request::forward_headers::FORWARD;
 use crate::request::forward_headers::ForwardHeader;
 use crate::request::forward_headers::LoadHeader;
 use crate::request::forward_headers::ResponseHeaders;
-use crate::request::outbound::MAX_BODY_BYTES;
 use crate::request::request_trace::RequestTrace;
 use crate::request::responses;
 use crate::upstream;
@@ -58,22 +58,33 @@
             upstream::learn_leaving(shared, &notice.life, since, LeavingSource::Peer);
         }
         let outcome = match read(shared, header, request).await {
-            Some(call) => run(shared, &Rc::new(call)).await,
-            None => return responses::plain(StatusCode::BAD_REQUEST, "body cut short".to_owned()),
+            Ok(call) => run(shared, &Rc::new(call)).await,
+            Err(ReadError::NoRoom | ReadError::Stalled) => {
+                Outcome::Refused(Reason::BuffersFull.into())
+            }
+            Err(error @ (ReadError::Cut | ReadError::TooLong)) => {
+                return responses::plain(StatusCode::BAD_REQUEST, error.to_string());
+            }
         };
         respond(shared, outcome)
     }
 }
 
-async fn read(shared: &Shared, header: ForwardHeader, request: Request<Incoming>) -> Option<Call> {
+async fn read(
+    shared: &Shared,
+    header: ForwardHeader,
+    request: Request<Incoming>,
+) -> Result<Call, ReadError> {
     let now = shared.now();
     let (mut parts, body) = request.into_parts();
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?.to_bytes();
+    let limits = shared.knowledge.borrow().routes().map(|routes| routes.limits);
+    let limit = limits.unwrap_or_default().max_body_bytes;
+    let body = HeldBody::read(&shared.held, body, limit).await?;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(FORWARD);
     let flow = parts.headers.remove(FLOW).and_then(|value| value.to_str().ok()?.parse().ok());
     let id = headers::caller_request_id(&parts.headers).and_then(|id| id.to_str().ok());
-    Some(Call {
+    Ok(Call {
         id: id.unwrap_or_default().to_owned(),
         method: parts.method,
         uri: parts.uri,
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -4,10 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -24,6 +20,8 @@
 use rattanarch_types::Rank;
 
 use crate::connection::Handler;
+use crate::connection::HeldBody;
+use crate::connection::ReadError;
 use crate::connection::ResponseBody;
 use crate::process::Phase;
 use crate::process::Shared;
@@ -41,9 +39,6 @@
 use crate::request::responses;
 use crate::request::retry_shares::RetryShares;
 
-/// Largest accepted body. Bodies are buffered whole, and a machine has a few hundred megabytes.
-pub(crate) const MAX_BODY_BYTES: usize = 16 << 20;
-
 /// Rank of a nested call, which an upstream makes for a request that it runs: refusing it would fail a
 /// request that already holds a slot.
 const NESTED_CALL_RANK: Rank = 0;
@@ -137,7 +132,7 @@
         routes: &RouteTable,
     ) -> Result<Call, Response<ResponseBody>> {
         let (mut parts, body) = request.into_parts();
-        let body = read_body(body, routes.limits.max_body_bytes.min(MAX_BODY_BYTES)).await?;
+        let body = read_body(&self.shared, body, routes.limits.max_body_bytes).await?;
         let timeout = headers::wait_time(&parts.headers).unwrap_or(rule.timeout);
         let spent = self.timeouts.time_spent(&rule.name, timeout);
         strip_connection_headers(&mut parts.headers);
@@ -206,13 +201,17 @@
     headers::key(headers).filter(|_| keyed)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Response<ResponseBody>> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(responses::plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large".to_owned()))
-        }
-        // The caller disconnected in the middle of its body.
-        Err(_) => Err(responses::plain(StatusCode::BAD_REQUEST, "body cut short".to_owned())),
-    }
+async fn read_body(
+    shared: &Shared,
+    body: Incoming,
+    limit: usize,
+) -> Result<HeldBody, Response<ResponseBody>> {
+    let plain = |status, error: ReadError| responses::plain(status, error.to_string());
+    HeldBody::read(&shared.held, body, limit).await.map_err(|error| match error {
+        ReadError::TooLong => plain(StatusCode::PAYLOAD_TOO_LARGE, error),
+        // The caller disconnected in the middle of its body, or sent malformed chunks.
+        ReadError::Cut => plain(StatusCode::BAD_REQUEST, error),
+        ReadError::Stalled => plain(StatusCode::REQUEST_TIMEOUT, error),
+        ReadError::NoRoom => responses::refused(Reason::BuffersFull.into()),
+    })
 }
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -62,13 +62,16 @@
     /// The daemon beside the upstream does not respond.
     #[display("silent")]
     Silent,
+    /// The daemon has no room for the body.
+    #[display("buffers-full")]
+    BuffersFull,
     /// The process is stopping.
     #[display("stopping")]
     Stopping,
 }
 
 impl Reason {
-    const ALL: [Self; 19] = [
+    const ALL: [Self; 20] = [
         Self::NoConfiguration,
         Self::NoInstance,
         Self::NoKey,
@@ -87,6 +90,7 @@
         Self::NoUpstream,
         Self::Unreachable,
         Self::Silent,
+        Self::BuffersFull,
         Self::Stopping,
     ];
 
@@ -109,6 +113,8 @@
             | Self::OtherService
             | Self::Unreachable
             | Self::Silent
+            // Time in which bodies without progress are given up, or others end.
+            | Self::BuffersFull
             | Self::Stopping => Duration::from_millis(500),
         }
     }
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -19,6 +17,7 @@
 use crate::connection::BufferError;
 use crate::connection::Checkout;
 use crate::connection::PooledConnection;
+use crate::connection::RequestBody;
 use crate::connection::ResponseBody;
 use crate::connection::SendError;
 use crate::connection::within;
@@ -137,10 +136,10 @@
     shared: &Shared,
     call: &Call,
     left: Duration,
-) -> Option<(Request<Full<Bytes>>, LifeKey)> {
+) -> Option<(Request<RequestBody>, LifeKey)> {
     let state = shared.upstream.state.borrow();
     let life = state.life.as_ref()?;
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(call.body.to_request());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
--- a/crates/rattanarch_mesh/src/upstream/health_check.rs
+++ b/crates/rattanarch_mesh/src/upstream/health_check.rs
@@ -3,9 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::header;
@@ -15,6 +13,7 @@
 use rattanarch_types::Moment;
 
 use crate::connection::Checkout;
+use crate::connection::RequestBody;
 use crate::connection::within;
 use crate::process::Shared;
 use crate::upstream::life::Life;
@@ -111,7 +110,7 @@
     }
 }
 
-fn request(shared: &Shared, path: &str) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+fn request(shared: &Shared, path: &str) -> Result<Request<RequestBody>, hyper::http::Error> {
     let host = HeaderValue::from_str(&shared.settings.upstream.to_string())?;
-    Request::get(path).header(header::HOST, host).body(Full::default())
+    Request::get(path).header(header::HOST, host).body(RequestBody::default())
 }
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -3,8 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -20,6 +18,7 @@
 use rattanarch_types::SliceId;
 
 use crate::connection::Handler;
+use crate::connection::HeldBody;
 use crate::connection::ResponseBody;
 use crate::control;
 use crate::process::Shared;
@@ -46,7 +45,7 @@
 impl Handler for HeartbeatHandler {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         let call = upstream_call(request.uri().path());
-        let body = Limited::new(request.into_body(), MAX_HEARTBEAT).collect().await;
+        let body = HeldBody::read(&self.0.held, request.into_body(), MAX_HEARTBEAT).await;
         let Ok(body) = body else { return responses::json(StatusCode::BAD_REQUEST, String::new()) };
         let body = body.to_bytes();
         match call {
