Bound connections by listener, and end those whose clients stand still

Cause: connections were accepted until descriptors ran out, buffers of heads grew to 64 KiB each although configurations allow 16 KiB, a head could take the idle timeout, and a client that read nothing kept its connection for good. Each listener now has its own bound from the machine's memory and descriptors; the connection that is idle longest is closed for a new one. A head has the configured size and header_timeout from its first byte; a client that takes no byte for 10 s is disconnected. The tests unfinished_heads, unread_responses and idle_crowd failed before.

--- a/crates/rattanarch_admission/src/byte_budget.rs
+++ b/crates/rattanarch_admission/src/byte_budget.rs
@@ -93,12 +93,7 @@
 
     /// Charges `bytes` to `key` regardless of the limit, and names the holders to be given up for them: a response that
     /// is there is delivered. What upstreams send is bounded where it is read.
-    pub fn charge_response(
-        &mut self,
-        now: Moment,
-        key: HolderKey,
-        bytes: usize,
-    ) -> Vec<HolderKey> {
+    pub fn charge_response(&mut self, now: Moment, key: HolderKey, bytes: usize) -> Vec<HolderKey> {
         let missing = (self.used + bytes).saturating_sub(self.limit);
         let victims = self.victims(now, key, missing, true).unwrap_or_default();
         for victim in &victims {
--- a/crates/rattanarch_mesh/src/connection/held_bytes.rs
+++ b/crates/rattanarch_mesh/src/connection/held_bytes.rs
@@ -15,6 +15,7 @@
 
 use crate::connection::limit_log::LimitEvent;
 use crate::connection::limit_log::LimitLog;
+use crate::process::ActiveCount;
 
 /// Bytes that callers and peers make this process hold.
 #[derive(Clone)]
@@ -27,6 +28,8 @@
     /// Signals of the open holders.
     signals: RefCell<HashMap<HolderKey, Rc<Signal>>>,
     log: LimitLog,
+    /// Open connections by listener.
+    connections: RefCell<Vec<(&'static str, ActiveCount)>>,
 }
 
 /// Tells a holder that it is given up.
@@ -48,7 +51,8 @@
     pub(crate) fn new(plan: CapacityPlan, clock: Clock) -> Self {
         let budget = RefCell::new(ByteBudget::new(&plan));
         let signals = RefCell::default();
-        Self(Rc::new(Inner { plan, clock, budget, signals, log: LimitLog::default() }))
+        let (log, connections) = (LimitLog::default(), RefCell::default());
+        Self(Rc::new(Inner { plan, clock, budget, signals, log, connections }))
     }
 
     /// The bounds of this process.
@@ -56,6 +60,18 @@
         &self.0.plan
     }
 
+    /// Creates the count of open connections of the listener `name`.
+    pub(crate) fn count_connections(&self, name: &'static str) -> ActiveCount {
+        let count = ActiveCount::default();
+        self.0.connections.borrow_mut().push((name, count.clone()));
+        count
+    }
+
+    /// Open connections by listener.
+    pub(crate) fn connections(&self) -> Vec<(&'static str, usize)> {
+        self.0.connections.borrow().iter().map(|(name, count)| (*name, count.get())).collect()
+    }
+
     /// Bytes held at present.
     pub(crate) fn used(&self) -> usize {
         self.0.budget.borrow().used()
@@ -79,6 +95,13 @@
         HeldGuard { held: self.clone(), key, signal }
     }
 
+    /// Opens a holder for a response, which is not given up while it is read from the upstream.
+    pub(crate) fn open_response(&self) -> HeldGuard {
+        let guard = self.open();
+        guard.set_evictable(false);
+        guard
+    }
+
     /// Gives up the body or response that has been without progress longest; returns whether there is one.
     pub(crate) fn evict_stalled(&self) -> bool {
         let victim = self.0.budget.borrow_mut().evict_stalled(self.0.clock.now());
--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -2,19 +2,23 @@
 
 mod body;
 mod buffers;
+mod connections;
 mod held_body;
 mod held_bytes;
 mod limit_log;
 mod limited_stream;
 mod pool;
 mod post;
+mod served_body;
 mod server;
+mod server_stream;
 mod uplink_scheduler;
 mod within;
 
 pub(crate) use body::ResponseBody;
 pub(crate) use buffers::BufferError;
 pub(crate) use buffers::Buffers;
+pub(crate) use connections::Connections;
 pub(crate) use held_body::HeldBody;
 pub(crate) use held_body::ReadError;
 pub(crate) use held_body::RequestBody;
--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -18,8 +18,12 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::connection::Connections;
 use crate::connection::MAX_ONE_WAY_DELAY;
 use crate::connection::ResponseBody;
+use crate::connection::connections::OpenConnection;
+use crate::connection::served_body::ServedBody;
+use crate::connection::server_stream::ServerStream;
 use crate::process::Phase;
 use crate::process::Shared;
 
@@ -50,17 +54,27 @@
     pub(crate) idle_timeout: Duration,
     /// Largest request head, in bytes; raised to [`MIN_BUFFER`] if smaller.
     pub(crate) max_head_bytes: usize,
+    /// Longest time from the first byte of a request head to its end.
+    pub(crate) head_timeout: Duration,
 }
 
 /// Accepts connections on `listener` until the process enters [`Phase::Closing`]. `options` is called for each
-/// connection, since the limits may change.
+/// connection, since the limits may change. `connections` bounds their number.
 pub(crate) async fn serve<H: Handler>(
     shared: Rc<Shared>,
     listener: TcpListener,
     options: impl Fn() -> ServerOptions + 'static,
     handler: Rc<H>,
+    connections: Rc<Connections>,
 ) {
     let mut phase = shared.phase.subscribe();
+    let accept = |stream| {
+        // The client of a connection that isn't admitted sees it closed.
+        if let Some(open) = connections.admit(&shared.held) {
+            let (shared, handler) = (Rc::clone(&shared), Rc::clone(&handler));
+            tokio::task::spawn_local(serve_stream(shared, (stream, open), options(), handler));
+        }
+    };
     loop {
         let accepted = tokio::select! {
             biased;
@@ -68,7 +82,13 @@
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => spawn_connection(&shared, stream, options(), &handler),
+            Ok((stream, _)) => {
+                accept(stream);
+                if connections.is_full() {
+                    // The one that was closed frees its descriptor before the next is accepted.
+                    tokio::task::yield_now().await;
+                }
+            }
             Err(error) => {
                 log::warn!(reason:% = error; "connection not accepted");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -77,23 +97,13 @@
     }
     // Connections that are already established are served too.
     while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-        spawn_connection(&shared, stream, options(), &handler);
+        accept(stream);
     }
 }
 
-fn spawn_connection<H: Handler>(
-    shared: &Rc<Shared>,
-    stream: TcpStream,
-    options: ServerOptions,
-    handler: &Rc<H>,
-) {
-    let (shared, handler) = (Rc::clone(shared), Rc::clone(handler));
-    tokio::task::spawn_local(serve_stream(shared, stream, options, handler));
-}
-
 async fn serve_stream<H: Handler>(
     shared: Rc<Shared>,
-    stream: TcpStream,
+    (stream, open): (TcpStream, OpenConnection),
     options: ServerOptions,
     handler: Rc<H>,
 ) {
@@ -106,6 +116,7 @@
     let used = Cell::new(false);
     let service = service_fn(|request| {
         used.set(true);
+        let busy = open.state.begin();
         let response = Rc::clone(&handler).handle(request);
         let shared = Rc::clone(&shared);
         async move {
@@ -115,17 +126,20 @@
             if !shared.phase.borrow().is_open() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, busy)))
         }
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new())
         .header_read_timeout(options.idle_timeout)
         .max_buf_size(options.max_head_bytes.max(MIN_BUFFER));
+    let (state, held) = (Rc::clone(&open.state), shared.held.clone());
+    let stream = ServerStream::new(stream, state, held, options.head_timeout);
     let mut connection = std::pin::pin!(http.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         // Nobody is left to whom an error could be reported.
         _ = &mut connection => return,
+        () = open.state.close.notified() => return,
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
     }
     if !used.get() {
--- a/crates/rattanarch_mesh/src/process/listeners.rs
+++ b/crates/rattanarch_mesh/src/process/listeners.rs
@@ -9,9 +9,11 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use rattanarch_routing::Limits;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 
+use crate::connection::Connections;
 use crate::connection::Handler;
 use crate::connection::ResponseBody;
 use crate::connection::ServerOptions;
@@ -28,8 +30,14 @@
 /// Idle timeout of connections of daemons, of the upstream and of the platform.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest time from the first byte of a head to its end on those connections.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Maximum size of the head of a request on those connections.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// What a daemon adds to the head of a request that it forwards, at most.
+const FORWARD_HEAD_BYTES: usize = 8 << 10;
 
 /// How much longer an idle connection of a caller stays open than the configured timeout, so that no request is sent
 /// on a connection that is being closed.
@@ -41,34 +49,67 @@
 /// If an address can't be bound.
 pub(crate) fn listen(shared: &Rc<Shared>) -> io::Result<()> {
     let listen = shared.settings.listen;
-    let fixed = || ServerOptions { idle_timeout: IDLE_TIMEOUT, max_head_bytes: MAX_HEAD_BYTES };
+    let fixed = || ServerOptions {
+        idle_timeout: IDLE_TIMEOUT,
+        max_head_bytes: MAX_HEAD_BYTES,
+        head_timeout: HEAD_TIMEOUT,
+    };
     let callers = {
         let shared = Rc::clone(shared);
         move || {
-            let limits = shared.knowledge.borrow().routes().map(|routes| routes.limits);
-            let limits = limits.unwrap_or_default();
-            let idle_timeout = limits.idle_timeout + IDLE_RESERVE;
+            let limits = limits(&shared);
             ServerOptions {
-                idle_timeout,
-                max_head_bytes: limits.max_head_bytes.max(MAX_HEAD_BYTES),
+                idle_timeout: limits.idle_timeout + IDLE_RESERVE,
+                max_head_bytes: limits.max_head_bytes,
+                head_timeout: limits.head_timeout,
             }
         }
     };
-    start(shared, listen.callers, callers, Outbound::new(Rc::clone(shared)))?;
-    start(shared, listen.peers, fixed, Inbound(Rc::clone(shared)))?;
-    start(shared, listen.upstream, fixed, HeartbeatHandler(Rc::clone(shared)))?;
-    start(shared, listen.ready, fixed, ReadyHandler(Rc::clone(shared)))?;
-    start(shared, listen.metrics, fixed, MetricsHandler(Rc::clone(shared)))
+    let peers = {
+        let shared = Rc::clone(shared);
+        move || ServerOptions {
+            max_head_bytes: limits(&shared).max_head_bytes + FORWARD_HEAD_BYTES,
+            ..fixed()
+        }
+    };
+    let plan = *shared.held.plan();
+    start(
+        shared,
+        (listen.callers, "callers", plan.callers),
+        callers,
+        Outbound::new(Rc::clone(shared)),
+    )?;
+    start(shared, (listen.peers, "peers", plan.peers), peers, Inbound(Rc::clone(shared)))?;
+    start(
+        shared,
+        (listen.upstream, "upstream", plan.others),
+        fixed,
+        HeartbeatHandler(Rc::clone(shared)),
+    )?;
+    start(shared, (listen.ready, "ready", plan.others), fixed, ReadyHandler(Rc::clone(shared)))?;
+    start(
+        shared,
+        (listen.metrics, "metrics", plan.others),
+        fixed,
+        MetricsHandler(Rc::clone(shared)),
+    )
+}
+
+/// The limits of the configuration in force, or those without one.
+fn limits(shared: &Shared) -> Limits {
+    shared.knowledge.borrow().routes().map(|routes| routes.limits).unwrap_or_default()
 }
 
 fn start<H: Handler>(
     shared: &Rc<Shared>,
-    address: SocketAddr,
+    (address, name, limit): (SocketAddr, &'static str, usize),
     options: impl Fn() -> ServerOptions + 'static,
     handler: H,
 ) -> io::Result<()> {
     let listener = bind(address)?;
-    tokio::task::spawn_local(serve(Rc::clone(shared), listener, options, Rc::new(handler)));
+    let connections = Rc::new(Connections::new(limit, shared.held.count_connections(name)));
+    let serving = serve(Rc::clone(shared), listener, options, Rc::new(handler), connections);
+    tokio::task::spawn_local(serving);
     Ok(())
 }
 
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -138,6 +138,16 @@
         for (name, help, value) in gauges(shared) {
             self.metrics.set(name, help, &Labels::new(), value);
         }
+        for (listener, count) in shared.held.connections() {
+            let (labels, help) =
+                (labels(&[("listener", listener)]), "Open connections by listener");
+            self.metrics.set("rattanarch_connections", help, &labels, count as i64);
+        }
+        for (event, count) in shared.held.events() {
+            let labels = labels(&[("reason", &event.to_string())]);
+            let help = "Requests and connections refused or closed outside the limits";
+            self.metrics.set("rattanarch_limit_events", help, &labels, count as i64);
+        }
         for ((call, kind), count) in shared.store.calls() {
             let call = call.to_string();
             let labels = labels(&[("call", &call), ("kind", kind)]);
@@ -147,7 +157,7 @@
     }
 }
 
-fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 20] {
+fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 21] {
     let now = shared.now();
     let state = shared.upstream.state.borrow();
     let knowledge = shared.knowledge.borrow();
@@ -244,6 +254,11 @@
             "Time since the store last confirmed that nothing newer is stored; -1 before the first",
             millis(shared.follower.last_confirmed().map(|at| now.saturating_sub(at))),
         ),
+        (
+            "rattanarch_held_bytes",
+            "Bytes of bodies and responses held for callers and peers",
+            shared.held.used() as i64,
+        ),
         ("rattanarch_dropped_log_lines", "Log lines not written", dropped_lines() as i64),
     ]
 }
--- a/crates/rattanarch_mesh/src/process/mod.rs
+++ b/crates/rattanarch_mesh/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod watcher;
 
 pub(crate) use active_count::ActiveCount;
+pub(crate) use active_count::ActiveGuard;
 pub(crate) use meters::RequestLabels;
 pub(crate) use records::first_record;
 pub(crate) use records::learn_configuration;
