Charge responses to the budget until their clients have taken them

Cause: a response that was read from the upstream stayed in memory until its client had read it, uncounted. The last 256 KiB are handed to the codec as copies, since what the codec has not written would otherwise keep the whole response.

--- a/crates/rattanarch_mesh/src/connection/body.rs
+++ b/crates/rattanarch_mesh/src/connection/body.rs
@@ -11,6 +11,8 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
+use crate::connection::HeldBytes;
+use crate::connection::HeldGuard;
 use crate::connection::Pool;
 use crate::connection::PooledConnection;
 use crate::connection::ScheduledBody;
@@ -26,8 +28,16 @@
     /// A body that is forwarded while it arrives from a peer. A failure of the peer fails the body, so that a truncated
     /// response never looks complete.
     Relayed(Box<Relayed>),
+    /// A body that is charged to the budget until it is sent.
+    Held(Box<(ResponseBody, HeldGuard)>),
 }
 
+/// Bytes that the codec may hold of a body that is forwarded while it arrives.
+const RELAYED_BYTES: usize = 64 << 10;
+
+/// Longest relayed body in bytes that is not charged to the budget.
+const SMALL_RELAYED_BYTES: u64 = 16 << 10;
+
 /// A body that arrives on a pooled connection, which returns to its pool after the last byte.
 #[derive(Debug)]
 pub(crate) struct Relayed {
@@ -51,19 +61,43 @@
     pub(crate) fn unscheduled_len(&self) -> usize {
         match self {
             Self::Scheduled(_) => 0,
+            Self::Held(held) => held.0.unscheduled_len(),
             body => body.size_hint().exact().unwrap_or_default() as usize,
         }
     }
 
+    /// This body, charged to the budget by `guard` until it is sent; its client has to make progress from now on.
+    pub(crate) fn held_by(self, guard: Option<HeldGuard>) -> Self {
+        let Some(guard) = guard else { return self };
+        guard.progress();
+        guard.set_evictable(true);
+        Self::Held(Box::new((self, guard)))
+    }
+
+    /// What charges the body to the budget.
+    pub(crate) fn guard(&self) -> Option<&HeldGuard> {
+        match self {
+            Self::Held(held) => Some(&held.1),
+            Self::Full(_) | Self::Scheduled(_) | Self::Relayed(_) => None,
+        }
+    }
+
     /// A body that is forwarded from a peer; `connection` returns to `pool` after its last byte.
     pub(crate) fn relayed(
         incoming: Incoming,
         connection: PooledConnection,
         pool: std::rc::Rc<Pool>,
+        held: &HeldBytes,
     ) -> Self {
+        let small = incoming.size_hint().upper().is_some_and(|upper| upper <= SMALL_RELAYED_BYTES);
+        let guard = (!small).then(|| held.open_response());
+        if let Some(guard) = &guard {
+            // The body is sent even if there is no room.
+            guard.charge_response(RELAYED_BYTES);
+        }
         let mut relayed = Relayed { incoming, connection: Some(connection), pool };
         relayed.release_connection();
-        Self::Relayed(Box::new(relayed))
+        Self::Relayed(Box::new(relayed)).held_by(guard)
     }
 }
 
@@ -89,6 +123,13 @@
         match self.get_mut() {
             Self::Full(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             Self::Scheduled(body) => body.poll_chunk(cx).map(|chunk| chunk.map(Ok)),
+            Self::Held(held) => {
+                let polled = Pin::new(&mut held.0).poll_frame(cx);
+                if polled.is_ready() {
+                    held.1.progress();
+                }
+                polled
+            }
             Self::Relayed(relayed) => {
                 let polled = Pin::new(&mut relayed.incoming).poll_frame(cx);
                 match &polled {
@@ -106,6 +147,7 @@
             Self::Full(body) => body.is_end_stream(),
             Self::Scheduled(body) => body.len() == 0,
             Self::Relayed(relayed) => relayed.incoming.is_end_stream(),
+            Self::Held(held) => held.0.is_end_stream(),
         }
     }
 
@@ -114,6 +156,7 @@
             Self::Full(body) => body.size_hint(),
             Self::Scheduled(body) => SizeHint::with_exact(body.len() as u64),
             Self::Relayed(relayed) => relayed.incoming.size_hint(),
+            Self::Held(held) => held.0.size_hint(),
         }
     }
 }
--- a/crates/rattanarch_mesh/src/connection/buffers.rs
+++ b/crates/rattanarch_mesh/src/connection/buffers.rs
@@ -5,8 +5,12 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
+use crate::connection::HeldBytes;
+use crate::connection::HeldGuard;
+
 /// Largest response in bytes; the largest known ones have a tenth.
 const MAX_RESPONSE: usize = 8 << 20;
 
@@ -18,6 +22,9 @@
 /// than half of the memory of the smallest known machines.
 const SHARED_BYTES: usize = 24 << 20;
 
+/// Bytes of a response that are not charged to the budget: they are few for each connection.
+const UNCHARGED_BYTES: usize = 4 << 10;
+
 /// Why a response was not read whole.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum BufferError {
@@ -46,13 +53,20 @@
 }
 
 impl Buffers {
-    /// Reads `body` to its end.
+    /// Reads `body` to its end. A longer one is charged to `held` until the guard is dropped.
     ///
     /// # Errors
     /// See [`BufferError`].
-    pub(crate) async fn read(&self, mut body: Incoming) -> Result<Bytes, BufferError> {
+    pub(crate) async fn read(
+        &self,
+        mut body: Incoming,
+        held: &HeldBytes,
+    ) -> Result<(Bytes, Option<HeldGuard>), BufferError> {
         let mut share = Share { buffers: self, bytes: 0 };
-        let mut whole = BytesMut::new();
+        let announced = body.size_hint().exact().unwrap_or_default();
+        // Memory that is not written to is not resident, so this takes none before the bytes arrive.
+        let mut whole = BytesMut::with_capacity(MAX_RESPONSE.min(announced as usize));
+        let mut guard: Option<HeldGuard> = None;
         while let Some(frame) = body.frame().await {
             let Ok(chunk) = frame?.into_data() else { continue };
             let length = whole.len() + chunk.len();
@@ -60,9 +74,17 @@
                 return Err(BufferError::TooLong);
             }
             share.grow(length.saturating_sub(OWN_BYTES))?;
+            if length > UNCHARGED_BYTES {
+                let first = guard.is_none();
+                let guard = guard.get_or_insert_with(|| held.open_response());
+                let fits = guard.charge_response(if first { length } else { chunk.len() });
+                if !fits && length > OWN_BYTES {
+                    return Err(BufferError::NoneLeft);
+                }
+            }
             whole.extend_from_slice(&chunk);
         }
-        Ok(whole.freeze())
+        Ok((whole.freeze(), guard))
     }
 }
 
--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -116,11 +116,14 @@
     let used = Cell::new(false);
     let service = service_fn(|request| {
         used.set(true);
-        let busy = open.state.begin();
+        let (busy, close) = (open.state.begin(), Rc::clone(&open.state.close));
         let response = Rc::clone(&handler).handle(request);
         let shared = Rc::clone(&shared);
         async move {
             let mut response = response.await;
+            if let Some(guard) = response.body().guard() {
+                guard.close_by(close);
+            }
             // Bytes that are sent at once delay the queued responses on the uplink.
             shared.uplink.record_immediate(response.body().unscheduled_len());
             if !shared.phase.borrow().is_open() {
--- a/crates/rattanarch_mesh/src/connection/uplink_scheduler.rs
+++ b/crates/rattanarch_mesh/src/connection/uplink_scheduler.rs
@@ -22,6 +22,10 @@
 /// slow isn't buffered twice.
 const MAX_CHUNK: usize = 16 << 10;
 
+/// Last bytes of a response that are handed to the connection as copies: what the connection has not yet written would
+/// otherwise keep the whole response in memory, although it no longer counts as held.
+const COPIED_TAIL: usize = 256 << 10;
+
 /// Longest time that a response is queued. The readers of those before it may have vanished, and a response that is
 /// ready has to be delivered.
 const MAX_WAIT: Duration = Duration::from_millis(400);
@@ -127,7 +131,9 @@
         if self.rest.is_empty() {
             return Poll::Ready(None);
         }
+        let copied = self.rest.len() <= COPIED_TAIL;
         let chunk = self.rest.split_to(MAX_CHUNK.min(self.rest.len()));
+        let chunk = if copied { Bytes::copy_from_slice(&chunk) } else { chunk };
         Poll::Ready(Some(Frame::data(chunk)))
     }
 }
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -225,7 +225,7 @@
         peer.record_leaving(shared.now(), life, member);
     }
     let retry_after = headers::retry_after(&parts.headers);
-    let body = ResponseBody::relayed(body, connection, Rc::clone(&peer.pool));
+    let body = ResponseBody::relayed(body, connection, Rc::clone(&peer.pool), &shared.held);
     match meta.verdict {
         Verdict::Done => {
             super::call::strip_connection_headers(&mut parts.headers);
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -162,7 +162,7 @@
     }
     apply_notices(shared, life, &head);
     let left = call.deadline.saturating_sub(shared.now());
-    let body = match within(left, shared.buffers.read(body)).await {
+    let (body, guard) = match within(left, shared.buffers.read(body, &shared.held)).await {
         None => return Outcome::Failed(Failure::TimedOut),
         Some(Err(error)) => {
             if !matches!(error, BufferError::Broken(_)) {
@@ -171,7 +171,7 @@
             }
             return Outcome::Failed(Failure::Cut(error.to_string()));
         }
-        Some(Ok(body)) => body,
+        Some(Ok(read)) => read,
     };
     shared.upstream.pool.put_back(connection);
     if head.not_run {
@@ -187,7 +187,8 @@
     if head.leaving {
         parts.extensions.insert(FromLeaving(life.clone()));
     }
-    Outcome::Answered(Response::from_parts(parts, ResponseBody::scheduled(&shared.uplink, body)))
+    let body = ResponseBody::scheduled(&shared.uplink, body).held_by(guard);
+    Outcome::Answered(Response::from_parts(parts, body))
 }
 
 /// Whether the response with `headers` belongs to `call`.
