--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -157,7 +157,7 @@
     }
 }
 
-fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 21] {
+fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 22] {
     let now = shared.now();
     let state = shared.upstream.state.borrow();
     let knowledge = shared.knowledge.borrow();
@@ -254,6 +254,11 @@
             "Time since the store last confirmed that nothing newer is stored; -1 before the first",
             millis(shared.follower.last_confirmed().map(|at| now.saturating_sub(at))),
         ),
+        (
+            "rattanarch_upstream_bytes",
+            "Bytes of the bodies of requests under way to the upstream",
+            state.bytes.sum() as i64,
+        ),
         (
             "rattanarch_held_bytes",
             "Bytes of bodies and responses held for callers and peers",
--- /dev/null
+++ b/crates/rattanarch_mesh/src/upstream/bytes_slot.rs
@@ -0,0 +1,52 @@
+//! Wait until the body of a request fits beside those that are under way to the upstream.
+
+use std::rc::Rc;
+
+use crate::process::Shared;
+use crate::request::Call;
+use crate::request::Reason;
+use crate::request::Refusal;
+
+/// Ratio of the time to its deadline that a request may wait for the bodies of others: the rest has to suffice for the
+/// work, and a refused caller needs time to retry.
+const WAIT_RATIO: f64 = 0.4;
+
+/// The bytes of one request under way to the upstream; removed when it is dropped.
+pub(crate) struct BytesSlot {
+    shared: Rc<Shared>,
+    bytes: usize,
+}
+
+/// Waits, without a slot of the upstream, until the body of `call` may be under way to it.
+///
+/// # Errors
+/// A refusal, if the others take too long; the request hasn't run then.
+pub(crate) async fn wait_for_bytes(shared: &Rc<Shared>, call: &Call) -> Result<BytesSlot, Refusal> {
+    let bytes = call.body.len();
+    if shared.upstream.state.borrow_mut().bytes.try_add(bytes) {
+        return Ok(BytesSlot { shared: Rc::clone(shared), bytes });
+    }
+    let left = call.deadline.saturating_sub(shared.now());
+    let waiting = async {
+        loop {
+            let freed = shared.upstream.bytes_freed.notified();
+            if shared.upstream.state.borrow_mut().bytes.try_add(bytes) {
+                return;
+            }
+            freed.await;
+        }
+    };
+    match tokio::time::timeout(left.mul_f64(WAIT_RATIO), waiting).await {
+        Ok(()) => Ok(BytesSlot { shared: Rc::clone(shared), bytes }),
+        Err(_) => Err(Refusal::from(Reason::Overloaded)),
+    }
+}
+
+impl Drop for BytesSlot {
+    fn drop(&mut self) {
+        self.shared.upstream.state.borrow_mut().bytes.remove(self.bytes);
+        if self.bytes > 0 {
+            self.shared.upstream.bytes_freed.notify_waiters();
+        }
+    }
+}
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -33,6 +33,8 @@
 use crate::upstream::Permit;
 use crate::upstream::UpstreamSnapshot;
 use crate::upstream::admit;
+use crate::upstream::bytes_slot::BytesSlot;
+use crate::upstream::bytes_slot::wait_for_bytes;
 use crate::upstream::life::LifeKey;
 use crate::upstream::notices::FromLeaving;
 use crate::upstream::notices::apply_notices;
@@ -49,8 +51,12 @@
         // A daemon of another service had this address before and may still be in that service's record.
         return Outcome::Refused(Reason::OtherService.into());
     }
-    let permit = match admit(shared, call, trace).await {
-        Ok(permit) => permit,
+    let admitted = match wait_for_bytes(shared, call).await {
+        Ok(slot) => admit(shared, call, trace).await.map(|permit| (permit, slot)),
+        Err(refusal) => Err(refusal),
+    };
+    let (permit, slot) = match admitted {
+        Ok(admitted) => admitted,
         Err(Refusal { reason, retry_after, by_upstream }) => {
             trace.add(Decision::Refused {
                 reason,
@@ -60,7 +66,7 @@
             return Outcome::Refused(Refusal { reason, retry_after, by_upstream });
         }
     };
-    let exchange = send(Rc::clone(shared), Rc::clone(call), permit);
+    let exchange = send(Rc::clone(shared), Rc::clone(call), permit, slot);
     if call.idempotent {
         return exchange.await;
     }
@@ -70,7 +76,7 @@
     }
 }
 
-async fn send(shared: Rc<Shared>, call: Rc<Call>, mut permit: Permit) -> Outcome {
+async fn send(shared: Rc<Shared>, call: Rc<Call>, mut permit: Permit, _slot: BytesSlot) -> Outcome {
     let mut connection = match checkout(&shared, &call).await {
         Ok(connection) => connection,
         Err(refusal) => return Outcome::Refused(refusal),
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! The upstream on this machine: its heartbeats, the admission of requests and their exchange.
 
 mod admission;
+mod bytes_slot;
 mod exchange;
 mod grant_log;
 mod health_check;
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -9,6 +9,7 @@
 
 use rattanarch_adapter::Bounds;
 use rattanarch_admission::AdmissionController;
+use rattanarch_admission::BytesUnderWay;
 use rattanarch_admission::SliceMeter;
 use rattanarch_ownership::Grants;
 use rattanarch_ownership::Serving;
@@ -16,6 +17,7 @@
 use rattanarch_types::Moment;
 use rattanarch_types::SliceId;
 use rattanarch_types::slice_of;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::connection::Pool;
@@ -39,6 +41,8 @@
     pub(crate) state: RefCell<UpstreamState>,
     /// Whether a timer is set for the next request that the rate limit of the upstream allows.
     pub(crate) pace_timer: Cell<bool>,
+    /// Notified when bytes of requests under way are freed.
+    pub(crate) bytes_freed: Notify,
 }
 
 /// Sends a waiting request its permit, or the reason why it is refused.
@@ -59,6 +63,8 @@
     /// The current life; `None` before the first heartbeat.
     pub(crate) life: Option<Life>,
     pub(crate) admission: AdmissionController<PermitSender>,
+    /// Bodies of the requests under way to it, from before their admission to their ends.
+    pub(crate) bytes: BytesUnderWay,
     pub(crate) grants: Grants,
     /// What the ownership protocol lets this member serve.
     pub(crate) serving: Serving,
@@ -93,6 +99,7 @@
         let state = UpstreamState {
             life: None,
             admission: AdmissionController::new(1),
+            bytes: BytesUnderWay::default(),
             grants: Grants::default(),
             serving: Serving::default(),
             keyed: false,
@@ -103,7 +110,12 @@
             resumed_at: Moment::ZERO,
         };
         let pool = Rc::new(Pool::to_upstream(address));
-        Self { pool, state: RefCell::new(state), pace_timer: Cell::new(false) }
+        Self {
+            pool,
+            state: RefCell::new(state),
+            pace_timer: Cell::new(false),
+            bytes_freed: Notify::new(),
+        }
     }
 }
 
