Give up bodies of the same listener only, charge long responses of the daemon itself, and forward what callers may send

Cause, found in review: with all connections of a listener busy, the body given up could belong to another listener; state that a client of `peers` asks for and does not read was not charged, and neither was a long page of metrics; a caller's 100 fields and the daemon's own exceeded what the next daemon reads. Holders now know their listener, long responses of the daemon itself are charged and sent in pieces, and 128 fields are read between daemons. `memory` and `descriptors` may have a fraction.

--- a/crates/rattanarch_admission/src/byte_budget.rs
+++ b/crates/rattanarch_admission/src/byte_budget.rs
@@ -117,9 +117,15 @@
         }
     }
 
-    /// Gives up the holder that has been without progress longest; `None` if each made progress lately.
-    pub fn evict_stalled(&mut self, now: Moment) -> Option<HolderKey> {
-        let victim = self.stalled(now, HolderKey::default()).into_iter().next()?;
+    /// Gives up the holder that has been without progress longest, of those that are `eligible`; `None` if each made
+    /// progress lately.
+    pub fn evict_stalled(
+        &mut self,
+        now: Moment,
+        eligible: impl Fn(HolderKey) -> bool,
+    ) -> Option<HolderKey> {
+        let mut stalled = self.stalled(now, HolderKey::default()).into_iter();
+        let victim = stalled.find(|key| eligible(*key))?;
         self.close(victim);
         Some(victim)
     }
--- a/crates/rattanarch_mesh/src/connection/body.rs
+++ b/crates/rattanarch_mesh/src/connection/body.rs
@@ -17,6 +17,8 @@
 use crate::connection::PooledConnection;
 use crate::connection::ScheduledBody;
 use crate::connection::UplinkScheduler;
+use crate::connection::buffers::UNCHARGED_BYTES;
+use crate::connection::uplink_scheduler::MIN_LARGE_RESPONSE;
 
 /// Body of a response to a caller or a peer.
 #[derive(Debug)]
@@ -49,7 +51,11 @@
 impl ResponseBody {
     /// A body of `bytes` that is sent at once.
     pub(crate) fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full(Full::new(bytes.into()))
+        let bytes = bytes.into();
+        if bytes.len() < MIN_LARGE_RESPONSE {
+            return Self::Full(Full::new(bytes));
+        }
+        Self::Scheduled(ScheduledBody::immediate(bytes))
     }
 
     /// A body of the upstream, which is scheduled on the uplink if it is large.
@@ -60,7 +66,7 @@
     /// Number of bytes that are sent without being scheduled; 0 if it isn't known.
     pub(crate) fn unscheduled_len(&self) -> usize {
         match self {
-            Self::Scheduled(_) => 0,
+            Self::Scheduled(body) => body.unscheduled_len(),
             Self::Held(held) => held.0.unscheduled_len(),
             body => body.size_hint().exact().unwrap_or_default() as usize,
         }
@@ -74,6 +80,21 @@
         Self::Held(Box::new((self, guard)))
     }
 
+    /// This body, charged to `held` if it is a long one of this process that is not charged yet.
+    pub(crate) fn charged_to(self, held: &HeldBytes) -> Self {
+        let length = match &self {
+            Self::Full(_) | Self::Scheduled(_) => self.size_hint().exact().unwrap_or_default(),
+            Self::Relayed(_) | Self::Held(_) => 0,
+        };
+        if length <= UNCHARGED_BYTES as u64 {
+            return self;
+        }
+        let guard = held.open_response();
+        // The response is there already, so it is sent even if there is no room.
+        guard.charge_response(length as usize);
+        self.held_by(Some(guard))
+    }
+
     /// What charges the body to the budget.
     pub(crate) fn guard(&self) -> Option<&HeldGuard> {
         match self {
--- a/crates/rattanarch_mesh/src/connection/buffers.rs
+++ b/crates/rattanarch_mesh/src/connection/buffers.rs
@@ -23,7 +23,7 @@
 const SHARED_BYTES: usize = 24 << 20;
 
 /// Bytes of a response that are not charged to the budget: they are few for each connection.
-const UNCHARGED_BYTES: usize = 4 << 10;
+pub(crate) const UNCHARGED_BYTES: usize = 4 << 10;
 
 /// Why a response was not read whole.
 #[derive(Debug, thiserror::Error)]
--- a/crates/rattanarch_mesh/src/connection/connections.rs
+++ b/crates/rattanarch_mesh/src/connection/connections.rs
@@ -12,11 +12,13 @@
 
 use crate::connection::HeldBytes;
 use crate::connection::LimitEvent;
+use crate::connection::Listener;
 use crate::process::ActiveCount;
 
 /// The open connections of one listener, bounded in number.
 #[derive(Debug)]
 pub(crate) struct Connections {
+    listener: Listener,
     limit: usize,
     next: Cell<u64>,
     open: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
@@ -42,6 +44,7 @@
     connections: Rc<Connections>,
     id: u64,
     pub(crate) state: Rc<ConnectionState>,
+    pub(crate) listener: Listener,
     _counted: crate::process::ActiveGuard,
 }
 
@@ -49,9 +52,9 @@
 pub(crate) struct BusyGuard(Rc<ConnectionState>);
 
 impl Connections {
-    /// Creates a listener's connections, at most `limit` at once, which are counted in `count`.
-    pub(crate) fn new(limit: usize, count: ActiveCount) -> Self {
-        Self { limit, next: Cell::new(0), open: RefCell::default(), count }
+    /// Creates the connections of `listener`, at most `limit` at once, which are counted in `count`.
+    pub(crate) fn new(listener: Listener, limit: usize, count: ActiveCount) -> Self {
+        Self { listener, limit, next: Cell::new(0), open: RefCell::default(), count }
     }
 
     /// Admits a new connection, and closes the one that is idle longest if there is no room. `None` if there is none.
@@ -69,7 +72,8 @@
         });
         self.open.borrow_mut().insert(id, Rc::clone(&state));
         let counted = self.count.begin();
-        Some(OpenConnection { connections: Rc::clone(self), id, state, _counted: counted })
+        let (connections, listener) = (Rc::clone(self), self.listener);
+        Some(OpenConnection { connections, id, state, listener, _counted: counted })
     }
 
     /// Whether the next connection needs the room of another.
@@ -83,7 +87,7 @@
         let Some(state) = idle.and_then(|id| open.remove(&id)) else {
             drop(open);
             // A request whose body makes no progress ends at once, and its connection with it.
-            return held.evict_stalled();
+            return held.evict_stalled(self.listener);
         };
         held.record(LimitEvent::IdleClosed);
         state.close.notify_one();
--- a/crates/rattanarch_mesh/src/connection/held_body.rs
+++ b/crates/rattanarch_mesh/src/connection/held_body.rs
@@ -17,6 +17,7 @@
 use rattanarch_process::Clock;
 
 use crate::connection::HeldBytes;
+use crate::connection::Listener;
 use crate::connection::held_bytes::HeldGuard;
 use crate::connection::limit_log::LimitEvent;
 
@@ -70,14 +71,15 @@
     /// # Errors
     /// See [`ReadError`].
     pub(crate) async fn read(
-        held: &HeldBytes,
+        (held, listener): (&HeldBytes, Listener),
         incoming: Incoming,
         limit: usize,
     ) -> Result<Self, ReadError> {
         if incoming.is_end_stream() {
             return Ok(Self::default());
         }
-        let read = Reader::new(held, limit, incoming.size_hint().exact()).run(incoming).await;
+        let reader = Reader::new(held.open(listener), limit, incoming.size_hint().exact());
+        let read = reader.run(incoming).await;
         match read {
             Err(ReadError::TooLong) => held.record(LimitEvent::BodyTooLong),
             Err(ReadError::Stalled) => held.record(LimitEvent::BodyStalled),
@@ -128,9 +130,9 @@
 }
 
 impl Reader {
-    fn new(held: &HeldBytes, limit: usize, announced: Option<u64>) -> Self {
+    fn new(guard: HeldGuard, limit: usize, announced: Option<u64>) -> Self {
         Self {
-            guard: held.open(),
+            guard,
             limit,
             announced,
             blocks: Vec::new(),
--- a/crates/rattanarch_mesh/src/connection/held_bytes.rs
+++ b/crates/rattanarch_mesh/src/connection/held_bytes.rs
@@ -1,5 +1,6 @@
 //! Wires the budget of held bytes to the tasks that hold them.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt::Debug;
@@ -13,6 +14,7 @@
 use rattanarch_process::Clock;
 use tokio::sync::Notify;
 
+use crate::connection::Listener;
 use crate::connection::limit_log::LimitEvent;
 use crate::connection::limit_log::LimitLog;
 use crate::process::ActiveCount;
@@ -29,13 +31,15 @@
     signals: RefCell<HashMap<HolderKey, Rc<Signal>>>,
     log: LimitLog,
     /// Open connections by listener.
-    connections: RefCell<Vec<(&'static str, ActiveCount)>>,
+    connections: RefCell<Vec<(Listener, ActiveCount)>>,
 }
 
 /// Tells a holder that it is given up.
 #[derive(Default)]
 struct Signal {
     given_up: Notify,
+    /// Listener of the connection that the holder keeps busy; `None` for a response that is not being sent yet.
+    listener: Cell<Option<Listener>>,
     /// Closes the connection that writes the response.
     close: RefCell<Option<Rc<Notify>>>,
 }
@@ -60,16 +64,21 @@
         &self.0.plan
     }
 
-    /// Creates the count of open connections of the listener `name`.
-    pub(crate) fn count_connections(&self, name: &'static str) -> ActiveCount {
+    /// Creates the count of open connections of `listener`.
+    pub(crate) fn count_connections(&self, listener: Listener) -> ActiveCount {
         let count = ActiveCount::default();
-        self.0.connections.borrow_mut().push((name, count.clone()));
+        self.0.connections.borrow_mut().push((listener, count.clone()));
         count
     }
 
     /// Open connections by listener.
-    pub(crate) fn connections(&self) -> Vec<(&'static str, usize)> {
-        self.0.connections.borrow().iter().map(|(name, count)| (*name, count.get())).collect()
+    pub(crate) fn connections(&self) -> Vec<(Listener, usize)> {
+        self.0
+            .connections
+            .borrow()
+            .iter()
+            .map(|(listener, count)| (*listener, count.get()))
+            .collect()
     }
 
     /// Bytes held at present.
@@ -87,24 +96,35 @@
         self.0.log.record(self.0.clock.now(), event);
     }
 
-    /// Opens a holder without bytes.
-    pub(crate) fn open(&self) -> HeldGuard {
+    /// Opens a holder without bytes, for a body that is read from a connection of `listener`.
+    pub(crate) fn open(&self, listener: Listener) -> HeldGuard {
+        self.open_at(Some(listener))
+    }
+
+    fn open_at(&self, listener: Option<Listener>) -> HeldGuard {
         let key = self.0.budget.borrow_mut().open(self.0.clock.now());
-        let signal = Rc::<Signal>::default();
+        let signal = Rc::new(Signal { listener: Cell::new(listener), ..Signal::default() });
         self.0.signals.borrow_mut().insert(key, Rc::clone(&signal));
         HeldGuard { held: self.clone(), key, signal }
     }
 
     /// Opens a holder for a response, which is not given up while it is read from the upstream.
     pub(crate) fn open_response(&self) -> HeldGuard {
-        let guard = self.open();
+        let guard = self.open_at(None);
         guard.set_evictable(false);
         guard
     }
 
-    /// Gives up the body or response that has been without progress longest; returns whether there is one.
-    pub(crate) fn evict_stalled(&self) -> bool {
-        let victim = self.0.budget.borrow_mut().evict_stalled(self.0.clock.now());
+    /// Gives up the body or response of a connection of `listener` that has been without progress longest; returns
+    /// whether there is one.
+    pub(crate) fn evict_stalled(&self, listener: Listener) -> bool {
+        let victim = {
+            let signals = self.0.signals.borrow();
+            let of_listener = |key| {
+                signals.get(&key).is_some_and(|signal| signal.listener.get() == Some(listener))
+            };
+            self.0.budget.borrow_mut().evict_stalled(self.0.clock.now(), of_listener)
+        };
         self.give_up(victim.as_slice());
         victim.is_some()
     }
@@ -162,8 +182,9 @@
         self.signal.given_up.notified().await;
     }
 
-    /// Lets `close` be notified when the holder is given up.
-    pub(crate) fn close_by(&self, close: Rc<Notify>) {
+    /// Lets `close` be notified when the holder is given up, which sends its bytes on a connection of `listener`.
+    pub(crate) fn close_by(&self, close: Rc<Notify>, listener: Listener) {
+        self.signal.listener.set(Some(listener));
         self.signal.close.replace(Some(close));
     }
 }
--- a/crates/rattanarch_mesh/src/connection/post.rs
+++ b/crates/rattanarch_mesh/src/connection/post.rs
@@ -17,6 +17,7 @@
 
 use crate::connection::Checkout;
 use crate::connection::HeldBody;
+use crate::connection::Listener;
 use crate::connection::Pool;
 use crate::connection::PooledConnection;
 use crate::connection::RequestBody;
@@ -129,6 +130,7 @@
     request: Request<Incoming>,
     limit: usize,
 ) -> Option<T> {
-    let body = HeldBody::read(&shared.held, request.into_body(), limit).await.ok()?;
+    let body =
+        HeldBody::read((&shared.held, Listener::Peers), request.into_body(), limit).await.ok()?;
     serde_json::from_slice(&body.to_bytes()).ok()
 }
--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -54,6 +54,8 @@
     pub(crate) idle_timeout: Duration,
     /// Largest request head, in bytes; raised to [`MIN_BUFFER`] if smaller.
     pub(crate) max_head_bytes: usize,
+    /// Most fields of a request head; the codec's 100 if `None`.
+    pub(crate) max_fields: Option<usize>,
     /// Longest time from the first byte of a request head to its end.
     pub(crate) head_timeout: Duration,
 }
@@ -117,12 +119,13 @@
     let service = service_fn(|request| {
         used.set(true);
         let (busy, close) = (open.state.begin(), Rc::clone(&open.state.close));
+        let listener = open.listener;
         let response = Rc::clone(&handler).handle(request);
         let shared = Rc::clone(&shared);
         async move {
-            let mut response = response.await;
+            let mut response = response.await.map(|body| body.charged_to(&shared.held));
             if let Some(guard) = response.body().guard() {
-                guard.close_by(close);
+                guard.close_by(close, listener);
             }
             // Bytes that are sent at once delay the queued responses on the uplink.
             shared.uplink.record_immediate(response.body().unscheduled_len());
@@ -136,6 +139,9 @@
     http.timer(TokioTimer::new())
         .header_read_timeout(options.idle_timeout)
         .max_buf_size(options.max_head_bytes.max(MIN_BUFFER));
+    if let Some(max_fields) = options.max_fields {
+        http.max_headers(max_fields);
+    }
     let (state, held) = (Rc::clone(&open.state), shared.held.clone());
     let stream = ServerStream::new(stream, state, held, options.head_timeout);
     let mut connection = std::pin::pin!(http.serve_connection(TokioIo::new(stream), service));
--- a/crates/rattanarch_mesh/src/connection/uplink_scheduler.rs
+++ b/crates/rattanarch_mesh/src/connection/uplink_scheduler.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Semaphore;
 
 /// Smallest response that is scheduled, in bytes: a smaller one is a few packets, which don't delay others.
-const MIN_LARGE_RESPONSE: usize = 32 << 10;
+pub(crate) const MIN_LARGE_RESPONSE: usize = 32 << 10;
 
 /// Largest part of a response that is handed to the connection at once, in bytes, so that a response whose reader is
 /// slow isn't buffered twice.
@@ -117,6 +117,16 @@
 }
 
 impl ScheduledBody {
+    /// A body that is sent at once, in pieces.
+    pub(crate) fn immediate(bytes: Bytes) -> Self {
+        Self { rest: bytes, wait: None }
+    }
+
+    /// Number of bytes that are sent without being scheduled.
+    pub(crate) fn unscheduled_len(&self) -> usize {
+        if self.wait.is_some() { 0 } else { self.len() }
+    }
+
     /// Number of bytes that are still to be sent.
     pub(crate) fn len(&self) -> usize {
         self.rest.len()
--- a/crates/rattanarch_mesh/src/process/listeners.rs
+++ b/crates/rattanarch_mesh/src/process/listeners.rs
@@ -15,6 +15,7 @@
 
 use crate::connection::Connections;
 use crate::connection::Handler;
+use crate::connection::Listener;
 use crate::connection::ResponseBody;
 use crate::connection::ServerOptions;
 use crate::connection::serve;
@@ -43,6 +44,9 @@
 /// on a connection that is being closed.
 const IDLE_RESERVE: Duration = Duration::from_secs(2);
 
+/// Most fields of a forwarded request: the 100 that a caller may send, and those that daemons add.
+const MAX_FORWARDED_FIELDS: usize = 128;
+
 /// Starts to listen on all addresses of the settings.
 ///
 /// # Errors
@@ -52,6 +56,7 @@
     let fixed = || ServerOptions {
         idle_timeout: IDLE_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
+        max_fields: None,
         head_timeout: HEAD_TIMEOUT,
     };
     let callers = {
@@ -61,6 +66,7 @@
             ServerOptions {
                 idle_timeout: limits.idle_timeout + IDLE_RESERVE,
                 max_head_bytes: limits.max_head_bytes,
+                max_fields: None,
                 head_timeout: limits.head_timeout,
             }
         }
@@ -69,27 +75,33 @@
         let shared = Rc::clone(shared);
         move || ServerOptions {
             max_head_bytes: limits(&shared).max_head_bytes + FORWARD_HEAD_BYTES,
+            max_fields: Some(MAX_FORWARDED_FIELDS),
             ..fixed()
         }
     };
     let plan = *shared.held.plan();
     start(
         shared,
-        (listen.callers, "callers", plan.callers),
+        (listen.callers, Listener::Callers, plan.callers),
         callers,
         Outbound::new(Rc::clone(shared)),
     )?;
-    start(shared, (listen.peers, "peers", plan.peers), peers, Inbound(Rc::clone(shared)))?;
+    start(shared, (listen.peers, Listener::Peers, plan.peers), peers, Inbound(Rc::clone(shared)))?;
     start(
         shared,
-        (listen.upstream, "upstream", plan.others),
+        (listen.upstream, Listener::Upstream, plan.others),
         fixed,
         HeartbeatHandler(Rc::clone(shared)),
     )?;
-    start(shared, (listen.ready, "ready", plan.others), fixed, ReadyHandler(Rc::clone(shared)))?;
     start(
         shared,
-        (listen.metrics, "metrics", plan.others),
+        (listen.ready, Listener::Ready, plan.others),
+        fixed,
+        ReadyHandler(Rc::clone(shared)),
+    )?;
+    start(
+        shared,
+        (listen.metrics, Listener::Metrics, plan.others),
         fixed,
         MetricsHandler(Rc::clone(shared)),
     )
@@ -102,12 +114,12 @@
 
 fn start<H: Handler>(
     shared: &Rc<Shared>,
-    (address, name, limit): (SocketAddr, &'static str, usize),
+    (address, kind, limit): (SocketAddr, Listener, usize),
     options: impl Fn() -> ServerOptions + 'static,
     handler: H,
 ) -> io::Result<()> {
     let listener = bind(address)?;
-    let connections = Rc::new(Connections::new(limit, shared.held.count_connections(name)));
+    let connections = Rc::new(Connections::new(kind, limit, shared.held.count_connections(kind)));
     let serving = serve(Rc::clone(shared), listener, options, Rc::new(handler), connections);
     tokio::task::spawn_local(serving);
     Ok(())
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -139,8 +139,8 @@
             self.metrics.set(name, help, &Labels::new(), value);
         }
         for (listener, count) in shared.held.connections() {
-            let (labels, help) =
-                (labels(&[("listener", listener)]), "Open connections by listener");
+            let labels = labels(&[("listener", &listener.to_string())]);
+            let help = "Open connections by listener";
             self.metrics.set("rattanarch_connections", help, &labels, count as i64);
         }
         for (event, count) in shared.held.events() {
--- a/crates/rattanarch_mesh/src/process/settings.rs
+++ b/crates/rattanarch_mesh/src/process/settings.rs
@@ -36,10 +36,10 @@
     #[serde(default)]
     pub link: f64,
     /// Memory of the machine in MB; 0 if unknown.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "amount")]
     pub memory: usize,
     /// Descriptors that the process may open; 0 if unknown.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "amount")]
     pub descriptors: usize,
     /// Whether the whole system starts for the first time, so that the store can't have lost anything.
     #[serde(default)]
@@ -155,6 +155,15 @@
     }
 }
 
+/// A number of the platform, which may have a fraction.
+fn amount<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    let amount = f64::deserialize(deserializer)?;
+    if !amount.is_finite() || amount < 0.0 {
+        return Err(D::Error::custom(format!("{amount} is no amount")));
+    }
+    Ok(amount as usize)
+}
+
 fn duration<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
     let text = String::deserialize(deserializer)?;
     parse_duration(&text).map_err(D::Error::custom)
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -13,6 +13,7 @@
 
 use crate::connection::Handler;
 use crate::connection::HeldBody;
+use crate::connection::Listener;
 use crate::connection::ReadError;
 use crate::connection::ResponseBody;
 use crate::control;
@@ -79,7 +80,7 @@
     let (mut parts, body) = request.into_parts();
     let limits = shared.knowledge.borrow().routes().map(|routes| routes.limits);
     let limit = limits.unwrap_or_default().max_body_bytes;
-    let body = HeldBody::read(&shared.held, body, limit).await?;
+    let body = HeldBody::read((&shared.held, Listener::Peers), body, limit).await?;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(FORWARD);
     let flow = parts.headers.remove(FLOW).and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -21,6 +21,7 @@
 
 use crate::connection::Handler;
 use crate::connection::HeldBody;
+use crate::connection::Listener;
 use crate::connection::ReadError;
 use crate::connection::ResponseBody;
 use crate::process::Phase;
@@ -207,11 +208,13 @@
     limit: usize,
 ) -> Result<HeldBody, Response<ResponseBody>> {
     let plain = |status, error: ReadError| responses::plain(status, error.to_string());
-    HeldBody::read(&shared.held, body, limit).await.map_err(|error| match error {
-        ReadError::TooLong => plain(StatusCode::PAYLOAD_TOO_LARGE, error),
-        // The caller disconnected in the middle of its body, or sent malformed chunks.
-        ReadError::Cut => plain(StatusCode::BAD_REQUEST, error),
-        ReadError::Stalled => plain(StatusCode::REQUEST_TIMEOUT, error),
-        ReadError::NoRoom => responses::refused(Reason::BuffersFull.into()),
-    })
+    HeldBody::read((&shared.held, Listener::Callers), body, limit).await.map_err(
+        |error| match error {
+            ReadError::TooLong => plain(StatusCode::PAYLOAD_TOO_LARGE, error),
+            // The caller disconnected in the middle of its body, or sent malformed chunks.
+            ReadError::Cut => plain(StatusCode::BAD_REQUEST, error),
+            ReadError::Stalled => plain(StatusCode::REQUEST_TIMEOUT, error),
+            ReadError::NoRoom => responses::refused(Reason::BuffersFull.into()),
+        },
+    )
 }
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -19,6 +19,7 @@
 
 use crate::connection::Handler;
 use crate::connection::HeldBody;
+use crate::connection::Listener;
 use crate::connection::ResponseBody;
 use crate::control;
 use crate::process::Shared;
@@ -45,7 +46,9 @@
 impl Handler for HeartbeatHandler {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         let call = upstream_call(request.uri().path());
-        let body = HeldBody::read(&self.0.held, request.into_body(), MAX_HEARTBEAT).await;
+        let body =
+            HeldBody::read((&self.0.held, Listener::Upstream), request.into_body(), MAX_HEARTBEAT)
+                .await;
         let Ok(body) = body else { return responses::json(StatusCode::BAD_REQUEST, String::new()) };
         let body = body.to_bytes();
         match call {
--- a/crates/rattanarch_mesh/tests/settings.rs
+++ b/crates/rattanarch_mesh/tests/settings.rs
@@ -29,9 +29,18 @@
     let settings = Settings::parse(SETTINGS).expect("they are valid");
     assert_eq!(settings.heartbeat, Duration::from_millis(870));
     assert_eq!(settings.bounds().drain, Duration::from_millis(2_500));
+    assert_eq!((settings.memory, settings.descriptors), (0, 0));
     assert_eq!((settings.log.level.as_str(), settings.log.sample), ("info", 64));
 }
 
+/// Guards against a daemon that does not start because the platform writes the machine's memory with a fraction.
+#[test]
+fn machine_amounts() {
+    let text = format!("memory = 256.5\ndescriptors = 4100\n{SETTINGS}");
+    let settings = Settings::parse(&text).expect("they are valid");
+    assert_eq!((settings.memory, settings.descriptors), (256, 4_100));
+}
+
 /// Errors name the field and what is wrong with it.
 #[test]
 fn named_errors() {
@@ -41,6 +50,8 @@
         ("\"10.1.0.38:8145\"", "\"here\"", "upstream"),
         ("service = \"huvo11a\"", "", "service"),
         ("\"huvo11a\"", "\"\"", "service"),
+        ("[listen]", "memory = -1\n[listen]", "memory"),
+        ("[listen]", "descriptors = nan\n[listen]", "descriptors"),
         ("[listen]", "[log]\nlevel = \"loud\"\n[listen]", "log.level"),
     ] {
         let error = Settings::parse(&SETTINGS.replace(good, bad)).expect_err(bad).to_string();
