--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -14,6 +14,9 @@
 //! slots, a [`RateLimiter`] and an [`UpstreamPace`], which limits an upstream that is cold or recovers. The queue orders by
 //! flow with [`FlowShares`], and a [`RetrySchedule`] tells refused callers when to return.
 //!
+//! What callers make a process hold is bounded by a [`ByteBudget`] with the shares of a [`CapacityPlan`];
+//! a [`ProgressMeter`] finds bodies that stand still, and [`BytesUnderWay`] bounds what the upstream holds.
+//!
 //! ```
 //! use std::time::Duration;
 //! use rattanarch_admission::{AttemptOutcome, ConcurrencyLimiter, Queue, Throughput};
@@ -41,6 +44,9 @@
 
 mod admission_controller;
 mod attempt_outcome;
+mod byte_budget;
+mod bytes_under_way;
+mod capacity_plan;
 mod cold_start;
 mod concurrency_limiter;
 mod flow_shares;
@@ -48,6 +54,8 @@
 mod hedge_budget;
 mod idempotency_cache;
 mod load_report;
+mod longest_idle;
+mod progress_meter;
 mod queue;
 mod rate_limiter;
 mod rate_meter;
@@ -64,6 +72,12 @@
 pub use admission_controller::OfferResult;
 pub use admission_controller::PendingRequest;
 pub use attempt_outcome::AttemptOutcome;
+pub use byte_budget::ByteBudget;
+pub use byte_budget::FIRST_BYTES;
+pub use byte_budget::HolderKey;
+pub use byte_budget::Reservation;
+pub use bytes_under_way::BytesUnderWay;
+pub use capacity_plan::CapacityPlan;
 pub use cold_start::ColdStart;
 pub use concurrency_limiter::ConcurrencyLimiter;
 pub use flow_shares::FlowShares;
@@ -74,6 +88,9 @@
 pub use idempotency_cache::IdempotencyEntry;
 pub use idempotency_cache::Lookup;
 pub use load_report::LoadReport;
+pub use longest_idle::longest_idle;
+pub use progress_meter::PROGRESS_TIME;
+pub use progress_meter::ProgressMeter;
 pub use queue::PopResult;
 pub use queue::Queue;
 pub use queue::ShedRequest;
--- a/crates/rattanarch_mesh/src/connection/uplink_scheduler.rs
+++ b/crates/rattanarch_mesh/src/connection/uplink_scheduler.rs
@@ -16,12 +16,16 @@
 use tokio::sync::Semaphore;
 
 /// Smallest response that is scheduled, in bytes: a smaller one is a few packets, which don't delay others.
-const MIN_LARGE_RESPONSE: usize = 32 << 10;
+pub(crate) const MIN_LARGE_RESPONSE: usize = 32 << 10;
 
 /// Largest part of a response that is handed to the connection at once, in bytes, so that a response whose reader is
 /// slow isn't buffered twice.
 const MAX_CHUNK: usize = 16 << 10;
 
+/// Last bytes of a response that are handed to the connection as copies: what the connection has not yet written would
+/// otherwise keep the whole response in memory, although it no longer counts as held.
+const COPIED_TAIL: usize = 256 << 10;
+
 /// Longest time that a response is queued. The readers of those before it may have vanished, and a response that is
 /// ready has to be delivered.
 const MAX_WAIT: Duration = Duration::from_millis(400);
@@ -113,6 +117,16 @@
 }
 
 impl ScheduledBody {
+    /// A body that is sent at once, in pieces.
+    pub(crate) fn immediate(bytes: Bytes) -> Self {
+        Self { rest: bytes, wait: None }
+    }
+
+    /// Number of bytes that are sent without being scheduled.
+    pub(crate) fn unscheduled_len(&self) -> usize {
+        if self.wait.is_some() { 0 } else { self.len() }
+    }
+
     /// Number of bytes that are still to be sent.
     pub(crate) fn len(&self) -> usize {
         self.rest.len()
@@ -127,7 +141,9 @@
         if self.rest.is_empty() {
             return Poll::Ready(None);
         }
+        let copied = self.rest.len() <= COPIED_TAIL;
         let chunk = self.rest.split_to(MAX_CHUNK.min(self.rest.len()));
+        let chunk = if copied { Bytes::copy_from_slice(&chunk) } else { chunk };
         Poll::Ready(Some(Frame::data(chunk)))
     }
 }
--- a/crates/rattanarch_mesh/src/request/forward.rs
+++ b/crates/rattanarch_mesh/src/request/forward.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -20,6 +19,7 @@
 
 use crate::connection::Checkout;
 use crate::connection::PooledConnection;
+use crate::connection::RequestBody;
 use crate::connection::ResponseBody;
 use crate::connection::SendError;
 use crate::connection::within;
@@ -180,7 +180,7 @@
     peer: &Peer,
     attempt: &ForwardedAttempt<'_>,
     left: Duration,
-) -> Option<Request<Full<bytes::Bytes>>> {
+) -> Option<Request<RequestBody>> {
     let call = attempt.call;
     let forward_header = ForwardHeader {
         service: call.service.clone(),
@@ -195,7 +195,7 @@
         leaving: peer.leaving_notice(shared.now()),
         version: attempt.target.version,
     };
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(call.body.to_request());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     let headers = request.headers_mut();
@@ -227,7 +227,7 @@
         peer.record_leaving(shared.now(), life, member);
     }
     let retry_after = headers::retry_after(&parts.headers);
-    let body = ResponseBody::relayed(body, connection, Rc::clone(&peer.pool));
+    let body = ResponseBody::relayed(body, connection, Rc::clone(&peer.pool), &shared.held);
     match meta.verdict {
         Verdict::Done => {
             super::call::strip_connection_headers(&mut parts.headers);
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -68,13 +68,16 @@
     /// The process has started a moment ago and can't tell whether the request is a nested call.
     #[display("starting")]
     Starting,
+    /// The daemon has no room for the body.
+    #[display("buffers-full")]
+    BuffersFull,
     /// The process is stopping.
     #[display("stopping")]
     Stopping,
 }
 
 impl Reason {
-    const ALL: [Self; 21] = [
+    const ALL: [Self; 22] = [
         Self::NoConfiguration,
         Self::NoInstance,
         Self::NoKey,
@@ -95,6 +98,7 @@
         Self::Unreachable,
         Self::Silent,
         Self::Starting,
+        Self::BuffersFull,
         Self::Stopping,
     ];
 
@@ -120,6 +124,8 @@
             | Self::Unreachable
             | Self::Silent
             | Self::Starting
+            // Time in which bodies without progress are given up, or others end.
+            | Self::BuffersFull
             | Self::Stopping => Duration::from_millis(500),
         }
     }
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -22,6 +20,7 @@
 use crate::connection::BufferError;
 use crate::connection::Checkout;
 use crate::connection::PooledConnection;
+use crate::connection::RequestBody;
 use crate::connection::ResponseBody;
 use crate::connection::SendError;
 use crate::connection::within;
@@ -37,6 +36,8 @@
 use crate::upstream::Permit;
 use crate::upstream::UpstreamSnapshot;
 use crate::upstream::admit;
+use crate::upstream::bytes_slot::BytesSlot;
+use crate::upstream::bytes_slot::wait_for_bytes;
 use crate::upstream::life::LifeKey;
 use crate::upstream::notices::FromLeaving;
 use crate::upstream::notices::apply_notices;
@@ -54,8 +55,12 @@
         // A daemon of another service had this address before and may still be in that service's record.
         return Outcome::Refused(Reason::OtherService.into());
     }
-    let permit = match admit(shared, call, trace).await {
-        Ok(permit) => permit,
+    let admitted = match wait_for_bytes(shared, call).await {
+        Ok(slot) => admit(shared, call, trace).await.map(|permit| (permit, slot)),
+        Err(refusal) => Err(refusal),
+    };
+    let (permit, slot) = match admitted {
+        Ok(admitted) => admitted,
         Err(Refusal { reason, retry_after, by_upstream }) => {
             trace.add(Decision::Refused {
                 reason,
@@ -65,7 +70,7 @@
             return Outcome::Refused(Refusal { reason, retry_after, by_upstream });
         }
     };
-    let exchange = send(Rc::clone(shared), Rc::clone(call), permit);
+    let exchange = send(Rc::clone(shared), Rc::clone(call), permit, slot);
     if call.idempotent {
         return exchange.await;
     }
@@ -75,7 +80,7 @@
     }
 }
 
-async fn send(shared: Rc<Shared>, call: Rc<Call>, mut permit: Permit) -> Outcome {
+async fn send(shared: Rc<Shared>, call: Rc<Call>, mut permit: Permit, _slot: BytesSlot) -> Outcome {
     let mut connection = match checkout(&shared, &call).await {
         Ok(connection) => connection,
         Err(refusal) => return Outcome::Refused(refusal),
@@ -153,10 +158,10 @@
     shared: &Shared,
     call: &Call,
     left: Duration,
-) -> Option<(Request<Full<Bytes>>, LifeKey)> {
+) -> Option<(Request<RequestBody>, LifeKey)> {
     let state = shared.upstream.state.borrow();
     let life = state.life.as_ref()?;
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(call.body.to_request());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
@@ -179,7 +184,7 @@
     }
     apply_notices(shared, life, &head);
     let left = call.deadline.saturating_sub(shared.now());
-    let body = match within(left, shared.buffers.read(body)).await {
+    let (body, guard) = match within(left, shared.buffers.read(body, &shared.held)).await {
         None => {
             pace::observe_timeout(shared, life, permit.started_at(), left);
             return Outcome::Failed(Failure::TimedOut);
@@ -193,7 +198,7 @@
             }
             return Outcome::Failed(Failure::Cut(error.to_string()));
         }
-        Some(Ok(body)) => body,
+        Some(Ok(read)) => read,
     };
     shared.upstream.pool.put_back(connection);
     if head.not_run {
@@ -213,7 +218,8 @@
     if head.leaving {
         parts.extensions.insert(FromLeaving(life.clone()));
     }
-    Outcome::Answered(Response::from_parts(parts, ResponseBody::scheduled(&shared.uplink, body)))
+    let body = ResponseBody::scheduled(&shared.uplink, body).held_by(guard);
+    Outcome::Answered(Response::from_parts(parts, body))
 }
 
 /// Whether the upstream refused a request because it can't take more. One that names a limit on its rate may refuse what
