Follow the upstream's responses only where the settings ask for it

Cause, by reading (a review's arithmetic, not traced): the concurrency of a cold upstream lies below what its rate needs, and slow responses don't end recovering. Change: setting adaptive_pace, off by default; off, the upstream gets 1.1 times the configured rate while it says that it is cold and all slots at any time, as on.

--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -128,7 +128,7 @@
             running: 0,
             queue,
             rate_limiter: RateLimiter::default(),
-            pace: UpstreamPace::new(slots),
+            pace: UpstreamPace::fixed(slots),
             mean: 0.0,
             shortest: 0.0,
             arrivals: RateMeter::default(),
@@ -144,6 +144,16 @@
         self.queue.set_capacity(self.slots as usize * QUEUE_PER_SLOT);
     }
 
+    /// Sets whether rate and concurrency follow the upstream's responses; see [`UpstreamPace`]. Off at first.
+    pub fn set_adaptive_pace(&mut self, adaptive: bool) {
+        self.pace.set_adaptive(adaptive);
+    }
+
+    /// Whether rate and concurrency follow the upstream's responses.
+    pub fn has_adaptive_pace(&self) -> bool {
+        self.pace.is_adaptive()
+    }
+
     /// Records that a new life of the upstream begins at `now`.
     pub fn begin_life(&mut self, now: Moment) {
         self.pace.begin_life();
--- a/crates/rattanarch_admission/src/upstream_pace.rs
+++ b/crates/rattanarch_admission/src/upstream_pace.rs
@@ -225,6 +225,8 @@
 #[derive(Clone, Debug)]
 pub struct UpstreamPace {
     slots: u32,
+    /// Whether responses count; otherwise the told cold time alone does.
+    adaptive: bool,
     heat: Heat,
     /// Requests that may run at once; from `MIN_WINDOW`, if there are as many slots, to `slots`.
     window: f64,
@@ -283,6 +285,7 @@
         let slots = slots.max(1);
         Self {
             slots,
+            adaptive: true,
             heat: Heat::Warm,
             window: f64::from(slots),
             probing: false,
@@ -304,6 +307,22 @@
         }
     }
 
+    /// A pace that doesn't follow responses: 1.1 times the configured rate while the upstream says that it is cold, and
+    /// all slots at any time.
+    pub fn fixed(slots: u32) -> Self {
+        Self { adaptive: false, ..Self::new(slots) }
+    }
+
+    /// Sets whether responses count.
+    pub fn set_adaptive(&mut self, adaptive: bool) {
+        self.adaptive = adaptive;
+    }
+
+    /// Whether responses count.
+    pub fn is_adaptive(&self) -> bool {
+        self.adaptive
+    }
+
     /// Sets the number of slots. A window that was not lowered stays at the slots.
     pub fn set_slots(&mut self, slots: u32) {
         let is_full = self.window >= f64::from(self.slots);
@@ -316,7 +335,7 @@
     pub fn begin_life(&mut self) {
         let before = self.state();
         let (usual, changes) = (self.usual, std::mem::take(&mut self.changes));
-        *self = Self { usual, changes, ..Self::new(self.slots) };
+        *self = Self { adaptive: self.adaptive, usual, changes, ..Self::new(self.slots) };
         self.record_change(before, PaceCause::NewLife);
     }
 
@@ -364,6 +383,9 @@
     /// ended, itself included.
     pub fn observe(&mut self, now: Moment, sent: Moment, outcome: AttemptOutcome, running: u32) {
         self.update(now);
+        if !self.adaptive {
+            return;
+        }
         let before = self.state();
         let cause = match outcome {
             AttemptOutcome::Responded(time) => self.respond(now, sent, time, running),
@@ -525,8 +547,8 @@
     /// Requests that may run at once; from 1 to the slots.
     pub fn concurrency(&self) -> u32 {
         let limit = match self.heat {
-            Heat::Cold { .. } => self.cold_concurrency(),
-            Heat::Warming { .. } | Heat::Warm => self.slots,
+            Heat::Cold { .. } if self.adaptive => self.cold_concurrency(),
+            Heat::Cold { .. } | Heat::Warming { .. } | Heat::Warm => self.slots,
         };
         (self.window as u32).min(limit).clamp(1, self.slots)
     }
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -126,6 +126,8 @@
     let socket = PeerSocket::bind(settings.listen.datagrams).await?;
     let timing = control::timing(settings.heartbeat);
     let (phase, _) = watch::channel(Phase::Open);
+    let upstream = Upstream::new(settings.upstream);
+    upstream.state.borrow_mut().admission.set_adaptive_pace(settings.adaptive_pace);
     Ok(Rc::new(Shared {
         bounds: Cell::new(settings.bounds()),
         clock,
@@ -135,7 +137,7 @@
         knowledge: RefCell::new(Knowledge::default()),
         follower: StoreFollower::default(),
         state_changed: Notify::new(),
-        upstream: Upstream::new(settings.upstream),
+        upstream,
         control: RefCell::new(Control::new(timing, clock.now())),
         socket,
         quotas: Quotas::default(),
--- a/crates/rattanarch_mesh/src/process/settings.rs
+++ b/crates/rattanarch_mesh/src/process/settings.rs
@@ -41,6 +41,9 @@
     /// Descriptors that the process may open; 0 if unknown.
     #[serde(default, deserialize_with = "amount")]
     pub descriptors: usize,
+    /// Whether rate and concurrency of the upstream follow its responses while it starts or recovers.
+    #[serde(default)]
+    pub adaptive_pace: bool,
     /// Whether the whole system starts for the first time, so that the store can't have lost anything.
     #[serde(default)]
     pub bootstrap: bool,
--- a/crates/rattanarch_mesh/src/upstream/notices.rs
+++ b/crates/rattanarch_mesh/src/upstream/notices.rs
@@ -36,6 +36,7 @@
         state.admission.set_rate_limit(now, limit);
     }
     let cold = head.cold_time_left.filter(|left| !left.is_zero());
+    let cold = cold.filter(|_| state.admission.has_adaptive_pace());
     if let Some(left) = cold {
         state.admission.set_cold(now, left, cold_rate);
         pace::report_changes(shared, state);
