--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
@@ -33,6 +34,9 @@
 use crate::upstream::FromLeaving;
 use crate::upstream::LeavingSource;
 
+/// Longest time that a forwarded request may have left, above the timeouts of known routes: its body is held for as long.
+const MAX_FORWARDED_TIME: Duration = Duration::from_secs(120);
+
 /// Handles forwarded requests and control requests of other daemons.
 pub(crate) struct Inbound(pub(crate) Rc<Shared>);
 
@@ -94,8 +98,8 @@
         origin_service: header.origin_service,
         rank: header.rank,
         idempotent: header.idempotent,
-        objective: now + header.objective,
-        deadline: now + header.left,
+        objective: now + header.objective.min(MAX_FORWARDED_TIME),
+        deadline: now + header.left.min(MAX_FORWARDED_TIME),
         key: header.key,
         version: header.version,
         flow,
