--- a/crates/rattanarch_admission/src/byte_budget.rs
+++ b/crates/rattanarch_admission/src/byte_budget.rs
@@ -157,6 +157,8 @@
             return Some(Vec::new());
         }
         let mut candidates = self.stalled(now, key);
+        // Closing a body of which nothing is held frees nothing.
+        candidates.retain(|other| self.holders.get(*other).is_some_and(|holder| holder.bytes > 0));
         if first {
             let mut large: Vec<_> = self
                 .holders
