--- a/crates/rattanarch_admission/src/flow_shares.rs
+++ b/crates/rattanarch_admission/src/flow_shares.rs
@@ -42,6 +42,8 @@
     by_flow: HashMap<FlowId, Starts>,
     /// Starts of all flows.
     total: Starts,
+    /// When flows without recent starts were last forgotten: they count as flows that share the upstream.
+    pruned: Moment,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -66,7 +68,8 @@
     pub fn record_start(&mut self, now: Moment, flow: FlowId) {
         self.total.add(now);
         self.by_flow.entry(flow).or_default().add(now);
-        if self.by_flow.len() > MAX_FLOWS {
+        if self.by_flow.len() > MAX_FLOWS || now >= self.pruned + MEMORY {
+            self.pruned = now;
             self.forget(now);
         }
     }
