--- a/crates/rattanarch_mesh/src/process/listeners.rs
+++ b/crates/rattanarch_mesh/src/process/listeners.rs
@@ -74,7 +74,7 @@
     let peers = {
         let shared = Rc::clone(shared);
         move || ServerOptions {
-            max_head_bytes: limits(&shared).max_head_bytes + FORWARD_HEAD_BYTES,
+            max_head_bytes: limits(&shared).max_head_bytes.saturating_add(FORWARD_HEAD_BYTES),
             max_fields: Some(MAX_FORWARDED_FIELDS),
             ..fixed()
         }
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -132,7 +132,7 @@
 
     /// Whether the time to return is the caller's own by a schedule, so that no jitter is needed.
     pub(crate) fn is_scheduled(self) -> bool {
-        matches!(self, Self::Overloaded | Self::RateLimited)
+        matches!(self, Self::Overloaded | Self::RateLimited | Self::OverQuota)
     }
 
     /// Whether another instance of a service without keys may take the request.
