--- a/crates/rattanarch_admission/src/progress_meter.rs
+++ b/crates/rattanarch_admission/src/progress_meter.rs
@@ -4,7 +4,7 @@
 
 use rattanarch_types::Moment;
 
-/// Time in which [`MIN_BYTES`] have to be transferred. It is longer than the deadline of any known request and than the
+/// Time in which `MIN_BYTES` have to be transferred. It is longer than the deadline of any known request and than the
 /// usual interruptions of a link.
 pub const PROGRESS_TIME: Duration = Duration::from_secs(10);
 
