Move slices by gain and cost only where the settings ask for it

Cause: the moves. The rule does not chase load that lasts shorter than a move pays for, but requests that meet a moving slice lose less than its gap assumes.

--- a/crates/rattanarch_mesh/src/control/rebalancing.rs
+++ b/crates/rattanarch_mesh/src/control/rebalancing.rs
@@ -8,6 +8,7 @@
 use rattanarch_placement::SliceLoad;
 use rattanarch_placement::expected_gap;
 use rattanarch_placement::plan_slice_moves;
+use rattanarch_placement::plan_slice_relief;
 use rattanarch_types::BootId;
 use rattanarch_types::Member;
 use rattanarch_types::Moment;
@@ -52,7 +53,9 @@
     let gap = |to: BootId| others.iter().find(|other| other.member == to).map(|other| other.gap);
     let expected = plan.moves.iter().filter_map(|(slice, to)| Some((*slice, now + gap(*to)?)));
     let mut state = shared.upstream.state.borrow_mut();
-    state.expected_moves = expected.collect();
+    if shared.settings.cost_based_moves {
+        state.expected_moves = expected.collect();
+    }
     log::info!(slices = plan.moves.len(), used_percent = (state.utilization() * 100.0) as u64,
         gain = plan.gain as u64, cost = plan.cost as u64, skipped = plan.skipped;
         "moving slices because of load");
@@ -83,6 +86,10 @@
         slots: state.admission.slots(),
         gap: expected_gap(None, shared.settings.heartbeat),
     };
+    if !shared.settings.cost_based_moves {
+        let moves = plan_slice_relief(own, &slices, &others);
+        return MovePlan { moves, ..MovePlan::default() };
+    }
     plan_slice_moves(own, &state.history.lasting(), &slices, &others)
 }
 
@@ -101,7 +108,8 @@
     let peer = shared.peers.get(member.caller);
     let (load, age) = peer.recent_load(now)?;
     // A cold upstream takes far fewer requests than its slots and mean service time say.
-    if load.cold || peer.backoff_left(now).is_some() || peer.is_leaving(id) {
+    let is_excluded = load.cold || peer.backoff_left(now).is_some() || peer.is_leaving(id);
+    if is_excluded && shared.settings.cost_based_moves {
         return None;
     }
     let told = Some((load.next_heartbeat, age)).filter(|(next, _)| !next.is_zero());
--- a/crates/rattanarch_mesh/src/process/settings.rs
+++ b/crates/rattanarch_mesh/src/process/settings.rs
@@ -41,6 +41,10 @@
     /// Descriptors that the process may open; 0 if unknown.
     #[serde(default, deserialize_with = "amount")]
     pub descriptors: usize,
+    /// Whether slices move because of load by expected gain and cost, instead of utilization alone, and requests that meet a
+    /// moving slice are held for longer.
+    #[serde(default)]
+    pub cost_based_moves: bool,
     /// Whether rate and concurrency of the upstream follow its responses while it starts or recovers.
     #[serde(default)]
     pub adaptive_pace: bool,
--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -340,7 +340,9 @@
         }
         let is_new_owner =
             |found: Target| found.version > target.version && found.address != target.address;
+        let holds = shared.settings.cost_based_moves;
         let left = self.call.objective.saturating_sub(shared.now());
+        let left = if holds { left } else { Duration::ZERO };
         let deadline = self.call.deadline.saturating_sub(shared.now());
         let timeout = MAX_RECORD_WAIT.max(left / RECORD_WAIT_DIVISOR).min(deadline);
         self.wait_for_target(timeout, is_new_owner).await.then_some(()).ok_or(GiveUp::Owner)
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -140,7 +140,11 @@
     let arrived = shared.now();
     let mut traced = false;
     let left = call.deadline.saturating_sub(arrived);
-    let in_time = call.objective.saturating_sub(mean_service_time(shared));
+    let in_time = if shared.settings.cost_based_moves {
+        call.objective.saturating_sub(mean_service_time(shared))
+    } else {
+        arrived
+    };
     let wait_end = in_time.max(arrived + left.mul_f64(KEY_WAIT_RATIO));
     let record_end = wait_end.min(arrived + MAX_RECORD_WAIT);
     loop {
@@ -173,7 +177,8 @@
 
 /// Whether `call` was refused for `reason` by an older record than the one by which its sender chose this daemon.
 fn lacks_record(shared: &Shared, call: &Call, reason: Reason) -> bool {
-    let by_record = matches!(reason, Reason::NotOwner | Reason::Unowned);
+    let by_record =
+        matches!(reason, Reason::NotOwner | Reason::Unowned) && shared.settings.cost_based_moves;
     by_record && shared.upstream.state.borrow().serving.record.version < call.version
 }
 
--- a/crates/rattanarch_placement/src/lib.rs
+++ b/crates/rattanarch_placement/src/lib.rs
@@ -53,6 +53,7 @@
 mod move_gap;
 mod rendezvous;
 mod slice_moves;
+mod slice_relief;
 mod spread;
 mod witness;
 
@@ -72,6 +73,7 @@
 pub use slice_moves::MovePlan;
 pub use slice_moves::SliceLoad;
 pub use slice_moves::plan_slice_moves;
+pub use slice_relief::plan_slice_relief;
 pub use spread::Spread;
 pub use witness::MAX_WITNESSES;
 pub use witness::choose_live_witnesses;
--- a/crates/rattanarchd/tests/mesh_slice_moves.rs
+++ b/crates/rattanarchd/tests/mesh_slice_moves.rs
@@ -76,7 +76,7 @@
 /// sender would wait for an even newer record, which does not exist.
 #[test]
 fn newer_record_awaited() {
-    let site = Site::start(2, 0);
+    let site = Site::start_cost_based(2);
     let known = version(&site);
     let key = foreign_key(&site, 0, known);
     let refused = forward(&site, 0, key, known);
@@ -91,7 +91,7 @@
 /// by the old owner until the record names the next one, and there until its upstream's heartbeat.
 #[test]
 fn held_while_moving() {
-    let site = Site::start(3, 0);
+    let site = Site::start_cost_based(3);
     let key = (0..=u16::MAX).step_by(1_024).find(|key| forward(&site, 0, *key, 0).status == 200);
     let key = key.expect("the first member owns keys");
     thread::scope(|scope| {
--- a/crates/rattanarchd/tests/mesh_support/site.rs
+++ b/crates/rattanarchd/tests/mesh_support/site.rs
@@ -55,6 +55,23 @@
         site
     }
 
+    /// Like [`Site::start`] without upstreams of [`FILES`], with slices that move by gain and cost.
+    pub fn start_cost_based(desks: usize) -> Self {
+        let store = Store::start();
+        store.configure(5);
+        let mut site = Self::empty(store);
+        for index in 0..desks {
+            site.add(DESK, &format!("desk-{index}"), &format!("centre-{}", index % 3));
+            // Before it has joined, so that the record is left alone later.
+            let daemon = &mut site.daemons[index];
+            daemon.set_cost_based_moves();
+            daemon.kill();
+            daemon.restart();
+        }
+        site.wait_served();
+        site
+    }
+
     /// Creates a site without machines.
     pub fn empty(store: Store) -> Self {
         Self {
