Share the order of busy slices, and collect members' loads for moves only where they are used

slice_relief.rs had a copy of `busiest`; `record_start` collected the loads of all members also with moves by gain and cost off. Behaviour is unchanged.

--- a/crates/rattanarch_mesh/src/control/rebalancing.rs
+++ b/crates/rattanarch_mesh/src/control/rebalancing.rs
@@ -49,13 +49,13 @@
 
 /// Records that the moves of `plan` have begun, and when the slices are expected to be served again.
 fn record_start(shared: &Shared, now: Moment, plan: &MovePlan) {
-    let others = other_loads(shared, now);
-    let gap = |to: BootId| others.iter().find(|other| other.member == to).map(|other| other.gap);
-    let expected = plan.moves.iter().filter_map(|(slice, to)| Some((*slice, now + gap(*to)?)));
-    let mut state = shared.upstream.state.borrow_mut();
     if shared.settings.cost_based_moves {
-        state.expected_moves = expected.collect();
+        let others = other_loads(shared, now);
+        let gap = |to: BootId| others.iter().find(|other| other.member == to).map(|o| o.gap);
+        let expected = plan.moves.iter().filter_map(|(slice, to)| Some((*slice, now + gap(*to)?)));
+        shared.upstream.state.borrow_mut().expected_moves = expected.collect();
     }
+    let state = shared.upstream.state.borrow();
     log::info!(slices = plan.moves.len(), used_percent = (state.utilization() * 100.0) as u64,
         gain = plan.gain as u64, cost = plan.cost as u64, skipped = plan.skipped;
         "moving slices because of load");
--- a/crates/rattanarch_placement/src/slice_moves.rs
+++ b/crates/rattanarch_placement/src/slice_moves.rs
@@ -96,7 +96,8 @@
     if own.utilization <= MIN_UTILIZATION {
         return MovePlan::default();
     }
-    let slices = busiest(own.request_cost, slices);
+    let mut slices = busiest(own.request_cost, slices);
+    slices.truncate(MAX_CONSIDERED);
     let receivers = receivers(own, others);
     let plans = lasting.iter().map(|load| plan_for(own, load, &slices, receivers.clone()));
     let best = plans.max_by(|a, b| a.net_gain().total_cmp(&b.net_gain()));
@@ -167,11 +168,10 @@
 }
 
 /// Slices that are worth moving, busiest first.
-fn busiest(request_cost: f64, slices: &[SliceLoad]) -> Vec<SliceLoad> {
+pub(crate) fn busiest(request_cost: f64, slices: &[SliceLoad]) -> Vec<SliceLoad> {
     let worth_moving =
         slices.iter().copied().filter(|slice| slice.rate * request_cost >= MIN_SLICE_UTILIZATION);
     let mut busiest: Vec<_> = worth_moving.collect();
     busiest.sort_by(|a, b| b.rate.total_cmp(&a.rate).then(Reverse(a.slice).cmp(&Reverse(b.slice))));
-    busiest.truncate(MAX_CONSIDERED);
     busiest
 }
--- a/crates/rattanarch_placement/src/slice_relief.rs
+++ b/crates/rattanarch_placement/src/slice_relief.rs
@@ -1,12 +1,11 @@
 //! Choice of the slices that a busy member gives away, by utilization alone.
 
-use std::cmp::Reverse;
-
 use rattanarch_types::BootId;
 use rattanarch_types::SliceId;
 
 use crate::MemberLoad;
 use crate::SliceLoad;
+use crate::slice_moves::busiest;
 
 /// Utilization from which a member may give slices away. Below it, requests hardly wait for each other,
 /// while a slice that moves is not served for about a heartbeat.
@@ -24,9 +23,6 @@
 /// Largest number of slices in one plan: each becomes a separate range in the lists of owners.
 const MAX_SLICES: usize = 32;
 
-/// Part of a member's capacity that a slice has to use to be worth moving.
-const MIN_SLICE_UTILIZATION: f64 = 0.003;
-
 /// Part of a member's load that its hottest slice has to make up to be moved although it exceeds the spare capacity of
 /// every other member: giving the other slices away would not help then.
 const HOT_SLICE_RATIO: f64 = 0.5;
@@ -113,12 +109,3 @@
     receivers.truncate(MAX_RECEIVERS);
     receivers
 }
-
-/// Slices that are worth moving, busiest first.
-fn busiest(request_cost: f64, slices: &[SliceLoad]) -> Vec<SliceLoad> {
-    let worth_moving =
-        slices.iter().copied().filter(|slice| slice.rate * request_cost >= MIN_SLICE_UTILIZATION);
-    let mut busiest: Vec<_> = worth_moving.collect();
-    busiest.sort_by(|a, b| b.rate.total_cmp(&a.rate).then(Reverse(a.slice).cmp(&Reverse(b.slice))));
-    busiest
-}
