--- a/crates/rattanarch_admission/tests/competing_requests.rs
+++ b/crates/rattanarch_admission/tests/competing_requests.rs
@@ -107,15 +107,14 @@
         self.count += 1;
     }
 
-    fn shed(&self, requests: Vec<(Request, Moment)>) -> Vec<ShedRequest<Request>> {
+    /// Time until the waiting requests have run, and the excess load is worked off.
+    fn retry_after(&self) -> Duration {
         let excess = (self.utilization() - 1.0).max(0.0);
         let delay = Duration::from_millis(700).mul_f64(excess).min(Duration::from_millis(600));
-        let retry_after = self.time_for(self.waiting() + 1).max(Duration::from_millis(20)) + delay;
-        let shed = |(item, deadline)| ShedRequest { item, deadline, retry_after };
-        requests.into_iter().map(shed).collect()
+        self.time_for(self.waiting() + 1).max(Duration::from_millis(20)) + delay
     }
 
-    fn expire(&mut self, now: Moment, mut ahead: usize) -> Vec<(Request, Moment)> {
+    fn expire(&mut self, now: Moment, mut ahead: usize) -> Vec<ShedRequest<Request>> {
         let mut shed = Vec::new();
         for (rank, requests) in std::mem::take(&mut self.by_rank) {
             for entry in requests {
@@ -128,7 +127,12 @@
                 }
             }
         }
-        shed
+        Self::shed(shed, self.retry_after())
+    }
+
+    fn shed(requests: Vec<(Request, Moment)>, retry_after: Duration) -> Vec<ShedRequest<Request>> {
+        let shed = |(item, deadline)| ShedRequest { item, deadline, retry_after };
+        requests.into_iter().map(shed).collect()
     }
 }
 
@@ -150,15 +154,19 @@
         self.by_rank.entry(rank).or_default().push_back((item, deadline, wait_until));
         let mut shed = self.expire(now, 1);
         if self.waiting() > SLOTS as usize * 4 {
+            let retry_after = self.retry_after();
             let mut last = self.by_rank.last_entry().expect("the queue is full");
-            shed.extend(last.get_mut().pop_back().map(|entry| (entry.0, entry.1)));
+            let newest = last.get_mut().pop_back().map(|entry| (entry.0, entry.1));
+            shed.extend(Self::shed(newest.into_iter().collect(), retry_after));
             self.by_rank.retain(|_, requests| !requests.is_empty());
         }
         if self.utilization() > 0.92 {
+            let retry_after = self.retry_after();
             let late = self.by_rank.split_off(&100).into_values().flatten();
-            shed.extend(late.map(|entry| (entry.0, entry.1)));
+            let late = late.map(|entry| (entry.0, entry.1)).collect();
+            shed.extend(Self::shed(late, retry_after));
         }
-        OfferResult { started: None, shed: self.shed(shed) }
+        OfferResult { started: None, shed }
     }
 
     fn start_next(&mut self, now: Moment) -> PopResult<Request> {
@@ -170,7 +178,7 @@
             self.running += 1;
         }
         self.by_rank.retain(|_, requests| !requests.is_empty());
-        PopResult { next, shed: self.shed(shed) }
+        PopResult { next, shed }
     }
 
     fn finish(&mut self, _class: WorkClass, service_time: Duration) {
