Apply the retry schedule and class times in the admission controller only where they are enabled

Cause: expected work by class, times to return by the reservation schedule and the refusal of requests that cannot end were in force in every deployment, also where no one had asked for them. Change: AdmissionController::set_retry_schedule, off at first.

--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -39,6 +39,13 @@
 /// requests would get no responses to correct it.
 const SHORTEST_DECAY: f64 = 0.95;
 
+/// Time over which the arrival rate averages.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(700);
+
+/// Longest time that excess load adds to the retry delay of a refused caller without a schedule: about as long as callers
+/// in known deployments have left after a refusal.
+const MAX_EXCESS_DELAY: Duration = Duration::from_millis(600);
+
 /// Utilization above which requests that would miss their objective are refused: while they wait or run they would
 /// only make others late.
 const SATURATED_UTILIZATION: f64 = 0.92;
@@ -114,6 +121,8 @@
     /// Time in seconds that nearly all responses exceed; 0 before the first response.
     shortest: f64,
     arrivals: RateMeter,
+    /// Whether `shortest`, `schedule` and `work_times` are used.
+    has_retry_schedule: bool,
     schedule: RetrySchedule,
     work_times: WorkTimes,
 }
@@ -132,6 +141,7 @@
             mean: 0.0,
             shortest: 0.0,
             arrivals: RateMeter::default(),
+            has_retry_schedule: false,
             schedule: RetrySchedule::default(),
             work_times: WorkTimes::default(),
         }
@@ -154,6 +164,13 @@
         self.pace.is_adaptive()
     }
 
+    /// Sets whether requests are expected to take the mean time of their class, refused callers are told times by a
+    /// [`RetrySchedule`], and requests that cannot end before their deadline are refused. Off at first: then the mean of
+    /// all requests counts, and callers are told when the queue and the recent excess load are worked off.
+    pub fn set_retry_schedule(&mut self, enabled: bool) {
+        self.has_retry_schedule = enabled;
+    }
+
     /// Records that a new life of the upstream begins at `now`.
     pub fn begin_life(&mut self, now: Moment) {
         self.pace.begin_life();
@@ -239,7 +256,8 @@
         let wait = self.queue.wait_of_flow(now, request.rank, request.flow);
         let PendingRequest { rank, objective, deadline, .. } = request;
         let class = WorkClass::new(rank, objective, deadline);
-        let work = self.work_times.mean(class).unwrap_or_else(|| self.mean_service_time());
+        let class_mean = self.work_times.mean(class).filter(|_| self.has_retry_schedule);
+        let work = class_mean.unwrap_or_else(|| self.mean_service_time());
         let expected = wait + work;
         let late = now + expected.mul_f64(SAFETY_FACTOR) > request.objective;
         let rank = if late { request.rank.saturating_add(LATE_RANK_OFFSET) } else { request.rank };
@@ -252,9 +270,9 @@
     }
 
     /// Whether work that starts at `now` may end before `deadline`. An upstream takes at least the shortest service
-    /// time seen lately, as far as responses are known.
+    /// time seen lately, as far as responses are known. Not checked without the retry schedule.
     pub fn can_end(&self, now: Moment, deadline: Moment) -> bool {
-        now + Duration::from_secs_f64(self.shortest) < deadline
+        !self.has_retry_schedule || now + Duration::from_secs_f64(self.shortest) < deadline
     }
 
     /// Refuses a request that was not queued.
@@ -264,18 +282,34 @@
         ShedRequest { item, deadline, retry_after }
     }
 
-    /// Tells each refused caller when to return.
+    /// Tells each refused caller when to return, by the schedule or by the delay that the queue has told it.
     fn schedule_retries(
         &mut self,
         now: Moment,
         mut shed: Vec<ShedRequest<T>>,
     ) -> Vec<ShedRequest<T>> {
+        if shed.is_empty() {
+            return shed;
+        }
+        if !self.has_retry_schedule {
+            return self.add_excess_delay(shed);
+        }
         for shed in &mut shed {
             shed.retry_after = self.retry_after(now, shed.deadline);
         }
         shed
     }
 
+    /// Adds to the retry delays of refused callers the time in which the slots could work off the recent excess load.
+    /// Under lasting overload, the queue is just as full again once the requests in it have run: callers that retry
+    /// then would be refused again.
+    fn add_excess_delay(&self, mut shed: Vec<ShedRequest<T>>) -> Vec<ShedRequest<T>> {
+        let excess = (self.utilization() - 1.0).max(0.0);
+        let delay = ARRIVAL_WINDOW.mul_f64(excess).min(MAX_EXCESS_DELAY);
+        shed.iter_mut().for_each(|shed| shed.retry_after += delay);
+        shed
+    }
+
     /// Reserves a turn for a caller that is refused at `now`. One whose work could not end after it returns is told all
     /// the time that it has left.
     fn retry_after(&mut self, now: Moment, deadline: Moment) -> Duration {
