Setting retry_schedule, false by default

Cause: the daemon had no setting for the retry schedule; it told callers times without jitter and counted retry times always. Change: the setting enables the schedule of the admission controller, the times without jitter of the reasons overloaded and rate-limited, and the metric rattanarch_retry_times. The time that a quota names keeps having none.

--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -127,7 +127,11 @@
     let timing = control::timing(settings.heartbeat);
     let (phase, _) = watch::channel(Phase::Open);
     let upstream = Upstream::new(settings.upstream);
-    upstream.state.borrow_mut().admission.set_adaptive_pace(settings.adaptive_pace);
+    {
+        let admission = &mut upstream.state.borrow_mut().admission;
+        admission.set_adaptive_pace(settings.adaptive_pace);
+        admission.set_retry_schedule(settings.retry_schedule);
+    }
     Ok(Rc::new(Shared {
         bounds: Cell::new(settings.bounds()),
         clock,
--- a/crates/rattanarch_mesh/src/process/settings.rs
+++ b/crates/rattanarch_mesh/src/process/settings.rs
@@ -48,6 +48,10 @@
     /// Whether rate and concurrency of the upstream follow its responses while it starts or recovers.
     #[serde(default)]
     pub adaptive_pace: bool,
+    /// Whether refused callers are told times by the reservation schedule, requests are expected to take the mean time of
+    /// their class, and requests that cannot end before their deadline are refused.
+    #[serde(default)]
+    pub retry_schedule: bool,
     /// Whether the whole system starts for the first time, so that the store can't have lost anything.
     #[serde(default)]
     pub bootstrap: bool,
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -121,7 +121,8 @@
         Outcome::Answered(response) => (response, Verdict::Done, String::new(), false),
         Outcome::Refused(refusal) => {
             let reason = refusal.reason.to_string();
-            (responses::refused(refusal), Verdict::NotRun, reason, refusal.by_upstream)
+            let response = responses::refused(refusal, shared.settings.retry_schedule);
+            (response, Verdict::NotRun, reason, refusal.by_upstream)
         }
         Outcome::Failed(failure) => {
             (responses::failed(&failure), Verdict::MayHaveRun, failure.to_string(), false)
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -109,7 +109,7 @@
     trace.finish(&outcome);
     match outcome {
         Outcome::Answered(response) => response,
-        Outcome::Refused(refusal) => responses::refused(refusal),
+        Outcome::Refused(refusal) => responses::refused(refusal, trace.settings().retry_schedule),
         Outcome::Failed(failure) => responses::failed(&failure),
     }
 }
@@ -272,7 +272,9 @@
             // The caller disconnected in the middle of its body, or sent malformed chunks.
             ReadError::Cut => plain(StatusCode::BAD_REQUEST, error),
             ReadError::Stalled => plain(StatusCode::REQUEST_TIMEOUT, error),
-            ReadError::NoRoom => responses::refused(Reason::BuffersFull.into()),
+            ReadError::NoRoom => {
+                responses::refused(Reason::BuffersFull.into(), shared.settings.retry_schedule)
+            }
         },
     )
 }
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -130,9 +130,14 @@
         }
     }
 
-    /// Whether the time to return is the caller's own by a schedule, so that no jitter is needed.
-    pub(crate) fn is_scheduled(self) -> bool {
-        matches!(self, Self::Overloaded | Self::RateLimited | Self::OverQuota)
+    /// Whether the time to return is the caller's own, so that no jitter is needed: that of its quota, or one of the retry
+    /// schedule if the daemon has one.
+    pub(crate) fn is_scheduled(self, has_retry_schedule: bool) -> bool {
+        match self {
+            Self::OverQuota => true,
+            Self::Overloaded | Self::RateLimited => has_retry_schedule,
+            _ => false,
+        }
     }
 
     /// Whether another instance of a service without keys may take the request.
--- a/crates/rattanarch_mesh/src/request/request_trace.rs
+++ b/crates/rattanarch_mesh/src/request/request_trace.rs
@@ -12,6 +12,7 @@
 use rattanarch_types::hash_key;
 
 use crate::process::RequestLabels;
+use crate::process::Settings;
 use crate::process::Shared;
 use crate::request::Decision;
 use crate::request::Outcome;
@@ -54,6 +55,11 @@
 }
 
 impl RequestTrace {
+    /// Settings of the daemon.
+    pub(crate) fn settings(&self) -> &Settings {
+        &self.shared.settings
+    }
+
     pub(crate) fn new(shared: &Rc<Shared>, id: &str, side: &'static str) -> Self {
         Self {
             shared: Rc::clone(shared),
--- a/crates/rattanarch_mesh/src/request/responses.rs
+++ b/crates/rattanarch_mesh/src/request/responses.rs
@@ -45,14 +45,15 @@
     response
 }
 
-/// The response to a request that has not run.
-pub(crate) fn refused(refusal: Refusal) -> Response<ResponseBody> {
+/// The response to a request that has not run, by a daemon with or without the retry schedule.
+pub(crate) fn refused(refusal: Refusal, has_retry_schedule: bool) -> Response<ResponseBody> {
     let status = match refusal.reason {
         Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
     let mut response = plain(status, refusal.reason.to_string());
-    let jitter = if refusal.reason.is_scheduled() { 0.0 } else { RETRY_AFTER_JITTER };
+    let is_scheduled = refusal.reason.is_scheduled(has_retry_schedule);
+    let jitter = if is_scheduled { 0.0 } else { RETRY_AFTER_JITTER };
     let retry_after =
         refusal.retry_after.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter * random_fraction());
     set_retry_after(response.headers_mut(), retry_after);
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -269,8 +269,10 @@
     let reason = if limited { Reason::RateLimited } else { Reason::Overloaded };
     let now = shared.now();
     for shed in shed {
-        let left = shed.deadline.saturating_sub(now);
-        shared.meters.scheduled(RetrySchedule::is_honoured(shed.retry_after, left));
+        if shared.settings.retry_schedule {
+            let left = shed.deadline.saturating_sub(now);
+            shared.meters.scheduled(RetrySchedule::is_honoured(shed.retry_after, left));
+        }
         // A caller that has gone needs no response.
         let _ = shed.item.send(Err(Refusal::new(reason, shed.retry_after)));
     }
--- a/crates/rattanarch_mesh/tests/settings.rs
+++ b/crates/rattanarch_mesh/tests/settings.rs
@@ -30,6 +30,7 @@
     assert_eq!(settings.heartbeat, Duration::from_millis(870));
     assert_eq!(settings.bounds().drain, Duration::from_millis(2_500));
     assert_eq!((settings.memory, settings.descriptors), (0, 0));
+    assert_eq!((settings.adaptive_pace, settings.retry_schedule), (false, false));
     assert_eq!((settings.log.level.as_str(), settings.log.sample), ("info", 64));
 }
 
--- a/crates/rattanarchd/tests/mesh_support/daemon.rs
+++ b/crates/rattanarchd/tests/mesh_support/daemon.rs
@@ -107,6 +107,12 @@
         fs::write(&self.settings, format!("cost_based_moves = true\n{text}")).unwrap();
     }
 
+    /// Enables the retry schedule after the next restart.
+    pub fn set_retry_schedule(&self) {
+        let text = fs::read_to_string(&self.settings).unwrap();
+        fs::write(&self.settings, format!("retry_schedule = true\n{text}")).unwrap();
+    }
+
     /// Sets the memory of its machine in MB and its descriptors, which are in force after the next restart.
     pub fn set_machine(&self, memory: usize, descriptors: usize) {
         let text = fs::read_to_string(&self.settings).unwrap();
