Lower the concurrency for slow responses only after two from each slot

Cause: five consecutive responses over three times the usual mean lowered the concurrency of a warm upstream to half of its slots. Where service times vary (three times slower in spells of 400 ms, 20 % of the time), five in a row occur by chance. Change: two consecutive slow responses for each slot are needed. The other conditions and the floor stay.

--- a/crates/rattanarch_admission/src/upstream_pace.rs
+++ b/crates/rattanarch_admission/src/upstream_pace.rs
@@ -68,8 +68,10 @@
 /// Consecutive failures after which the concurrency is lowered: single ones occur at healthy upstreams.
 const FAILURE_COUNT: u32 = 3;
 
-/// Consecutive slow responses after which it may be lowered.
-const SLOW_COUNT: u32 = 5;
+/// Consecutive slow responses after which it may be lowered, as a multiple of the slots: at an upstream whose service times
+/// merely vary, some of so many are in time. With five in all, spells of 400 ms in which work took three times as long
+/// lowered it.
+const SLOW_ROUNDS: u32 = 2;
 
 /// Multiple of the usual mean from which responses are slow.
 const SLOW_RATIO: f64 = 3.0;
@@ -483,7 +485,7 @@
     fn slow_down(&mut self, now: Moment) -> PaceCause {
         self.consecutive_slow += 1;
         let is_slow = self.recent.seconds > self.usual.seconds * SLOW_RATIO;
-        if is_slow && self.consecutive_slow >= SLOW_COUNT {
+        if is_slow && self.consecutive_slow >= SLOW_ROUNDS * self.slots {
             let floor = (f64::from(self.slots) * SLOW_FLOOR_RATIO).min(self.window);
             self.reduce(now, FAILED_RATIO);
             self.window = self.window.max(floor);
