End the warming state of an upstream after 2 s in which no request ended

Cause: after the told cold time an upstream with ten responses while cold stays limited, and is reported as cold to senders, until three responses show that it is warm. Senders avoid a cold upstream (its cost is multiplied by 3), so that one without requests kept that state, and met the next load with the rate of a cold one. Change: it counts as warm once no request has ended for 2 s, longer than requests take while cold; new cause 'no requests' of the log event 'upstream pace changed'. An upstream that responds slowly or fails stays limited as before. Result: warm_without_requests fails before ('cold without a request') and passes now.

--- a/crates/rattanarch_admission/src/upstream_pace.rs
+++ b/crates/rattanarch_admission/src/upstream_pace.rs
@@ -53,6 +53,10 @@
 /// Time for which the factor is kept after a burst that uses up the platform's rule.
 const RULE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time without the end of a request after which an upstream that may still be cold counts as warm: longer than any request
+/// takes while cold. Senders avoid a cold upstream, so that it may get no request that would show that it is warm.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+
 /// Responses from whose mean it is told that the upstream is warm.
 const EVIDENCE_COUNT: u32 = 3;
 
@@ -141,6 +145,9 @@
     /// The cold time that it told has ended.
     #[display("cold time ended")]
     ColdEnded,
+    /// No request ended for a while.
+    #[display("no requests")]
+    Idle,
     /// Responses were in time.
     #[display("responses in time")]
     InTime,
@@ -230,6 +237,8 @@
     /// Whether responses count; otherwise the told cold time alone does.
     adaptive: bool,
     heat: Heat,
+    /// When a request last ended.
+    observed_at: Moment,
     /// Requests that may run at once; from `MIN_WINDOW`, if there are as many slots, to `slots`.
     window: f64,
     /// Whether all requests have failed since the window was lowest.
@@ -289,6 +298,7 @@
             slots,
             adaptive: true,
             heat: Heat::Warm,
+            observed_at: Moment::ZERO,
             window: f64::from(slots),
             probing: false,
             failed: false,
@@ -361,11 +371,18 @@
 
     /// Applies that time has passed.
     pub fn update(&mut self, now: Moment) {
-        let Heat::Cold { until } = self.heat else { return };
+        let before = self.state();
+        let until = match self.heat {
+            Heat::Cold { until } => until,
+            Heat::Warming { since } if self.is_idle(now, since) => {
+                self.heat = Heat::Warm;
+                return self.record_change(before, PaceCause::Idle);
+            }
+            Heat::Warming { .. } | Heat::Warm => return,
+        };
         if now < until {
             return;
         }
-        let before = self.state();
         let is_known = self.cold.count >= COLD_COUNT && self.cold_rate.is_finite();
         self.heat = if is_known { Heat::Warming { since: now } } else { Heat::Warm };
         self.evidence = Mean::default();
@@ -373,6 +390,11 @@
         self.record_change(before, PaceCause::ColdEnded);
     }
 
+    /// Whether no request has ended lately at `now`, in a state that began at `since`.
+    fn is_idle(&self, now: Moment, since: Moment) -> bool {
+        now >= since.max(self.observed_at) + IDLE_TIME
+    }
+
     /// Requests that the platform's rule allows at once besides those of the present rate, in case it is still cold.
     fn spare_burst(&self) -> f64 {
         let rate = self.factor * self.cold_rate;
@@ -388,6 +410,7 @@
         if !self.adaptive {
             return;
         }
+        self.observed_at = now;
         let before = self.state();
         let cause = match outcome {
             AttemptOutcome::Responded(time) => self.respond(now, sent, time, running),
@@ -534,7 +557,7 @@
     pub fn is_cold(&self, now: Moment) -> bool {
         match self.heat {
             Heat::Cold { until } => now < until || self.cold.count >= COLD_COUNT,
-            Heat::Warming { .. } => true,
+            Heat::Warming { since } => !self.is_idle(now, since),
             Heat::Warm => false,
         }
     }
--- a/crates/rattanarch_admission/tests/upstream_pace.rs
+++ b/crates/rattanarch_admission/tests/upstream_pace.rs
@@ -453,3 +453,25 @@
     (0..4).for_each(|_| pace.observe(end, end, usual, 2));
     assert_eq!(pace.state(), PaceState::Warm);
 }
+
+/// Guards against an upstream that counts as cold, and keeps the rate of a cold one, for as long as it gets no requests:
+/// senders avoid it for being cold, so that no response shows that it is warm. One that responds slowly stays limited.
+#[test]
+fn warm_without_requests() {
+    let ms = Duration::from_millis;
+    let slow = AttemptOutcome::Responded(ms(300));
+    let mut pace = UpstreamPace::new(SLOTS);
+    pace.set_cold(START, ms(3_000), COLD_PER_S);
+    (0..40).for_each(|index| pace.observe(START + ms(index * 70), START, slow, 3));
+    let end = START + ms(3_000);
+    for second in 1..5 {
+        pace.observe(end + ms(second * 1_000), end, slow, 1);
+        assert_eq!(pace.state(), PaceState::Warming);
+    }
+    let idle_since = end + ms(4_000);
+    pace.update(idle_since + ms(1_900));
+    assert!(pace.is_cold(idle_since + ms(1_900)) && pace.rate().is_some());
+    assert!(!pace.is_cold(idle_since + ms(2_000)), "cold without a request");
+    pace.update(idle_since + ms(2_000));
+    assert_eq!((pace.state(), pace.rate(), pace.concurrency()), (PaceState::Warm, None, SLOTS));
+}
