Leave pauses of the process out of the arrival rate with the retry schedule

Cause: the arrival meter divides the arrivals of an interval by the time until the next arrival. After a pause of the daemon's process a saturated upstream seemed to have capacity left, and late requests waited instead of being refused at once. Change: with the retry schedule, a time of more than 500 ms without a call does not count; the daemon calls AdmissionController::tick every 200 ms, so that a time without requests counts.

--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -169,6 +169,13 @@
     /// all requests counts, and callers are told when the queue and the recent excess load are worked off.
     pub fn set_retry_schedule(&mut self, enabled: bool) {
         self.has_retry_schedule = enabled;
+        self.arrivals.skip_pauses(enabled);
+    }
+
+    /// Records that the process runs at `now`. To be called every 200 ms with the retry schedule: a longer time without a call
+    /// is taken as a pause of the process, not as one without arrivals.
+    pub fn tick(&mut self, now: Moment) {
+        self.arrivals.tick(now);
     }
 
     /// Records that a new life of the upstream begins at `now`.
--- a/crates/rattanarch_mesh/src/process/lag.rs
+++ b/crates/rattanarch_mesh/src/process/lag.rs
@@ -35,6 +35,9 @@
     loop {
         let due = shared.now() + INTERVAL;
         tokio::time::sleep(INTERVAL).await;
-        shared.lag.record(shared.now().saturating_sub(due));
+        let now = shared.now();
+        shared.lag.record(now.saturating_sub(due));
+        // At least as often as the admission controller needs it.
+        shared.upstream.state.borrow_mut().admission.tick(now);
     }
 }
