--- a/crates/rattanarch_admission/tests/competing_requests.rs
+++ b/crates/rattanarch_admission/tests/competing_requests.rs
@@ -1,4 +1,5 @@
-//! A service that cannot serve all of its requests in time, with the present rule and with the one of commit dda2199.
+//! A service that cannot serve all of its requests in time, with the retry schedule and with the rule of commit dda2199,
+//! which is the rule without it.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -53,7 +54,7 @@
     const JITTER: f64;
     fn offer(&mut self, now: Moment, request: PendingRequest<Request>) -> OfferResult<Request>;
     fn start_next(&mut self, now: Moment) -> PopResult<Request>;
-    fn finish(&mut self, class: WorkClass, service_time: Duration);
+    fn finish(&mut self, now: Moment, class: WorkClass, service_time: Duration);
 }
 
 impl Rule for AdmissionController<Request> {
@@ -64,11 +65,34 @@
     fn start_next(&mut self, now: Moment) -> PopResult<Request> {
         self.start_next(now)
     }
-    fn finish(&mut self, class: WorkClass, service_time: Duration) {
-        self.finish_class(class, Some(service_time));
+    fn finish(&mut self, now: Moment, class: WorkClass, service_time: Duration) {
+        self.finish_class(now, class, Some(service_time));
     }
 }
 
+/// The present rule without the retry schedule.
+struct Unscheduled(AdmissionController<Request>);
+
+impl Rule for Unscheduled {
+    const JITTER: f64 = FORMER_JITTER;
+    fn offer(&mut self, now: Moment, request: PendingRequest<Request>) -> OfferResult<Request> {
+        self.0.offer(now, request)
+    }
+    fn start_next(&mut self, now: Moment) -> PopResult<Request> {
+        self.0.start_next(now)
+    }
+    fn finish(&mut self, now: Moment, class: WorkClass, service_time: Duration) {
+        self.0.finish_class(now, class, Some(service_time));
+    }
+}
+
+/// A controller with the retry schedule.
+fn scheduled() -> AdmissionController<Request> {
+    let mut controller = AdmissionController::new(SLOTS);
+    controller.set_retry_schedule(true);
+    controller
+}
+
 /// The rule of commit dda2199 for a warm upstream without a limit of its own.
 #[derive(Default)]
 struct FormerRule {
@@ -107,15 +131,14 @@
         self.count += 1;
     }
 
-    fn shed(&self, requests: Vec<(Request, Moment)>) -> Vec<ShedRequest<Request>> {
+    /// Time until the waiting requests have run, and the excess load is worked off.
+    fn retry_after(&self) -> Duration {
         let excess = (self.utilization() - 1.0).max(0.0);
         let delay = Duration::from_millis(700).mul_f64(excess).min(Duration::from_millis(600));
-        let retry_after = self.time_for(self.waiting() + 1).max(Duration::from_millis(20)) + delay;
-        let shed = |(item, deadline)| ShedRequest { item, deadline, retry_after };
-        requests.into_iter().map(shed).collect()
+        self.time_for(self.waiting() + 1).max(Duration::from_millis(20)) + delay
     }
 
-    fn expire(&mut self, now: Moment, mut ahead: usize) -> Vec<(Request, Moment)> {
+    fn expire(&mut self, now: Moment, mut ahead: usize) -> Vec<ShedRequest<Request>> {
         let mut shed = Vec::new();
         for (rank, requests) in std::mem::take(&mut self.by_rank) {
             for entry in requests {
@@ -128,7 +151,12 @@
                 }
             }
         }
-        shed
+        Self::shed(shed, self.retry_after())
+    }
+
+    fn shed(requests: Vec<(Request, Moment)>, retry_after: Duration) -> Vec<ShedRequest<Request>> {
+        let shed = |(item, deadline)| ShedRequest { item, deadline, retry_after };
+        requests.into_iter().map(shed).collect()
     }
 }
 
@@ -150,15 +178,19 @@
         self.by_rank.entry(rank).or_default().push_back((item, deadline, wait_until));
         let mut shed = self.expire(now, 1);
         if self.waiting() > SLOTS as usize * 4 {
+            let retry_after = self.retry_after();
             let mut last = self.by_rank.last_entry().expect("the queue is full");
-            shed.extend(last.get_mut().pop_back().map(|entry| (entry.0, entry.1)));
+            let newest = last.get_mut().pop_back().map(|entry| (entry.0, entry.1));
+            shed.extend(Self::shed(newest.into_iter().collect(), retry_after));
             self.by_rank.retain(|_, requests| !requests.is_empty());
         }
         if self.utilization() > 0.92 {
+            let retry_after = self.retry_after();
             let late = self.by_rank.split_off(&100).into_values().flatten();
-            shed.extend(late.map(|entry| (entry.0, entry.1)));
+            let late = late.map(|entry| (entry.0, entry.1)).collect();
+            shed.extend(Self::shed(late, retry_after));
         }
-        OfferResult { started: None, shed: self.shed(shed) }
+        OfferResult { started: None, shed }
     }
 
     fn start_next(&mut self, now: Moment) -> PopResult<Request> {
@@ -170,10 +202,10 @@
             self.running += 1;
         }
         self.by_rank.retain(|_, requests| !requests.is_empty());
-        PopResult { next, shed: self.shed(shed) }
+        PopResult { next, shed }
     }
 
-    fn finish(&mut self, _class: WorkClass, service_time: Duration) {
+    fn finish(&mut self, _now: Moment, _class: WorkClass, service_time: Duration) {
         self.running -= 1;
         let weight = if self.mean == 0.0 { 1.0 } else { 0.05 };
         self.mean += (service_time.as_secs_f64() - self.mean) * weight;
@@ -181,7 +213,7 @@
 }
 
 /// What callers got.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 struct Counts {
     offered: u32,
     /// Served within the objective.
@@ -285,7 +317,7 @@
                 Duration::from_millis(objective),
                 Duration::from_millis(deadline),
             );
-            rule.finish(class, Duration::from_millis(request.work_ms));
+            rule.finish(now, class, Duration::from_millis(request.work_ms));
             loop {
                 let popped = rule.start_next(now);
                 shed.extend(popped.shed);
@@ -338,7 +370,7 @@
     let mut sums = [Counts::default(), Counts::default()];
     for seed in 1..=4 {
         let load = load(seed, uniform, 0, 0);
-        let present = (0..UPSTREAMS).map(|_| AdmissionController::new(SLOTS)).collect();
+        let present = (0..UPSTREAMS).map(|_| scheduled()).collect();
         let former = (0..UPSTREAMS).map(|_| FormerRule::default()).collect();
         let days = [
             play::<AdmissionController<Request>>(&load, present),
@@ -390,7 +422,7 @@
         if let Some(routes) = routes {
             load.iter_mut().for_each(|request| request.route = routes[request.route % 2]);
         }
-        let rules = (0..UPSTREAMS).map(|_| AdmissionController::new(SLOTS)).collect();
+        let rules = (0..UPSTREAMS).map(|_| scheduled()).collect();
         play::<AdmissionController<Request>>(&load, rules)
     });
     let shares = (0..FLOWS).map(|flow| (usual.flow_percent(flow), excess.flow_percent(flow)));
@@ -413,3 +445,18 @@
     let shares = play_flows(None, 5);
     assert!(shares[1..].iter().all(|(usual, excess)| excess + 4.0 >= *usual), "{shares:?}");
 }
+
+/// Guards against rules of the retry schedule that hold without its setting: every caller gets what it got by the rule of
+/// dda2199, at the same time.
+#[test]
+fn unscheduled_as_before() {
+    for (uniform, seed) in [(false, 1), (true, 2), (false, 3)] {
+        let load = load(seed, uniform, 0, 0);
+        let rules = || (0..UPSTREAMS).map(|_| AdmissionController::new(SLOTS)).map(Unscheduled);
+        let present = play::<Unscheduled>(&load, rules().collect());
+        let former =
+            play::<FormerRule>(&load, (0..UPSTREAMS).map(|_| FormerRule::default()).collect());
+        assert!(present.refused_twice > 0, "no overload");
+        assert!(present == former, "present {}, former {}", present.summary(), former.summary());
+    }
+}
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -64,7 +64,7 @@
         let now = self.shared.now();
         let mut state = self.shared.upstream.state.borrow_mut();
         match self.class {
-            Some(class) => state.admission.finish_class(class, self.service_time),
+            Some(class) => state.admission.finish_class(now, class, self.service_time),
             None => state.admission.finish(self.service_time),
         }
         state.end_request(now, &self.id, self.key);
@@ -269,8 +269,10 @@
     let reason = if limited { Reason::RateLimited } else { Reason::Overloaded };
     let now = shared.now();
     for shed in shed {
-        let left = shed.deadline.saturating_sub(now);
-        shared.meters.scheduled(RetrySchedule::is_honoured(shed.retry_after, left));
+        if shared.settings.retry_schedule {
+            let left = shed.deadline.saturating_sub(now);
+            shared.meters.scheduled(RetrySchedule::is_honoured(shed.retry_after, left));
+        }
         // A caller that has gone needs no response.
         let _ = shed.item.send(Err(Refusal::new(reason, shed.retry_after)));
     }
