Model a replaced owner whose successor is taken over before its first lease

Cause: the model let a later life P replace the owner A, but let nobody take P over, and let A's grants end with P's fence. On the users' platform the upstream goes on holding for P what A granted.

Change: with TWICE, P has witnesses, may have a lease, and is sealed and removed; the upstream of A and P holds the key until the last grant ends. Without a new rule two members own the key: the witnesses have acknowledged nothing of P, so the sealer need not wait. New rule: the sealer waits until a lease has passed since it applied the record that shows the replacement.

--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -17,6 +17,9 @@
  *   SWAP         A may replace its set of witnesses
  *   RELEASE      planned release and return of the key
  *   SUCCESSION   rule 8
+ *   TWICE        P, which has succeeded A, is taken over itself; the upstream goes on holding what A
+ *                granted, for P. With SUCCESSION, without RELEASE, GONE and restarts of witnesses
+ *   ENDED        A's process has ended when P joins, which with TWICE allows more witnesses
  *   PROGRESS     bounded progress after faults have ended
  *   SLOW_ACK     acknowledgements are delayed on their way to the owner
  *   SLOW_ANSWER  answers to a seal are delayed on their way to the sealer
@@ -136,6 +139,18 @@
 bool p_flying;
 #endif
 
+#ifdef TWICE
+bool p_joined;          /* P has been in the record */
+byte p_set[NW];         /* P's witnesses: those that are named at the start */
+byte p_left[NW];        /* remaining time of each acknowledgement that P has */
+byte p_acked[NW];       /* time for which the witness's last acknowledgement of P may still count */
+bool p_sealed[NW];      /* the witness acknowledges P no more */
+bool q_read;            /* the sealer has applied the record that shows P */
+bool q_got[NW];         /* the witness has sealed P's term */
+byte q_wait;            /* time until P, and what P took over from A, serves no more */
+bool q_flying;
+#endif
+
 #ifdef PROGRESS
 byte rounds;            /* rounds without faults so far; 0: faults still happen */
 bool a_lost;
@@ -260,6 +275,10 @@
     assert(!(live_a && proved && s_version == version && s_term == term && member_a));
     /* No assignment is lost: only N itself gives the key back. */
     assert(!n_owns || owner == OWNER_N);
+#ifdef TWICE
+    /* The upstream of A and P holds the key only while one of them owns it. */
+    assert(!(grant > 0 && owner == OWNER_N));
+#endif
     live_a = false;
     lease_a = 0;
     proved = false
@@ -568,6 +587,35 @@
     p_flying = true
 }
 
+#ifdef ENDED
+/* A takes no more steps, so what it and the witnesses know of its lease has no effect. */
+inline end_a() {
+    a_member = false;
+    a_version = 0;
+    a_term = 0;
+    request = false;
+    end_attempt(false);
+    s_version = 0;
+    s_term = 0;
+    s_asked = 0;
+    s_wait = 0;
+    s_flying = false;
+    s_expect = 0;
+    do
+    :: i < NW ->
+        a_set[i] = 0;
+        a_left[i] = 0;
+        acked[i] = 0;
+        sealed[i] = 0;
+        s_set[i] = 0;
+        s_got[i] = false;
+        i++
+    :: else -> break
+    od;
+    i = 0
+}
+#endif
+
 inline take_succession() {
     p_flying = false;
     if
@@ -575,12 +623,74 @@
         printf("@ %d platform accept P %d\n", ticks, p_expect + 1);
         member_a = false;
         if :: owner == OWNER_A -> owner = OWNER_P :: else fi;
+#ifdef TWICE
+        p_joined = (owner == OWNER_P);
+#endif
+#ifdef ENDED
+        end_a();
+#endif
         version++
     :: else -> printf("@ %d platform conflict P %d\n", ticks, version)
     fi
 }
 #endif
 
+#ifdef TWICE
+inline p_renew(w) {
+    printf("@ %d P renew %d\n", ticks, w);
+    p_acked[w] = LEASE;
+    p_left[w] = LEASE
+}
+
+inline p_grant() {
+    MEASURE(p_set, p_left, lease_new);
+    level = 0;
+    named = 0;
+    i = 0;
+    printf("@ %d P grant %d\n", ticks, lease_new);
+    if :: lease_new > grant -> grant = lease_new :: else fi;
+    lease_new = 0
+}
+
+/* Rule 4: what A granted lapses within a lease of P's join, which is before the sealer applies the
+ * record that shows P. Witnesses of P know nothing of A's grants. */
+inline q_apply() {
+    printf("@ %d S read_successor %d\n", ticks, version);
+    q_read = true;
+#ifndef NO_PREDECESSOR_WAIT
+    q_wait = LEASE
+#endif
+}
+
+inline q_seal(w) {
+    printf("@ %d W%d seal_successor %d\n", ticks, w, p_acked[w]);
+    p_sealed[w] = true;
+    q_got[w] = true;
+    if :: p_acked[w] > q_wait -> q_wait = p_acked[w] :: else fi
+}
+
+/* Sets proved: whether a majority of P's witnesses has sealed P's term and the wait is over. */
+inline measure_successor_proof() {
+    held_new = 0;
+    i = 0;
+    do
+    :: i < FIRST -> if :: q_got[i] -> held_new++ :: else fi; i++
+    :: else -> break
+    od;
+    proved = 2 * held_new > FIRST && q_wait == 0;
+    held_new = 0;
+    i = 0
+}
+
+inline take_successor_removal() {
+    printf("@ %d platform accept S %d\n", ticks, version + 1);
+    q_flying = false;
+    owner = OWNER_N;
+    n_owns = true;
+    version++
+}
+#endif
+
 #ifdef GONE
 /* The record shows that a life of the witness is no longer a member: it left, was taken over or was
  * succeeded. The platform may just have answered it with the previous record. */
@@ -615,6 +725,10 @@
         LESS(standing[i]);
         LESS(s_lapse[i]);
 #endif
+#ifdef TWICE
+        LESS(p_left[i]);
+        LESS(p_acked[i]);
+#endif
 #if defined(SLOW_ACK) && !defined(FROM_RECEIPT)
         LESS(ack_left[i]);
         if :: ack_left[i] == 0 -> ack_boot[i] = 0 :: else fi;
@@ -626,6 +740,9 @@
     od;
     i = 0;
     LESS(grant);
+#ifdef TWICE
+    LESS(q_wait);
+#endif
     LESS(s_wait)
 }
 
@@ -734,7 +851,15 @@
     :: d_step { FAULTY && attempt == RENAME_OUT && new_set[w] != 0 -> renew_new(w); check() } \
     :: d_step { FAULTY && s_asked > 0 -> seal(w); check() } \
     :: d_step { FAULTY && w < RESTARTABLE && boot[w] < MAXB -> restart(w); check() } \
-    LEAVE(w) TAKE_ACK(w) TAKE_ANSWER(w)
+    LEAVE(w) TAKE_ACK(w) TAKE_ANSWER(w) SUCCESSOR(w)
+
+#ifdef TWICE
+#define SUCCESSOR(w) \
+    :: d_step { p_joined && w < FIRST && !p_sealed[w] -> p_renew(w); check() } \
+    :: d_step { q_read && owner == OWNER_P && w < FIRST && !q_got[w] -> q_seal(w); check() }
+#else
+#define SUCCESSOR(w)
+#endif
 
 #ifdef GONE
 #define LEAVE(w) \
@@ -766,6 +891,9 @@
         :: i < NW ->
             boot[i] = 1;
             if :: i < FIRST -> set[i] = 1; a_set[i] = 1 :: else fi;
+#ifdef TWICE
+            if :: i < FIRST -> p_set[i] = 1 :: else fi;
+#endif
             i++
         :: else -> break
         od;
@@ -855,6 +983,18 @@
         check() }
 #endif
 
+#ifdef TWICE
+    /* P's grants and its takeover. */
+    :: d_step { p_joined -> p_grant(); check() }
+    :: d_step { owner == OWNER_P && !q_read -> q_apply(); check() }
+    :: d_step { q_read && owner == OWNER_P && !q_flying ->
+        measure_successor_proof();
+        if :: proved -> q_flying = true :: else fi;
+        proved = false;
+        check() }
+    :: d_step { q_flying && owner == OWNER_P -> take_successor_removal(); check() }
+#endif
+
 #ifdef PROGRESS
     :: d_step { FAULTY -> rounds = 1; a_lost = false }
     :: d_step { FAULTY -> rounds = 1; a_lost = true }
