Wait out the grants of a replaced boot before a takeover of its successor

Cause: a boot that has replaced its predecessor in the record and has no lease yet was taken over without waiting, since its witnesses have acknowledged nothing of it.

Change: a node notes when it learns of an owner that has replaced an owner of the same instance, or may have done so in a version that it skipped. The wire protocol and the record are unchanged.

--- a/crates/rattanarch_ownership/src/rules.rs
+++ b/crates/rattanarch_ownership/src/rules.rs
@@ -20,6 +20,9 @@
     pub match_terms: bool,
     /// A takeover waits until the last acknowledgements of the witnesses that promised have expired.
     pub wait_out_seal: bool,
+    /// A takeover of a member that has replaced a previous boot of its instance also waits until the grants of that boot
+    /// have expired, which the upstream still holds.
+    pub wait_out_predecessor: bool,
     /// A witness that has promised a seal no longer acknowledges the term.
     pub keep_promises: bool,
     /// A process that restarts or rejoins takes a new boot id.
@@ -58,6 +61,7 @@
             numbered_releases: true,
             match_terms: true,
             wait_out_seal: true,
+            wait_out_predecessor: true,
             keep_promises: true,
             new_boot_ids: true,
             joint_sets: true,
--- a/crates/rattanarch_ownership/src/takeover.rs
+++ b/crates/rattanarch_ownership/src/takeover.rs
@@ -25,12 +25,14 @@
     pub(crate) witnesses: Vec<BootId>,
     /// For each witness that has promised: when its last acknowledgement expires, on this node's clock.
     promises: BTreeMap<BootId, Moment>,
+    /// When the grants of the previous boot that the owner has replaced have expired.
+    predecessor_lapse: Moment,
     /// When the next requests to the witnesses are due.
     pub(crate) next: Moment,
 }
 
-/// A majority of the witnesses has promised; acknowledgements that these witnesses sent earlier may
-/// still be valid, until `until`.
+/// A majority of the witnesses has promised; acknowledgements that these witnesses sent earlier, or
+/// grants of a previous boot that the owner has replaced, may still be valid, until `until`.
 #[derive(Debug)]
 pub(crate) struct Waiting {
     until: Moment,
@@ -42,8 +44,9 @@
 pub(crate) struct Ready;
 
 impl Takeover<Sealing> {
-    pub(crate) fn new(term: Version, witnesses: Vec<BootId>) -> Self {
-        let stage = Sealing { witnesses, promises: BTreeMap::new(), next: Moment::ZERO };
+    pub(crate) fn new(term: Version, witnesses: Vec<BootId>, predecessor_lapse: Moment) -> Self {
+        let promises = BTreeMap::new();
+        let stage = Sealing { witnesses, promises, predecessor_lapse, next: Moment::ZERO };
         Self { term, stage }
     }
 
@@ -69,16 +72,18 @@
         if !self.has_majority_with(0) {
             return Err(self);
         }
-        let until = self.stage.promises.values().copied().max().unwrap_or_default();
+        let lapse = self.stage.promises.values().copied().max().unwrap_or_default();
+        let until = lapse.max(self.stage.predecessor_lapse);
         Ok(Takeover { term: self.term, stage: Waiting { until } })
     }
 }
 
 impl Takeover<Waiting> {
-    /// Moves to the next stage once every acknowledgement of the witnesses that promised has expired.
+    /// Moves to the next stage once every acknowledgement of the witnesses that promised, and every
+    /// grant of a replaced boot, has expired.
     ///
     /// # Errors
-    /// Returns the takeover unchanged if such an acknowledgement may still be valid at `now`.
+    /// Returns the takeover unchanged if one of these may still be valid at `now`.
     pub(crate) fn try_finish_waiting(self, now: Moment) -> Result<Takeover<Ready>, Self> {
         if now < self.stage.until {
             return Err(self);
--- a/crates/rattanarch_ownership/src/takeovers.rs
+++ b/crates/rattanarch_ownership/src/takeovers.rs
@@ -58,7 +58,7 @@
         member: &Member,
     ) {
         if core.lost.contains_key(&owner) {
-            return self.begin_lost(core, now, owner, member);
+            return self.begin_lost(core, witness, now, owner, member);
         }
         if self.by_owner.contains_key(&owner) {
             return;
@@ -72,7 +72,8 @@
         // Checking the platform before the suspicion time is over avoids waiting for it afterwards.
         let reachable = core.is_platform_reachable(now);
         if reachable && silence >= core.timing.suspicion + delay {
-            let takeover = Takeover::new(member.term, member.witnesses.clone());
+            let lapse = witness.predecessor_lapse(core, owner);
+            let takeover = Takeover::new(member.term, member.witnesses.clone(), lapse);
             self.by_owner.insert(owner, AnyTakeover::Sealing(takeover));
             let silence = silence.as_millis() as u64;
             log::info!(owner:% = member.instance, member = owner, term = member.term,
@@ -83,8 +84,16 @@
 
     /// Begins the takeover of an owner that was declared lost. Its witnesses are asked at once;
     /// after a lease the operator's declaration replaces the promises of those that do not answer.
-    fn begin_lost(&mut self, core: &Core, now: Moment, owner: BootId, member: &Member) {
-        let takeover = Takeover::new(member.term, member.witnesses.clone());
+    fn begin_lost(
+        &mut self,
+        core: &Core,
+        witness: &Witness,
+        now: Moment,
+        owner: BootId,
+        member: &Member,
+    ) {
+        let lapse = witness.predecessor_lapse(core, owner);
+        let takeover = Takeover::new(member.term, member.witnesses.clone(), lapse);
         let current = self.by_owner.entry(owner).or_insert(AnyTakeover::Sealing(takeover));
         let eligible: Vec<_> = core.record.iter().flat_map(|r| r.members.keys()).copied().collect();
         let delay = rank_delay(owner, core.me, &eligible);
