Take the quota token of a request once its body has been received

Cause: the token was taken before the body was read, so a caller that held back the ends of its bodies used tokens of earlier windows in a later one, as late as the timeout of the route.

The quota is checked after the body. An account that is known to have no token is refused before it, without taking one, so that bodies of an account over its quota don't fill the buffers.

--- a/crates/rattanarch_accounts/src/allowance.rs
+++ b/crates/rattanarch_accounts/src/allowance.rs
@@ -77,6 +77,11 @@
         self.tokens.extend((0..count).map(|_| token));
     }
 
+    /// Whether there is a token to take.
+    pub(crate) fn has_token(&self, now: Moment) -> bool {
+        self.tokens.iter().any(|token| token.is_valid(now))
+    }
+
     /// Takes the token that is valid for the shortest time.
     pub(crate) fn take(&mut self, now: Moment) -> Option<QuotaToken> {
         self.tokens.retain(|token| token.is_valid(now));
--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -211,6 +211,18 @@
         None
     }
 
+    /// Refuses a request of the account `flow` before its body has been read, if the coordinator is known to have no token.
+    /// Returns the time until there is expected to be one; `None` if [`Self::request`] decides once the body has been read.
+    pub fn refuse_early(&mut self, now: Moment, flow: FlowId) -> Option<Duration> {
+        let group = &mut self.groups[usize::from(quota_group(flow))];
+        let allowance = group.accounts.get_mut(&flow)?;
+        if !allowance.is_empty(now) || allowance.has_token(now) {
+            return None;
+        }
+        allowance.count(now);
+        Some(allowance.retry_at.saturating_sub(now))
+    }
+
     /// Gives back the token of a request that was refused before it was sent to an upstream. A token that has expired, or
     /// that comes from the static share, is lost.
     pub fn give_back(&mut self, now: Moment, flow: FlowId, token: QuotaToken) {
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -222,3 +222,29 @@
     let rest = coordinator.handle(now, from, &request(3, 100, true), limit);
     assert_eq!(rest.accounts[0].granted, 4, "the burst is 10");
 }
+
+/// Guards against an early refusal although a token is left or the coordinator may have some, and against a check that
+/// takes a token.
+#[test]
+fn refused_early() {
+    let mut client = client();
+    assert_eq!(client.refuse_early(START, FLOW), None, "nothing is known of the account");
+    assert!(ask(&mut client, START, 1).is_none() && ask(&mut client, START, 2).is_none());
+    assert_eq!(client.refuse_early(START, FLOW), None, "the coordinator decides");
+    let request = waiting_request(&client.poll(START)).expect("the coordinator is asked");
+    let verdicts = client.handle(START, &grant(&request, 1, 300));
+    let Some((1, QuotaVerdict::Admitted(token))) = verdicts.first().copied() else {
+        panic!("{verdicts:?}")
+    };
+    let now = START + Duration::from_millis(50);
+    assert_eq!(client.refuse_early(now, FLOW), Some(Duration::from_millis(250)));
+    client.give_back(now, FLOW, token);
+    assert_eq!(client.refuse_early(now, FLOW), None, "there is a token");
+    assert_eq!(
+        ask(&mut client, now, 3),
+        Some((3, QuotaVerdict::Admitted(token))),
+        "none was taken"
+    );
+    let later = START + Duration::from_millis(110);
+    assert_eq!(client.refuse_early(later, FLOW), None, "the coordinator is asked again");
+}
--- a/crates/rattanarch_mesh/src/control/mod.rs
+++ b/crates/rattanarch_mesh/src/control/mod.rs
@@ -34,6 +34,7 @@
 pub(crate) use quotas::Quotas;
 pub(crate) use quotas::give_back_quota;
 pub(crate) use quotas::quota_numbers;
+pub(crate) use quotas::refuse_early;
 pub(crate) use quotas::request_quota;
 pub(crate) use quotas::run_quotas;
 pub(crate) use rebalancing::open_release_window;
--- a/crates/rattanarch_mesh/src/control/quotas.rs
+++ b/crates/rattanarch_mesh/src/control/quotas.rs
@@ -97,6 +97,14 @@
     receiver.await.ok()
 }
 
+/// Refuses a request of `account` before its body has been read, if the account is known to be over its quota; returns
+/// the time until there is expected to be capacity.
+pub(crate) fn refuse_early(shared: &Shared, account: &Account) -> Option<Duration> {
+    account.limit?;
+    let mut quotas = shared.quotas.state.borrow_mut();
+    quotas.as_mut()?.client.refuse_early(shared.now(), account.flow)
+}
+
 /// Has the coordinator asked for requests that wait as soon as another datagram to it is due.
 fn set_timer(shared: &Rc<Shared>) {
     if shared.quotas.timer.replace(true) {
--- a/crates/rattanarch_mesh/src/request/account_request.rs
+++ b/crates/rattanarch_mesh/src/request/account_request.rs
@@ -1,6 +1,7 @@
 //! A request of a client account that is within the account's quota.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use rattanarch_accounts::Account;
 use rattanarch_accounts::QuotaToken;
@@ -22,7 +23,24 @@
 }
 
 impl AccountRequest {
-    /// Admits a request of `account`; `None` for a request that belongs to no account.
+    /// Checks before the body of a request of `account` is read whether the account is known to be over its quota, so that
+    /// such bodies take no memory. Takes no token.
+    ///
+    /// # Errors
+    /// If it is.
+    pub(crate) fn check(
+        shared: &Shared,
+        account: Option<&Account>,
+        trace: &RequestTrace,
+    ) -> Result<(), Refusal> {
+        let Some(account) = account else { return Ok(()) };
+        let Some(retry_after) = control::refuse_early(shared, account) else { return Ok(()) };
+        shared.meters.account_request(account, false);
+        Err(over_quota(account, retry_after, trace))
+    }
+
+    /// Admits a request of `account` that has been read; `None` for a request that belongs to no account. A token that
+    /// was taken before the body was read would be used as late as the body ends, in a window that grants its own tokens.
     ///
     /// # Errors
     /// If the account is over its quota.
@@ -45,24 +63,22 @@
                 Ok(Self { token: Some((account.flow, token)), ..without_token })
             }
             Some(QuotaVerdict::Refused(retry_after)) => {
-                let account = account.name.clone();
-                trace.add(Decision::OverQuota { account, retry_after });
-                Err(Refusal::new(Reason::OverQuota, retry_after))
+                Err(over_quota(account, retry_after, trace))
             }
         }
     }
 
     /// Gives the token back if the request ended with a refusal by the daemons.
     pub(crate) fn end(&self, outcome: &Outcome) {
-        if matches!(outcome, Outcome::Refused(refusal) if !refusal.by_upstream) {
-            self.give_back();
-        }
-    }
-
-    /// Gives the token back, since the request was not sent to an upstream.
-    pub(crate) fn give_back(&self) {
-        if let Some((flow, token)) = self.token {
+        if let Some((flow, token)) = self.token
+            && matches!(outcome, Outcome::Refused(refusal) if !refusal.by_upstream)
+        {
             control::give_back_quota(&self.shared, flow, token);
         }
     }
 }
+
+fn over_quota(account: &Account, retry_after: Duration, trace: &RequestTrace) -> Refusal {
+    trace.add(Decision::OverQuota { account: account.name.clone(), retry_after });
+    Refusal::new(Reason::OverQuota, retry_after)
+}
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -88,17 +88,17 @@
             Err(rejection) => return self.rejected(&trace, rejection),
         };
         let account = account.as_deref();
+        if let Err(refusal) = AccountRequest::check(&self.shared, account, &trace) {
+            return finish(&trace, Outcome::Refused(refusal));
+        }
+        let call = match self.read(request, (&rule, account), received, &routes).await {
+            Ok(call) => Rc::new(call),
+            Err(response) => return finish(&trace, Outcome::Answered(response)),
+        };
         let admitted = match AccountRequest::admit(&self.shared, account, &trace).await {
             Ok(admitted) => admitted,
             Err(refusal) => return finish(&trace, Outcome::Refused(refusal)),
         };
-        let call = match self.read(request, (&rule, account), received, &routes).await {
-            Ok(call) => Rc::new(call),
-            Err(response) => {
-                admitted.give_back();
-                return finish(&trace, Outcome::Answered(response));
-            }
-        };
         let outcome = self.run(&call, &rule, &trace).await;
         admitted.end(&outcome);
         finish(&trace, outcome)
--- a/crates/rattanarchd/tests/mesh_quotas.rs
+++ b/crates/rattanarchd/tests/mesh_quotas.rs
@@ -2,6 +2,9 @@
 
 mod mesh_support;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,18 +22,25 @@
 /// Most requests of the account `small` in a span: `(10 x 5 + 10) x 1.1 + 20`.
 const SMALL_ALLOWED: usize = 86;
 
+/// Most requests of the account `held` in a span: `(20 x 5 + 20) x 1.1 + 20`.
+const HELD_ALLOWED: usize = 152;
+
 /// Time after which the coordinators count all daemons.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 fn start() -> Site {
     let store = Store::start();
-    store.configure_accounts(
+    // Longer than the bodies that `held_bodies` holds back.
+    let timeout = "20s";
+    store.configure_accounts_timeout(
         5,
         &json!([
             { "name": "small", "api_keys": ["small-key"], "rate_per_s": 10.0, "burst": 10 },
             { "name": "large", "api_keys": ["large-key"], "rate_per_s": 400, "burst": 400 },
+            { "name": "held", "api_keys": ["held-key"], "rate_per_s": 20.0, "burst": 20 },
             { "name": "free", "api_keys": ["free-key"] },
         ]),
+        timeout,
     );
     let mut site = Site::empty(store);
     for index in 0..3 {
@@ -145,3 +155,52 @@
     let most = most_in_window(&site, "small");
     assert!(most <= SMALL_ALLOWED, "{most} in a window");
 }
+
+/// Opens a connection to a daemon and sends a request of the account `held` on it, but for the end of its body.
+fn send_start(site: &Site, daemon: usize, index: usize) -> TcpStream {
+    let address = site.daemons[daemon].addresses.callers;
+    let mut connection = TcpStream::connect(address).expect("it listens");
+    connection.set_read_timeout(Some(Duration::from_secs(3))).expect("the timeout is valid");
+    let request = format!(
+        "POST /files/a HTTP/1.1\r\nhost: pound.example\r\nx-attempt-id: held-{index}\r\n\
+         authorization: Bearer held-key\r\ncontent-length: 10\r\n\r\n01234"
+    );
+    connection.write_all(request.as_bytes()).expect("the connection is open");
+    connection
+}
+
+/// Sends the rest of the body, and returns the status of the response.
+fn send_end(connection: &mut TcpStream) -> String {
+    connection.write_all(b"56789").expect("the connection is open");
+    let mut start = [0; 12];
+    connection.read_exact(&mut start).expect("a response arrives");
+    String::from_utf8_lossy(&start[9..]).into_owned()
+}
+
+/// Guards against tokens of earlier windows that are used in a later one: requests are sent within the limit for some
+/// seconds, and the ends of their bodies all in one window.
+#[test]
+fn held_bodies() {
+    let site = start();
+    let mut connections = Vec::new();
+    for index in 0..210 {
+        connections.push(send_start(&site, index % 3, index));
+        thread::sleep(Duration::from_millis(40));
+    }
+    let (mut served, mut limited) = (0, 0);
+    for connection in &mut connections {
+        let status = send_end(connection);
+        served += usize::from(status == "200");
+        limited += usize::from(status == "429");
+        thread::sleep(Duration::from_millis(5));
+    }
+    let most = most_in_window(&site, "held");
+    assert!(most <= HELD_ALLOWED, "{most} in a window, {served} served, {limited} over the quota");
+    // At least the burst.
+    assert!(served >= 20, "{served} served, {limited} over the quota");
+    // One at a time is within the limit, however long its body takes.
+    thread::sleep(Duration::from_secs(1));
+    let mut connection = send_start(&site, 0, 1_000);
+    thread::sleep(Duration::from_millis(400));
+    assert_eq!(send_end(&mut connection), "200");
+}
