Treat null for the client accounts as a malformed configuration

Cause: `tenants: null` was decoded as a missing field, so a malformed configuration disabled accounts and let all requests in.

It is an error now, and the version in force remains.

--- a/crates/rattanarchd/tests/mesh_accounts.rs
+++ b/crates/rattanarchd/tests/mesh_accounts.rs
@@ -133,7 +133,7 @@
 }
 
 /// Guards against a key that stays valid on a connection that was opened before its removal, and against a configuration
-/// with an ambiguous key.
+/// with an ambiguous key or with `null` for the accounts, which would let all requests in.
 #[test]
 fn removed_key() {
     let site = start();
@@ -153,6 +153,10 @@
     thread::sleep(APPLY_TIME);
     assert_eq!(send(&mut connection, "rejected", "gull-key-1"), "401");
     assert_eq!(send(&mut connection, "kept", "seal-key-1"), "200", "version 6 stays in force");
+    site.store.configure_accounts(8, &Value::Null);
+    thread::sleep(APPLY_TIME);
+    assert_eq!(send(&mut connection, "null", "gull-key-1"), "401", "accounts are still in force");
+    assert_eq!(send(&mut connection, "still", "seal-key-1"), "200", "version 6 stays in force");
     let log = site.daemons[1].log();
     assert!(log.contains("configuration malformed") && !log.contains("seal-key"));
 }
