Discard the rest of a body before closing the connection of a refused request

Cause: the response to a request whose body had not been read (401, 404, 429, 503) was followed by the close of the connection, which resets it while the caller still sends, and the caller may lose the response.

A body that ends within 10 ms leaves the connection usable. Otherwise the response has `Connection: close`, and up to 64 KiB are discarded for up to 1 s, then the connection is closed, also while the process closes. The body of a request with `Expect` is not read.

Test unread_bodies: a caller that sent the rest of its body got a broken pipe before; passes now. mesh_accounts, mesh_quotas, mesh_callers and connections of rattanarchd pass.

--- a/crates/rattanarch_mesh/src/connection/body.rs
+++ b/crates/rattanarch_mesh/src/connection/body.rs
@@ -32,6 +32,8 @@
     Relayed(Box<Relayed>),
     /// A body that is charged to the budget until it is sent.
     Held(Box<(ResponseBody, HeldGuard)>),
+    /// A body of the response to a request whose own body has not been read.
+    WithUnread(Box<(ResponseBody, Incoming)>),
 }
 
 /// Bytes that the codec may hold of a body that is forwarded while it arrives.
@@ -63,11 +65,25 @@
         uplink.queue(&bytes).map_or_else(|| Self::full(bytes), Self::Scheduled)
     }
 
+    /// This body, with the rest of the request's body `unread`, which the server discards.
+    pub(crate) fn with_unread(self, unread: Incoming) -> Self {
+        Self::WithUnread(Box::new((self, unread)))
+    }
+
+    /// Separates the body from that of the request, if it has not been read.
+    pub(crate) fn split_unread(self) -> (Self, Option<Incoming>) {
+        match self {
+            Self::WithUnread(both) => (both.0, Some(both.1)),
+            body => (body, None),
+        }
+    }
+
     /// Number of bytes that are sent without being scheduled; 0 if it isn't known.
     pub(crate) fn unscheduled_len(&self) -> usize {
         match self {
             Self::Scheduled(body) => body.unscheduled_len(),
             Self::Held(held) => held.0.unscheduled_len(),
+            Self::WithUnread(both) => both.0.unscheduled_len(),
             body => body.size_hint().exact().unwrap_or_default() as usize,
         }
     }
@@ -84,7 +100,7 @@
     pub(crate) fn charged_to(self, held: &HeldBytes) -> Self {
         let length = match &self {
             Self::Full(_) | Self::Scheduled(_) => self.size_hint().exact().unwrap_or_default(),
-            Self::Relayed(_) | Self::Held(_) => 0,
+            Self::Relayed(_) | Self::Held(_) | Self::WithUnread(_) => 0,
         };
         if length <= UNCHARGED_BYTES as u64 {
             return self;
@@ -99,7 +115,7 @@
     pub(crate) fn guard(&self) -> Option<&HeldGuard> {
         match self {
             Self::Held(held) => Some(&held.1),
-            Self::Full(_) | Self::Scheduled(_) | Self::Relayed(_) => None,
+            Self::Full(_) | Self::Scheduled(_) | Self::Relayed(_) | Self::WithUnread(_) => None,
         }
     }
 
@@ -144,6 +160,7 @@
         match self.get_mut() {
             Self::Full(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             Self::Scheduled(body) => body.poll_chunk(cx).map(|chunk| chunk.map(Ok)),
+            Self::WithUnread(both) => Pin::new(&mut both.0).poll_frame(cx),
             Self::Held(held) => {
                 let polled = Pin::new(&mut held.0).poll_frame(cx);
                 if polled.is_ready() {
@@ -169,6 +186,7 @@
             Self::Scheduled(body) => body.len() == 0,
             Self::Relayed(relayed) => relayed.incoming.is_end_stream(),
             Self::Held(held) => held.0.is_end_stream(),
+            Self::WithUnread(both) => both.0.is_end_stream(),
         }
     }
 
@@ -178,6 +196,7 @@
             Self::Scheduled(body) => SizeHint::with_exact(body.len() as u64),
             Self::Relayed(relayed) => relayed.incoming.size_hint(),
             Self::Held(held) => held.0.size_hint(),
+            Self::WithUnread(both) => both.0.size_hint(),
         }
     }
 }
--- a/crates/rattanarch_mesh/src/connection/mod.rs
+++ b/crates/rattanarch_mesh/src/connection/mod.rs
@@ -13,6 +13,7 @@
 mod served_body;
 mod server;
 mod server_stream;
+mod unread_body;
 mod uplink_scheduler;
 mod within;
 
--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -21,9 +21,11 @@
 use crate::connection::Connections;
 use crate::connection::MAX_ONE_WAY_DELAY;
 use crate::connection::ResponseBody;
+use crate::connection::connections::ConnectionState;
 use crate::connection::connections::OpenConnection;
 use crate::connection::served_body::ServedBody;
 use crate::connection::server_stream::ServerStream;
+use crate::connection::unread_body::UnreadBody;
 use crate::process::Phase;
 use crate::process::Shared;
 
@@ -118,14 +120,22 @@
     let used = Cell::new(false);
     let service = service_fn(|request| {
         used.set(true);
-        let (busy, close) = (open.state.begin(), Rc::clone(&open.state.close));
+        let (busy, state) = (open.state.begin(), Rc::clone(&open.state));
         let listener = open.listener;
         let response = Rc::clone(&handler).handle(request);
         let shared = Rc::clone(&shared);
         async move {
-            let mut response = response.await.map(|body| body.charged_to(&shared.held));
+            let (parts, body) = response.await.into_parts();
+            let (body, unread) = body.split_unread();
+            let mut response = Response::from_parts(parts, body.charged_to(&shared.held));
+            if let Some(unread) = unread
+                && let Some(rest) = UnreadBody::new(unread).discard_received().await
+            {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                tokio::task::spawn_local(discard_rest(rest, Rc::clone(&state)));
+            }
             if let Some(guard) = response.body().guard() {
-                guard.close_by(close, listener);
+                guard.close_by(Rc::clone(&state.close), listener);
             }
             // Bytes that are sent at once delay the queued responses on the uplink.
             shared.uplink.record_immediate(response.body().unscheduled_len());
@@ -156,5 +166,17 @@
         let _ = tokio::time::timeout(FIRST_REQUEST_WAIT, &mut connection).await;
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = open.state.close.notified() => {}
+    }
+}
+
+/// Discards the rest of a request body after the response, and closes the connection if the body does not end. The
+/// connection counts as busy meanwhile.
+async fn discard_rest(rest: UnreadBody, state: Rc<ConnectionState>) {
+    let _busy = state.begin();
+    if !rest.discard_rest().await {
+        state.close.notify_one();
+    }
 }
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -8,6 +8,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -74,22 +75,26 @@
         let id = headers::caller_request_id(request.headers()).and_then(|id| id.to_str().ok());
         let trace = RequestTrace::new(&self.shared, id.unwrap_or_default(), "caller");
         if !self.shared.phase.borrow().admits_callers() {
-            return finish(&trace, Outcome::Refused(Reason::Stopping.into()));
+            return unread(request, finish(&trace, Outcome::Refused(Reason::Stopping.into())));
         }
         let routes = self.shared.knowledge.borrow().routes_in_force().cloned();
         let Some(routes) = routes else {
-            return finish(&trace, Outcome::Refused(Reason::NoConfiguration.into()));
+            let response = finish(&trace, Outcome::Refused(Reason::NoConfiguration.into()));
+            return unread(request, response);
         };
         let rule = host(&request).and_then(|host| routes.find(&host, request.uri().path()));
-        let Some(rule) = rule else { return no_route(&trace, &request, &routes) };
+        let Some(rule) = rule else {
+            let response = no_route(&trace, &request, &routes);
+            return unread(request, response);
+        };
         trace.set_route(&rule.name);
         let account = match self.account(&request, &rule, &routes) {
             Ok(account) => account,
-            Err(rejection) => return self.rejected(&trace, rejection),
+            Err(rejection) => return unread(request, self.rejected(&trace, rejection)),
         };
         let account = account.as_deref();
         if let Err(refusal) = AccountRequest::check(&self.shared, account, &trace) {
-            return finish(&trace, Outcome::Refused(refusal));
+            return unread(request, finish(&trace, Outcome::Refused(refusal)));
         }
         let call = match self.read(request, (&rule, account), received, &routes).await {
             Ok(call) => Rc::new(call),
@@ -114,6 +119,15 @@
     }
 }
 
+/// The response to `request`, whose body has not been read and is discarded.
+fn unread(request: Request<Incoming>, response: Response<ResponseBody>) -> Response<ResponseBody> {
+    // Reading would ask a caller that waits for the status to send its body.
+    if request.body().is_end_stream() || request.headers().contains_key(header::EXPECT) {
+        return response;
+    }
+    response.map(|body| body.with_unread(request.into_body()))
+}
+
 fn no_route(
     trace: &RequestTrace,
     request: &Request<Incoming>,
--- a/crates/rattanarchd/tests/mesh_accounts.rs
+++ b/crates/rattanarchd/tests/mesh_accounts.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use mesh_support::Site;
 use mesh_support::wait_until;
@@ -197,3 +198,55 @@
     thread::sleep(START_TIME);
     assert_eq!(site.get_with(parent_daemon, "/files/b", "parent.5", &[]).status, 401);
 }
+
+/// Opens a connection to the first daemon and sends `start`, of a request with a body of `length` bytes and no key.
+fn send_unauthorized(site: &Site, length: usize, start: &[u8]) -> TcpStream {
+    let mut connection = TcpStream::connect(site.daemons[0].addresses.callers).expect("it listens");
+    connection.set_read_timeout(Some(Duration::from_secs(5))).expect("the timeout is valid");
+    let head = format!(
+        "POST /files/a HTTP/1.1\r\nhost: pound.example\r\ncontent-length: {length}\r\n\r\n"
+    );
+    connection.write_all(&[head.as_bytes(), start].concat()).expect("the connection is open");
+    connection
+}
+
+/// Guards against a refusal that is lost because the connection is reset while the caller still sends the body, and against
+/// connections that stay open for a body that does not end, or that is long.
+#[test]
+fn unread_bodies() {
+    let site = start();
+    let piece = [b'x'; 10_000];
+    let mut connection = send_unauthorized(&site, 60_000, &piece);
+    for _ in 1..6 {
+        thread::sleep(Duration::from_millis(100));
+        connection.write_all(&piece).expect("the daemon takes the rest of the body");
+    }
+    let mut response = String::new();
+    connection.read_to_string(&mut response).expect("the connection ends without a reset");
+    assert!(
+        response.starts_with("HTTP/1.1 401") && response.ends_with("key missing"),
+        "{response}"
+    );
+
+    let mut connection = send_unauthorized(&site, 60_000, &piece);
+    let before = Instant::now();
+    let mut start = [0; 12];
+    connection.read_exact(&mut start).expect("the response does not wait for the body");
+    assert!(before.elapsed() < Duration::from_millis(500));
+    // An error is a reset, since the caller may not know that the connection is closed.
+    let _ = connection.read_to_end(&mut Vec::new());
+    let open = before.elapsed();
+    assert!(open > Duration::from_millis(700) && open < Duration::from_secs(3), "{open:?}");
+
+    let mut connection = send_unauthorized(&site, 10_000_000, &piece);
+    let before = Instant::now();
+    let sent = (0..1_000).take_while(|_| connection.write_all(&piece).is_ok()).count();
+    assert!(sent < 999, "a long body is not read to its end");
+    assert!(before.elapsed() < Duration::from_secs(3));
+
+    let mut connection = send_unauthorized(&site, 5, b"short");
+    let mut bytes = [0; 4_096];
+    let read = connection.read(&mut bytes).expect("a response arrives");
+    assert!(bytes[..read].starts_with(b"HTTP/1.1 401"));
+    assert_eq!(send(&mut connection, "next", "seal-key-1"), "200", "the connection stays usable");
+}
