Shorten the validity of a slow coordinator's tokens to the wait of a request

Cause: these tokens were valid for 1 s and counted as unused for as long, but a request waits for 600 ms only. An account whose burst is below its rate got little from a slow coordinator: 132 tokens in a window with a rate of 100 and a burst of 5.

--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -20,12 +20,13 @@
 use crate::quota_coordinator::COUNTED_TIME;
 use crate::quota_group::quota_group;
 use crate::quota_group::score;
+use crate::token_bucket::LONG_TOKEN_TIME;
 use crate::token_bucket::MAX_WAIT;
 use crate::token_bucket::SPARE_TIME;
 
 /// Longest time that a request waits for a grant. A reply usually takes 3 ms; that of a machine with a tenth of a core and
 /// a link of 10 Mbit/s often over 60 ms, at times 400 ms, and the first late one is noticed after [`SLOW_REPLY`].
-const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
+const GRANT_TIMEOUT: Duration = LONG_TOKEN_TIME;
 
 /// Reply time above which a coordinator is slow: its tokens are asked for with a longer validity.
 const SLOW_REPLY: Duration = Duration::from_millis(60);
@@ -38,7 +39,7 @@
 const REPLY_TIME_RATIO: f64 = 0.125;
 
 /// How long a token for a request that waited is valid, counted from the daemon's request: it may arrive late, or be
-/// given back. Tokens of a slow coordinator are valid for [`SPARE_TIME`], within the bound on tokens in advance.
+/// given back. Tokens of a slow coordinator are valid for [`LONG_TOKEN_TIME`], within the bound on tokens in advance.
 const TOKEN_TIME: Duration = Duration::from_millis(200);
 
 /// Interval of requests without a want, by which a coordinator counts this daemon: two in [`COUNTED_TIME`].
@@ -474,7 +475,7 @@
     fn add_tokens(&mut self, request: &InFlight, grant: &QuotaGrant) {
         // A coordinator of an earlier version does not know the longer validity.
         let is_long = request.long_valid && grant.long_valid;
-        let token_time = if is_long { SPARE_TIME } else { TOKEN_TIME };
+        let token_time = if is_long { LONG_TOKEN_TIME } else { TOKEN_TIME };
         for share in &grant.accounts {
             let allowance = self.accounts.get_mut(&share.flow);
             let (Some(want), Some(allowance)) = (request.want(share.flow), allowance) else {
--- a/crates/rattanarch_accounts/src/quota_messages.rs
+++ b/crates/rattanarch_accounts/src/quota_messages.rs
@@ -26,7 +26,7 @@
     pub settled: bool,
     /// Whether the daemon has changed to another coordinator.
     pub released: bool,
-    /// Whether the tokens for requests that wait shall be valid as long as those in advance, since replies take long.
+    /// Whether the tokens for requests that wait shall be valid for 600 ms instead of 200 ms, since replies take long.
     pub long_valid: bool,
     /// Accounts with wants; may be empty.
     pub accounts: Vec<QuotaWant>,
@@ -50,7 +50,7 @@
     pub sequence: u64,
     /// The group.
     pub group: QuotaGroupId,
-    /// Whether the tokens for requests that wait are valid as long as those in advance.
+    /// Whether the tokens for requests that wait are valid for 600 ms instead of 200 ms.
     pub long_valid: bool,
     /// Accounts of the request that the coordinator knows and can grant tokens of.
     pub accounts: Vec<QuotaShare>,
--- a/crates/rattanarch_accounts/src/token_bucket.rs
+++ b/crates/rattanarch_accounts/src/token_bucket.rs
@@ -1,6 +1,5 @@
 //! Bucket of an account at its coordinator.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use rattanarch_types::Moment;
@@ -12,6 +11,9 @@
 /// How long a token granted in advance is valid.
 pub(crate) const SPARE_TIME: Duration = Duration::from_secs(1);
 
+/// How long a token for a request that waits is valid if replies take long: as long as the request waits.
+pub(crate) const LONG_TOKEN_TIME: Duration = Duration::from_millis(600);
+
 /// Part of the level that one request may take in advance, so that the others find tokens too.
 const SPARE_LEVEL_RATIO: f64 = 0.25;
 
@@ -42,9 +44,9 @@
     /// [`Fill::seconds`] up to which the bucket was filled; 0 at first, so that it holds what it would have got since the
     /// coordinator took over.
     filled: f64,
-    /// Tokens granted within the last [`SPARE_TIME`] that are valid so long: those in advance, and those for requests
+    /// Numbers of tokens that may be unused, with the ends of their validity: those in advance, and those for requests
     /// whose replies take long.
-    spare: VecDeque<(Moment, u32)>,
+    spare: Vec<(Moment, u32)>,
     /// When there is a token for the next request that gets none.
     next_free: Moment,
 }
@@ -56,8 +58,8 @@
     }
 
     /// Grants what `want` asks for as far as there are tokens; returns the number, and the wait for the first request
-    /// that gets none. With `long_valid`, tokens for requests that wait count as unused for [`SPARE_TIME`], as those in
-    /// advance do.
+    /// that gets none. With `long_valid`, tokens for requests that wait count as unused for [`LONG_TOKEN_TIME`], as
+    /// those in advance do for [`SPARE_TIME`].
     pub(crate) fn grant(
         &mut self,
         now: Moment,
@@ -76,7 +78,7 @@
         if long_valid {
             // Binding only for a bucket that holds one token at least: its level is not reduced by unused tokens.
             granted = granted.min((burst + spare - self.unused_spare(now)).max(0.0) as u32);
-            self.add_unused(now, granted);
+            self.add_unused(now + LONG_TOKEN_TIME, granted);
         }
         self.level -= f64::from(granted);
         let missing = want.waiting - granted;
@@ -91,21 +93,19 @@
         let room = (bound - self.unused_spare(now)).max(0.0) as u32;
         let spare = wanted.min((self.level * SPARE_LEVEL_RATIO) as u32).min(room);
         self.level -= f64::from(spare);
-        self.add_unused(now, spare);
+        self.add_unused(now + SPARE_TIME, spare);
         spare
     }
 
-    fn add_unused(&mut self, now: Moment, count: u32) {
+    fn add_unused(&mut self, until: Moment, count: u32) {
         if count > 0 {
-            self.spare.push_back((now, count));
+            self.spare.push((until, count));
         }
     }
 
-    /// Most tokens valid for [`SPARE_TIME`] that may be unused.
+    /// Most tokens of those in `spare` that may be unused.
     fn unused_spare(&mut self, now: Moment) -> f64 {
-        while self.spare.front().is_some_and(|(at, _)| *at + SPARE_TIME < now) {
-            self.spare.pop_front();
-        }
+        self.spare.retain(|(until, _)| now <= *until);
         f64::from(self.spare.iter().map(|(_, count)| count).sum::<u32>())
     }
 
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -32,6 +32,9 @@
 /// How long a request waits for a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// How long tokens of a slow coordinator are valid.
+const LONG_TOKEN_TIME: Duration = GRANT_TIMEOUT;
+
 fn client() -> QuotaClient<u32> {
     let mut client = QuotaClient::new(RULE, 9, 1);
     client.set_members(9, vec![1, 2]);
@@ -248,3 +251,53 @@
     let later = START + Duration::from_millis(110);
     assert_eq!(client.refuse_early(later, FLOW), None, "the coordinator is asked again");
 }
+
+/// Guards against tokens that are valid for long and used together at their end, so that more run in a window than the
+/// table of the bound allows for the bucket and tokens in advance, while a coordinator's replies are late.
+#[test]
+fn long_valid_bound() {
+    for (rate, burst) in [(10.0, 10.0), (100.0, 100.0), (100.0, 5.0), (20.0, 0.0), (2.0, 60.0)] {
+        let allowed = 5.15 * rate + 1.05 * burst + 2.0 + 2.0;
+        let most = [1, 5, 40].map(|period| most_usable(rate, burst, period));
+        eprintln!("rate {rate}, burst {burst}: {most:?} of {allowed}");
+        assert!(most.iter().all(|most| f64::from(*most) <= allowed), "{most:?} of {allowed}");
+        let room = 0.15 * rate + 1.05 * burst + 2.0;
+        let usable = rate.min(room.floor() / LONG_TOKEN_TIME.as_secs_f64());
+        assert!(f64::from(most[0]) >= 4.5 * usable, "{most:?} with the rate {rate}");
+    }
+}
+
+/// Most tokens of a coordinator that can be used in one window, by requests with `long_valid`: 30 for requests that wait
+/// every `period` steps of 20 ms and one in each other step, and always 20 in advance, at some times none at all.
+fn most_usable(rate: f64, burst: f64, period: u64) -> u32 {
+    let limit = RateLimit::new(rate, burst);
+    let mut coordinator = QuotaCoordinator::new(RULE, START);
+    let from = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let mut grants = Vec::new();
+    for index in 0..1_500 {
+        let now = START + Duration::from_millis(20) * index as u32;
+        // The bucket is full when demand begins.
+        let is_busy = index % 600 > 250;
+        let waiting = if index % period == 0 { 30 } else { 1 };
+        let (waiting, spare) = if is_busy { (waiting, 20) } else { (0, 0) };
+        let request = QuotaRequest {
+            sequence: index,
+            group: 0,
+            settled: true,
+            released: false,
+            long_valid: true,
+            accounts: vec![QuotaWant { flow: FLOW, waiting, spare }],
+        };
+        let grant = coordinator.handle(now, from, &request, |_| limit);
+        let granted = grant.accounts.first().map_or(0, |share| share.granted);
+        let waited = granted.min(waiting);
+        grants.push((now, now + LONG_TOKEN_TIME, waited));
+        grants.push((now, now + Duration::from_secs(1), granted - waited));
+    }
+    let usable = |start: Moment| -> u32 {
+        let inside =
+            grants.iter().filter(|(at, end, _)| *end >= start && *at <= start + RULE.window);
+        inside.map(|(_, _, granted)| granted).sum()
+    };
+    grants.iter().map(|(_, end, _)| usable(*end)).max().unwrap_or_default()
+}
