Keep the timeout of 2 s in the quota tests that hold back no bodies

Cause: held_bodies needs routes with a timeout of 20 s, and over_quota and lost_coordinators had got it too. They use 2 s again.

--- a/crates/rattanarchd/tests/mesh_quotas.rs
+++ b/crates/rattanarchd/tests/mesh_quotas.rs
@@ -25,13 +25,15 @@
 /// Most requests of the account `held` in a span: `(20 x 5 + 20) x 1.1 + 20`.
 const HELD_ALLOWED: usize = 152;
 
+/// Timeout of the routes.
+const TIMEOUT: &str = "2000ms";
+
 /// Time after which the coordinators count all daemons.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
-fn start() -> Site {
+/// A site of three daemons whose routes have the timeout `timeout`.
+fn start(timeout: &str) -> Site {
     let store = Store::start();
-    // Longer than the bodies that `held_bodies` holds back.
-    let timeout = "20s";
     store.configure_accounts_timeout(
         5,
         &json!([
@@ -108,7 +110,7 @@
 /// against a refusal that does not say when to return.
 #[test]
 fn over_quota() {
-    let site = start();
+    let site = start(TIMEOUT);
     let (time, all) = (Duration::from_secs(7), [0, 1, 2]);
     thread::scope(|scope| {
         let small =
@@ -137,7 +139,7 @@
 /// admit more than the quota.
 #[test]
 fn lost_coordinators() {
-    let mut site = start();
+    let mut site = start(TIMEOUT);
     let pause = Duration::from_millis(10);
     let grants = |daemon| site.metric(daemon, "rattanarch_quota_datagrams_total{kind=\"grant\"}");
     let before: Vec<_> = (0..3).map(grants).collect();
@@ -181,7 +183,8 @@
 /// seconds, and the ends of their bodies all in one window.
 #[test]
 fn held_bodies() {
-    let site = start();
+    // Longer than the bodies are held back.
+    let site = start("20s");
     let mut connections = Vec::new();
     for index in 0..210 {
         connections.push(send_start(&site, index % 3, index));
