Don't take refusals of an upstream with free slots for those of a full one

Each such refusal lowered the concurrency, to 2 or 3 of 12, and the daemons refused 10,000 requests for lack of slots.

A refusal while at most half of the slots are taken restores the concurrency, and refusals of the next 2 s don't lower it. unrelated_refusals fails before and passes now; the other tests of upstream_pace pass as before, uneven is red as before.

--- a/crates/rattanarch_admission/src/upstream_pace.rs
+++ b/crates/rattanarch_admission/src/upstream_pace.rs
@@ -57,6 +57,12 @@
 /// takes while cold. Senders avoid a cold upstream, so that it may get no request that would show that it is warm.
 const IDLE_TIME: Duration = Duration::from_secs(2);
 
+/// Part of the slots up to which so few requests run that an upstream which refuses one is not full.
+const FEW_RATIO: f64 = 0.5;
+
+/// Time after such a refusal in which others are not taken for those of a full upstream either.
+const UNRELATED_TIME: Duration = Duration::from_secs(2);
+
 /// Responses from whose mean it is told that the upstream is warm.
 const EVIDENCE_COUNT: u32 = 3;
 
@@ -239,6 +245,8 @@
     heat: Heat,
     /// When a request last ended.
     observed_at: Moment,
+    /// Time until which refusals say nothing about the concurrency.
+    unrelated_until: Moment,
     /// Requests that may run at once; from `MIN_WINDOW`, if there are as many slots, to `slots`.
     window: f64,
     /// Whether all requests have failed since the window was lowest.
@@ -299,6 +307,7 @@
             adaptive: true,
             heat: Heat::Warm,
             observed_at: Moment::ZERO,
+            unrelated_until: Moment::ZERO,
             window: f64::from(slots),
             probing: false,
             failed: false,
@@ -415,6 +424,7 @@
         let cause = match outcome {
             AttemptOutcome::Responded(time) => self.respond(now, sent, time, running),
             AttemptOutcome::Failed => self.fail(now, sent),
+            AttemptOutcome::Refused if self.is_unrelated(now, running) => PaceCause::Refusal,
             AttemptOutcome::Refused | AttemptOutcome::Cold => self.refuse(now, sent),
         };
         self.record_change(before, cause);
@@ -528,6 +538,19 @@
         PaceCause::Failures
     }
 
+    /// Whether a refusal at `now`, with `running` requests, has nothing to do with the concurrency: the upstream refuses, or
+    /// has lately refused, while few of its slots were taken. The concurrency is then restored, since a lower one would add
+    /// refusals to those of the upstream.
+    fn is_unrelated(&mut self, now: Moment, running: u32) -> bool {
+        if f64::from(running) <= f64::from(self.slots) * FEW_RATIO {
+            self.unrelated_until = now + UNRELATED_TIME;
+            if !self.failed {
+                self.window = f64::from(self.slots);
+            }
+        }
+        now < self.unrelated_until
+    }
+
     fn refuse(&mut self, now: Moment, sent: Moment) -> PaceCause {
         if sent >= self.reduced_at {
             self.reduce(now, REFUSED_RATIO);
--- a/crates/rattanarch_admission/tests/upstream_pace.rs
+++ b/crates/rattanarch_admission/tests/upstream_pace.rs
@@ -475,3 +475,26 @@
     pace.update(idle_since + ms(2_000));
     assert_eq!((pace.state(), pace.rate(), pace.concurrency()), (PaceState::Warm, None, SLOTS));
 }
+
+/// Guards against a concurrency of 2 at an upstream that refuses a part of its requests whatever runs: the daemon refused
+/// most of the others too. Refusals of a full upstream lower the concurrency as before.
+#[test]
+fn unrelated_refusals() {
+    let ms = Duration::from_millis;
+    let mut pace = UpstreamPace::new(SLOTS);
+    let mut now = START;
+    for index in 0..400_u32 {
+        now += ms(10);
+        // As many run as may, but for a few moments.
+        let running = if index % 10 == 0 { SLOTS / 3 } else { pace.concurrency() };
+        let outcome = match index % 9 {
+            0..4 => AttemptOutcome::Refused,
+            _ => AttemptOutcome::Responded(ms(100)),
+        };
+        pace.observe(now, now - ms(2), outcome, running);
+        assert!(index < 50 || pace.concurrency() == SLOTS, "{} at once", pace.concurrency());
+    }
+    now += ms(5_000);
+    pace.observe(now, now - ms(2), AttemptOutcome::Refused, SLOTS);
+    assert!(pace.concurrency() < SLOTS);
+}
