Offer a request to a copy of the admission controller

An explanation needs the outcome that a request would have without changing state. AdmissionController::copy_with copies the controller, so that the real offer runs on the copy. Candidate::unknown is a candidate of which only the slots are known, for peers without an entry.

--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -137,6 +137,23 @@
         }
     }
 
+    /// A copy of this controller in which each waiting request is what `copy` returns for it; requests for which it
+    /// returns `None` are left out. A request that is offered to the copy shows what would become of it here.
+    pub fn copy_with<U>(&self, copy: impl Fn(&T) -> Option<U>) -> AdmissionController<U> {
+        AdmissionController {
+            slots: self.slots,
+            running: self.running,
+            queue: self.queue.copy_with(copy),
+            rate_limiter: self.rate_limiter.clone(),
+            pace: self.pace.clone(),
+            mean: self.mean,
+            shortest: self.shortest,
+            arrivals: self.arrivals.clone(),
+            schedule: self.schedule.clone(),
+            work_times: self.work_times.clone(),
+        }
+    }
+
     /// Sets the number of slots, which may change when the upstream restarts.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
--- a/crates/rattanarch_admission/src/queue.rs
+++ b/crates/rattanarch_admission/src/queue.rs
@@ -108,6 +108,28 @@
         }
     }
 
+    /// A copy of this queue in which each waiting request is what `copy` returns for it; requests for which it returns
+    /// `None` are left out.
+    pub(crate) fn copy_with<U>(&self, copy: impl Fn(&T) -> Option<U>) -> Queue<U> {
+        let entry = |entry: &Entry<T>| {
+            let item = copy(&entry.item)?;
+            let Entry { flow, deadline, wait_until, .. } = *entry;
+            Some(Entry { item, flow, deadline, wait_until })
+        };
+        let ranks = self.by_rank.iter();
+        let by_rank: BTreeMap<Rank, VecDeque<Entry<U>>> = ranks
+            .map(|(rank, requests)| (*rank, requests.iter().filter_map(entry).collect()))
+            .filter(|(_, requests): &(Rank, VecDeque<Entry<U>>)| !requests.is_empty())
+            .collect();
+        Queue {
+            by_rank,
+            capacity: self.capacity,
+            throughput: self.throughput,
+            start_interval: self.start_interval,
+            shares: self.shares.clone(),
+        }
+    }
+
     /// Sets the current throughput of the upstream.
     pub fn set_throughput(&mut self, throughput: Throughput) {
         self.throughput = Throughput { concurrency: throughput.concurrency.max(1), ..throughput };
--- a/crates/rattanarch_routing/src/candidate.rs
+++ b/crates/rattanarch_routing/src/candidate.rs
@@ -30,6 +30,22 @@
 }
 
 impl Candidate {
+    /// An instance of which only the number of slots is known.
+    pub fn unknown(local: bool, slots: u32) -> Self {
+        Self {
+            local,
+            slots,
+            in_flight: 0,
+            recent_load: false,
+            mean_time: Duration::ZERO,
+            failure_ratio: 0.0,
+            send_time: Duration::ZERO,
+            lag: Duration::ZERO,
+            limit_interval: Duration::ZERO,
+            cold: false,
+        }
+    }
+
     /// Expected latency in seconds of a request sent now: its own service time, its part of the work
     /// queued ahead of it, and delays of the daemon and the link. `default_mean` stands in for an
     /// unknown mean service time.
