Explain a request on the users' platform

The daemon answers GET /explain on the address of metrics: where a request would be sent now, and why. The route, the call, the target, the wait for the key and the offer of a slot are decided by the functions of real requests, which were divided into decision and effect where they mixed both. Reads of peers no longer create entries for peers that were never used.

--- a/crates/rattanarch_mesh/src/process/listeners.rs
+++ b/crates/rattanarch_mesh/src/process/listeners.rs
@@ -22,6 +22,7 @@
 use crate::process::Shared;
 use crate::request::Inbound;
 use crate::request::Outbound;
+use crate::request::explain;
 use crate::request::responses;
 use crate::upstream::HeartbeatHandler;
 
@@ -146,11 +147,18 @@
     }
 }
 
-/// Serves the metrics as text.
+/// Path at which requests are explained.
+const EXPLAIN_PATH: &str = "/explain";
+
+/// Serves the metrics as text, and explanations of requests.
 struct MetricsHandler(Rc<Shared>);
 
 impl Handler for MetricsHandler {
-    async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Response<ResponseBody> {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        let uri = request.uri();
+        if uri.path() == EXPLAIN_PATH {
+            return explain(&self.0, request.method(), uri.query().unwrap_or_default());
+        }
         Response::new(ResponseBody::full(self.0.meters.text(&self.0)))
     }
 }
--- a/crates/rattanarch_mesh/src/request/attempts.rs
+++ b/crates/rattanarch_mesh/src/request/attempts.rs
@@ -231,7 +231,7 @@
     /// Requests a newer record if the known one names no owner or instance, and waits for one that does;
     /// returns whether it came in time.
     async fn wait_for_owner(&self, reason: Reason) -> bool {
-        if !matches!(reason, Reason::Unowned | Reason::NoInstance) {
+        if !reason.may_end_with_newer_record() {
             return false;
         }
         let timeout = control::refresh_records(&self.outbound.shared, &self.call.service);
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -1,10 +1,8 @@
 //! Handler of requests from the callers on this machine.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -14,12 +12,9 @@
 use rattanarch_accounts::Account;
 use rattanarch_adapter::headers;
 use rattanarch_process::random;
-use rattanarch_routing::ResponseSize;
-use rattanarch_routing::RetryPolicy;
 use rattanarch_routing::RouteTable;
 use rattanarch_routing::Rule;
 use rattanarch_types::Moment;
-use rattanarch_types::Rank;
 
 use crate::connection::Handler;
 use crate::connection::HeldBody;
@@ -38,16 +33,15 @@
 use crate::request::attempts::Attempts;
 use crate::request::authentication::Rejection;
 use crate::request::authentication::authenticate;
-use crate::request::call::strip_connection_headers;
 use crate::request::caller_timeouts::CallerTimeouts;
-use crate::request::forward_headers::FLOW;
-use crate::request::forward_headers::FORWARD;
 use crate::request::responses;
 use crate::request::retry_shares::RetryShares;
-
-/// Rank of a nested call, which an upstream makes for a request that it runs: refusing it would fail a
-/// request that already holds a slot.
-const NESTED_CALL_RANK: Rank = 0;
+use crate::request::route::CallSource;
+use crate::request::route::Unrouted;
+use crate::request::route::build_call;
+use crate::request::route::caller_timeout;
+use crate::request::route::ends_in_time;
+use crate::request::route::find_route;
 
 /// Time that pending requests still get once the process closes by force, which begins 0.4 s before
 /// the end of its grace time; it exits 0.25 s later.
@@ -73,15 +67,12 @@
         let received = self.shared.now();
         let id = headers::caller_request_id(request.headers()).and_then(|id| id.to_str().ok());
         let trace = RequestTrace::new(&self.shared, id.unwrap_or_default(), "caller");
-        if !self.shared.phase.borrow().admits_callers() {
-            return finish(&trace, Outcome::Refused(Reason::Stopping.into()));
-        }
-        let routes = self.shared.knowledge.borrow().routes_in_force().cloned();
-        let Some(routes) = routes else {
-            return finish(&trace, Outcome::Refused(Reason::NoConfiguration.into()));
+        let host = host(&request);
+        let (routes, rule) = match find_route(&self.shared, host.as_deref(), request.uri().path()) {
+            Ok(found) => found,
+            Err(Unrouted::Refused(refusal)) => return finish(&trace, Outcome::Refused(refusal)),
+            Err(Unrouted::NoRoute(routes)) => return no_route(&trace, &request, &routes),
         };
-        let rule = host(&request).and_then(|host| routes.find(&host, request.uri().path()));
-        let Some(rule) = rule else { return no_route(&trace, &request, &routes) };
         trace.set_route(&rule.name);
         let account = match self.account(&request, &rule, &routes) {
             Ok(account) => account,
@@ -165,7 +156,7 @@
     /// Runs a request that has been read.
     async fn run(&self, call: &Rc<Call>, rule: &Rule, trace: &RequestTrace) -> Outcome {
         trace.set_service(&call.service);
-        if !self.ends_in_time(call) {
+        if !ends_in_time(&self.shared, call) {
             return Outcome::Refused(Reason::Stopping.into());
         }
         let attempts = Attempts { outbound: self, call, rule, trace };
@@ -184,53 +175,12 @@
         received: Moment,
         routes: &RouteTable,
     ) -> Result<Call, Response<ResponseBody>> {
-        let (mut parts, body) = request.into_parts();
+        let (parts, body) = request.into_parts();
         let body = read_body(&self.shared, body, routes.limits.max_body_bytes).await?;
-        let timeout = headers::wait_time(&parts.headers).unwrap_or(rule.timeout);
-        let spent = self.timeouts.time_spent(&rule.name, timeout);
-        strip_connection_headers(&mut parts.headers);
-        parts.headers.remove(FORWARD);
-        parts.headers.remove(FLOW);
-        parts.headers.remove(header::CONTENT_LENGTH);
-        if routes.accounts.is_some() {
-            let name = account.map(|account| account.name.as_str());
-            headers::replace_account_key(&mut parts.headers, name);
-        }
-        let id = headers::caller_request_id(&parts.headers).and_then(|id| id.to_str().ok());
-        let id = id.unwrap_or_default().to_owned();
+        let spent = self.timeouts.time_spent(&rule.name, caller_timeout(&parts.headers, rule));
         let service = rule.target(random()).cloned().unwrap_or_default();
-        let key = key_of(&parts.headers, &service, routes);
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        let uri = path.parse().unwrap_or_else(|_| parts.uri.clone());
-        let rank = account.and_then(|account| account.priority).unwrap_or(rule.rank);
-        Ok(Call {
-            method: parts.method,
-            uri,
-            headers: parts.headers,
-            body,
-            service,
-            origin_service: self.shared.settings.service.clone(),
-            rank: if self.is_nested_call(&id) { NESTED_CALL_RANK } else { rank },
-            idempotent: rule.retry_policy.is_idempotent(),
-            objective: received + rule.target_latency.saturating_sub(spent),
-            deadline: received + timeout.min(rule.timeout),
-            key,
-            version: 0,
-            flow: account.map(|account| account.flow),
-            size: match rule.retry_policy {
-                RetryPolicy::Download => ResponseSize::Large,
-                RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => ResponseSize::Small,
-            },
-            retry: Cell::new(self.is_nested_in_retry(&id)),
-            id,
-        })
-    }
-
-    /// Whether `call` ends before this process has to exit, if it is stopping.
-    fn ends_in_time(&self, call: &Call) -> bool {
-        let grace = self.shared.bounds.get().grace;
-        let phase = *self.shared.phase.borrow();
-        phase.admits_request(grace, call.deadline, self.is_nested_call(&call.id))
+        let source = CallSource { body, service, received, spent };
+        Ok(build_call(&self.shared, parts, (routes, rule, account), source))
     }
 
     /// Waits until the process has to exit, with just enough time left to send error responses. The
@@ -241,23 +191,6 @@
         let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
         tokio::time::sleep(CLOSING_TIMEOUT).await;
     }
-
-    /// Whether this daemon's upstream makes the call for a request that it runs.
-    fn is_nested_call(&self, id: &str) -> bool {
-        self.shared.upstream.state.borrow().parent_request(id).is_some()
-    }
-
-    /// Whether this daemon's upstream makes the call for a run that is itself a retry.
-    fn is_nested_in_retry(&self, id: &str) -> bool {
-        self.shared.upstream.state.borrow().parent_request(id).is_some_and(|parent| parent.retry)
-    }
-}
-
-/// The key that decides which instance of `service` serves a request. Callers also set one on requests
-/// to services without keys, where it is ignored.
-fn key_of(headers: &HeaderMap, service: &str, routes: &RouteTable) -> Option<u16> {
-    let keyed = routes.service(service).is_none_or(|service| service.keyed);
-    headers::key(headers).filter(|_| keyed)
 }
 
 async fn read_body(
--- a/crates/rattanarch_mesh/src/request/peers.rs
+++ b/crates/rattanarch_mesh/src/request/peers.rs
@@ -72,6 +72,11 @@
         Rc::clone(peers.entry(address).or_insert_with(|| Rc::new(Peer::new(address))))
     }
 
+    /// The peer at `address`, if this daemon has exchanged anything with it.
+    pub(crate) fn known(&self, address: SocketAddr) -> Option<Rc<Peer>> {
+        self.peers.borrow().get(&address).cloned()
+    }
+
     /// Removes peers that are neither members nor have requests in flight.
     pub(crate) fn retain(&self, is_member: impl Fn(SocketAddr) -> bool) {
         self.peers
@@ -162,6 +167,11 @@
         Some((load, age))
     }
 
+    /// Time since its last report of its load, however old; `None` if it has not reported.
+    pub(crate) fn report_age(&self, now: Moment) -> Option<Duration> {
+        self.load.get().map(|(at, _)| now.saturating_sub(at))
+    }
+
     /// This peer as a candidate for a request without a key.
     pub(crate) fn candidate(&self, now: Moment, local: bool, slots: u32) -> Candidate {
         let in_flight = self.in_flight.get();
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -135,6 +135,11 @@
         matches!(self, Self::Overloaded | Self::RateLimited | Self::OverQuota)
     }
 
+    /// Whether a first attempt without a target waits for a newer record.
+    pub(crate) fn may_end_with_newer_record(self) -> bool {
+        matches!(self, Self::Unowned | Self::NoInstance)
+    }
+
     /// Whether another instance of a service without keys may take the request.
     pub(crate) fn allows_other_instance(self) -> bool {
         !matches!(self, Self::NoConfiguration | Self::NoInstance | Self::NoKey)
--- a/crates/rattanarch_mesh/src/request/responses.rs
+++ b/crates/rattanarch_mesh/src/request/responses.rs
@@ -45,17 +45,24 @@
     response
 }
 
-/// The response to a request that has not run.
-pub(crate) fn refused(refusal: Refusal) -> Response<ResponseBody> {
-    let status = match refusal.reason {
+/// HTTP status of a refusal.
+pub(crate) fn refusal_status(refusal: Refusal) -> StatusCode {
+    match refusal.reason {
         Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    let mut response = plain(status, refusal.reason.to_string());
+    }
+}
+
+/// Delay that a refused caller is told. `draw` is a random number from 0 to 1, which sets the jitter.
+pub(crate) fn retry_after(refusal: Refusal, draw: f64) -> Duration {
     let jitter = if refusal.reason.is_scheduled() { 0.0 } else { RETRY_AFTER_JITTER };
-    let retry_after =
-        refusal.retry_after.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter * random_fraction());
-    set_retry_after(response.headers_mut(), retry_after);
+    refusal.retry_after.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter * draw)
+}
+
+/// The response to a request that has not run.
+pub(crate) fn refused(refusal: Refusal) -> Response<ResponseBody> {
+    let mut response = plain(refusal_status(refusal), refusal.reason.to_string());
+    set_retry_after(response.headers_mut(), retry_after(refusal, random_fraction()));
     response
 }
 
--- a/crates/rattanarch_mesh/src/request/target.rs
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
+use derive_more::Display;
 use rattanarch_process::random;
 use rattanarch_routing::Candidate;
 use rattanarch_routing::ResponseSize;
@@ -42,7 +44,8 @@
     let record = shared.knowledge.borrow().record(&call.service).cloned();
     let Some(record) = record else { return Err(Reason::NoInstance.into()) };
     if record.slice_count() == 0 {
-        return choose_unkeyed(shared, &record, tried, call.size)
+        return Instances::of(shared, &record, tried)
+            .choose(call.size, random())
             .map(|(id, member)| target(shared, &record, id, member))
             .ok_or_else(|| Reason::NoInstance.into());
     }
@@ -51,7 +54,7 @@
     let found = owner.and_then(|id| Some((id, record.members.get(&id)?)));
     let Some((id, member)) = found else { return Err(Reason::Unowned.into()) };
     let target = target(shared, &record, id, member);
-    match shared.peers.get(target.address).backoff_left(shared.now()).filter(|_| !target.own) {
+    match backoff_left(shared, member) {
         Some(left) => Err(Refusal::new(Reason::Silent, left)),
         None => Ok(target),
     }
@@ -68,7 +71,7 @@
 }
 
 /// Whether `member` is this process.
-fn is_own(shared: &Shared, member: &Member) -> bool {
+pub(crate) fn is_own(shared: &Shared, member: &Member) -> bool {
     member.caller == shared.settings.listen.peers
 }
 
@@ -77,39 +80,95 @@
     member.data_centre == shared.settings.data_centre
 }
 
-/// Chooses an instance of a service without keys. Members in backoff count only if all are.
-fn choose_unkeyed<'a>(
-    shared: &Shared,
-    record: &'a Rc<Record>,
-    tried: &[SocketAddr],
-    size: ResponseSize,
-) -> Option<(BootId, &'a Member)> {
-    let now = shared.now();
-    let evacuated = Rc::clone(shared.knowledge.borrow().evacuated());
-    let is_eligible = |(id, member): &(BootId, &Member)| {
-        !member.leaving
-            && !shared.peers.get(member.caller).is_leaving(*id)
-            && !evacuated.contains(&member.data_centre)
-            && !tried.contains(&member.caller)
-    };
-    let members = record.members.iter().map(|(id, member)| (*id, member));
-    let members: Vec<(BootId, &Member)> = members.filter(is_eligible).collect();
-    let is_reachable = |(_, member): &(BootId, &Member)| {
-        is_own(shared, member) || shared.peers.get(member.caller).backoff_left(now).is_none()
-    };
-    let reachable: Vec<(BootId, &Member)> = members.iter().copied().filter(is_reachable).collect();
-    let members = if reachable.is_empty() { members } else { reachable };
-    let candidates: Vec<Candidate> =
-        members.iter().map(|(_, member)| candidate(shared, member)).collect();
-    choose_instance(&candidates, size, random()).map(|index| members[index])
+/// Time for which `member` is still avoided; `None` if it is not, or is this process.
+fn backoff_left(shared: &Shared, member: &Member) -> Option<Duration> {
+    if is_own(shared, member) {
+        return None;
+    }
+    shared.peers.known(member.caller)?.backoff_left(shared.now())
+}
+
+/// Why a member of a service without keys is not considered for a request.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(crate) enum Exclusion {
+    /// It leaves its service.
+    #[display("leaving")]
+    Leaving,
+    /// Its data centre is evacuated.
+    #[display("evacuated")]
+    Evacuated,
+    /// The request has been sent there.
+    #[display("tried")]
+    Tried,
+    /// It was not reached a moment ago, and others were.
+    #[display("unreachable")]
+    Unreachable,
+}
+
+/// Members of a service without keys, as candidates for one request.
+pub(crate) struct Instances<'a> {
+    members: Vec<(BootId, &'a Member)>,
+    candidates: Vec<Candidate>,
+    excluded: Vec<(&'a Member, Exclusion)>,
+}
+
+impl<'a> Instances<'a> {
+    /// The members in `record` that are not among `tried`. Members in backoff count only if all are.
+    pub(crate) fn of(shared: &Shared, record: &'a Record, tried: &[SocketAddr]) -> Self {
+        let evacuated = Rc::clone(shared.knowledge.borrow().evacuated());
+        let mut excluded = Vec::new();
+        let mut members = Vec::new();
+        for (id, member) in &record.members {
+            let known = shared.peers.known(member.caller);
+            let exclusion = if member.leaving || known.is_some_and(|peer| peer.is_leaving(*id)) {
+                Exclusion::Leaving
+            } else if evacuated.contains(&member.data_centre) {
+                Exclusion::Evacuated
+            } else if tried.contains(&member.caller) {
+                Exclusion::Tried
+            } else {
+                members.push((*id, member));
+                continue;
+            };
+            excluded.push((member, exclusion));
+        }
+        let is_reachable = |(_, member): &(BootId, &Member)| backoff_left(shared, member).is_none();
+        if members.iter().any(is_reachable) {
+            let (reachable, others) = members.into_iter().partition(is_reachable);
+            members = reachable;
+            let others: Vec<(BootId, &Member)> = others;
+            excluded.extend(others.into_iter().map(|(_, member)| (member, Exclusion::Unreachable)));
+        }
+        let candidates = members.iter().map(|(_, member)| candidate(shared, member)).collect();
+        Self { members, candidates, excluded }
+    }
+
+    /// The instance for one request whose response has `size`; `draw` is a random number.
+    pub(crate) fn choose(&self, size: ResponseSize, draw: u64) -> Option<(BootId, &'a Member)> {
+        choose_instance(&self.candidates, size, draw).map(|index| self.members[index])
+    }
+
+    /// The members that are considered.
+    pub(crate) fn considered(&self) -> impl Iterator<Item = (BootId, &'a Member)> {
+        self.members.iter().copied()
+    }
+
+    /// The other members, and why each is not considered.
+    pub(crate) fn excluded(&self) -> impl Iterator<Item = (&'a Member, Exclusion)> {
+        self.excluded.iter().copied()
+    }
 }
 
-fn candidate(shared: &Shared, member: &Member) -> Candidate {
+/// `member` as a candidate for a request without a key.
+pub(crate) fn candidate(shared: &Shared, member: &Member) -> Candidate {
     let now = shared.now();
     let slots = u32::from(member.slots);
     if !is_own(shared, member) {
         let local = is_local(shared, member);
-        return shared.peers.get(member.caller).candidate(now, local, slots);
+        return match shared.peers.known(member.caller) {
+            Some(peer) => peer.candidate(now, local, slots),
+            None => Candidate::unknown(local, slots),
+        };
     }
     let state = shared.upstream.state.borrow();
     let usable = state.life.as_ref().is_some_and(|life| life.refused.is_none());
--- a/crates/rattanarch_mesh/src/upstream/admission.rs
+++ b/crates/rattanarch_mesh/src/upstream/admission.rs
@@ -132,45 +132,81 @@
     state.readiness(now, key, evacuated, (&bounds, beat))
 }
 
+/// Times up to which a call waits until its key may be served here.
+#[derive(Clone, Copy, Debug)]
+struct KeyWait {
+    end: Moment,
+    /// Until when it waits for a record that is known to exist.
+    record_end: Moment,
+}
+
+impl KeyWait {
+    /// The times for `call`, which arrives at `arrived`.
+    fn new(shared: &Shared, call: &Call, arrived: Moment) -> Self {
+        let left = call.deadline.saturating_sub(arrived);
+        let in_time = if shared.settings.cost_based_moves {
+            call.objective.saturating_sub(mean_service_time(shared))
+        } else {
+            arrived
+        };
+        let end = in_time.max(arrived + left.mul_f64(KEY_WAIT_RATIO));
+        Self { end, record_end: end.min(arrived + MAX_RECORD_WAIT) }
+    }
+}
+
+/// What a call has to do until its key may be served here.
+enum KeyStep {
+    /// It goes on.
+    Ready,
+    /// It waits for a change that is visible at `expected`, or for a newer record if it `lacks_record`.
+    Held { reason: Reason, expected: Moment, lacks_record: bool },
+    /// It does not run here.
+    Refused(Refusal),
+}
+
+/// Decides what `call` has to do until its key may be served here.
+fn key_step(shared: &Shared, call: &Call, wait: KeyWait) -> KeyStep {
+    let now = shared.now();
+    let (reason, next, lacks_record) = match readiness(shared, call.key) {
+        Readiness::Ready => return KeyStep::Ready,
+        Readiness::Refused(reason) => {
+            if !lacks_record(shared, call, reason) || now >= wait.record_end {
+                return KeyStep::Refused(reason.into());
+            }
+            (reason, wait.record_end.saturating_sub(CHANGE_DELAY), true)
+        }
+        Readiness::NotYet(reason, next) => (reason, next, false),
+    };
+    let expected = next + CHANGE_DELAY;
+    if expected > wait.end {
+        return KeyStep::Refused(Refusal::new(reason, expected.saturating_sub(now)));
+    }
+    KeyStep::Held { reason, expected, lacks_record }
+}
+
 async fn wait_for_key(
     shared: &Rc<Shared>,
     call: &Call,
     trace: &RequestTrace,
 ) -> Result<(), Refusal> {
-    let arrived = shared.now();
+    let wait = KeyWait::new(shared, call, shared.now());
     let mut traced = false;
-    let left = call.deadline.saturating_sub(arrived);
-    let in_time = if shared.settings.cost_based_moves {
-        call.objective.saturating_sub(mean_service_time(shared))
-    } else {
-        arrived
-    };
-    let wait_end = in_time.max(arrived + left.mul_f64(KEY_WAIT_RATIO));
-    let record_end = wait_end.min(arrived + MAX_RECORD_WAIT);
     loop {
         let changed = shared.state_changed.notified();
-        let (reason, next) = match readiness(shared, call.key) {
-            Readiness::Ready => return Ok(()),
-            Readiness::Refused(reason) => {
-                if !lacks_record(shared, call, reason) || shared.now() >= record_end {
-                    return Err(reason.into());
-                }
-                control::refresh_records(shared, &call.service);
-                (reason, record_end.saturating_sub(CHANGE_DELAY))
-            }
-            Readiness::NotYet(reason, next) => (reason, next),
+        let (reason, expected, lacks_record) = match key_step(shared, call, wait) {
+            KeyStep::Ready => return Ok(()),
+            KeyStep::Refused(refusal) => return Err(refusal),
+            KeyStep::Held { reason, expected, lacks_record } => (reason, expected, lacks_record),
         };
-        let now = shared.now();
-        let expected = next + CHANGE_DELAY;
-        if expected > wait_end {
-            return Err(Refusal::new(reason, expected.saturating_sub(now)));
+        if lacks_record {
+            control::refresh_records(shared, &call.service);
         }
         if !std::mem::replace(&mut traced, true) {
             trace.add(Decision::Held { reason, view: UpstreamSnapshot::of(shared) });
         }
         tokio::select! {
             () = changed => {}
-            () = tokio::time::sleep(expected.saturating_sub(now)) => {}
+            () = tokio::time::sleep(expected.saturating_sub(shared.now())) => {}
         }
     }
 }
@@ -212,11 +248,9 @@
 
 /// Offers `call` to the admission controller, which starts, queues or refuses it.
 fn offer(shared: &Rc<Shared>, call: &Call, sender: PermitSender) {
-    let (rank, objective, deadline) = (call.rank, call.objective, call.deadline);
-    let pending = PendingRequest { rank, objective, deadline, flow: call.flow, item: sender };
     let mut state = shared.upstream.state.borrow_mut();
     state.admission.retain(|sender| !sender.is_closed());
-    let offered = state.admission.offer(shared.now(), pending);
+    let offered = state.admission.offer(shared.now(), pending(call, sender));
     drop(state);
     if let Some(sender) = offered.started {
         start(shared, sender);
@@ -225,6 +259,12 @@
     start_waiting(shared);
 }
 
+/// `call` as it is offered to the admission controller, which hands back `item`.
+fn pending<T>(call: &Call, item: T) -> PendingRequest<T> {
+    let (rank, objective, deadline) = (call.rank, call.objective, call.deadline);
+    PendingRequest { rank, objective, deadline, flow: call.flow, item }
+}
+
 impl Permit {
     /// Assigns the slot to `call`, which starts to run.
     fn assign(&mut self, call: &Call) {
@@ -264,9 +304,14 @@
     let _ = sender.send(Ok(permit));
 }
 
-fn refuse(shared: &Shared, shed: Vec<ShedRequest<PermitSender>>) {
+/// Why the admission controller sheds requests now.
+fn shed_reason(shared: &Shared) -> Reason {
     let limited = shared.upstream.state.borrow().admission.is_rate_limited();
-    let reason = if limited { Reason::RateLimited } else { Reason::Overloaded };
+    if limited { Reason::RateLimited } else { Reason::Overloaded }
+}
+
+fn refuse(shared: &Shared, shed: Vec<ShedRequest<PermitSender>>) {
+    let reason = shed_reason(shared);
     let now = shared.now();
     for shed in shed {
         let left = shed.deadline.saturating_sub(now);
@@ -293,3 +338,55 @@
         start_waiting(&shared);
     });
 }
+
+/// What would become of a call that were sent to the upstream now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Preview {
+    /// It starts at once.
+    Starts,
+    /// It waits for a slot.
+    Waits,
+    /// It waits until its key may be served here.
+    Held(Reason),
+    /// It is refused at once.
+    Refused(Refusal),
+}
+
+/// Decides as [`admit`] what would become of `call`, without changing any state.
+pub(crate) fn preview(shared: &Shared, call: &Call) -> Preview {
+    let now = shared.now();
+    if let Some(refusal) = uplink_refusal(shared, call) {
+        return Preview::Refused(refusal);
+    }
+    match key_step(shared, call, KeyWait::new(shared, call, now)) {
+        KeyStep::Ready => preview_slot(shared, call, now),
+        KeyStep::Held { reason, .. } => Preview::Held(reason),
+        KeyStep::Refused(refusal) => Preview::Refused(refusal),
+    }
+}
+
+/// Offers `call` to a copy of the admission controller, in which `true` stands for `call` and `false` for each waiting
+/// request, and starts what may start, as [`offer`].
+fn preview_slot(shared: &Shared, call: &Call, now: Moment) -> Preview {
+    let state = shared.upstream.state.borrow();
+    let mut copy = state.admission.copy_with(|sender| (!sender.is_closed()).then_some(false));
+    drop(state);
+    let offered = copy.offer(now, pending(call, true));
+    if offered.started.is_some() {
+        return Preview::Starts;
+    }
+    let mut shed = offered.shed;
+    loop {
+        if let Some(own) = shed.iter().find(|shed| shed.item) {
+            return Preview::Refused(Refusal::new(shed_reason(shared), own.retry_after));
+        }
+        let popped = copy.start_next(now);
+        shed = popped.shed;
+        match popped.next {
+            Some(true) => return Preview::Starts,
+            Some(false) => {}
+            None if shed.iter().any(|shed| shed.item) => {}
+            None => return Preview::Waits,
+        }
+    }
+}
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -34,7 +34,9 @@
 use crate::request::RequestTrace;
 use crate::request::strip_connection_headers;
 use crate::upstream::Permit;
+use crate::upstream::Preview;
 use crate::upstream::UpstreamSnapshot;
+use crate::upstream::admission;
 use crate::upstream::admit;
 use crate::upstream::bytes_slot::BytesSlot;
 use crate::upstream::bytes_slot::wait_for_bytes;
@@ -51,9 +53,8 @@
 /// Dropping the future, as when the caller has gone, cancels an idempotent request. Any other request runs on, so that
 /// its effects happen once and in full.
 pub(crate) async fn run(shared: &Rc<Shared>, call: &Rc<Call>, trace: &RequestTrace) -> Outcome {
-    if call.service != shared.settings.service {
-        // A daemon of another service had this address before and may still be in that service's record.
-        return Outcome::Refused(Reason::OtherService.into());
+    if let Some(refusal) = other_service(shared, call) {
+        return Outcome::Refused(refusal);
     }
     let admitted = match wait_for_bytes(shared, call).await {
         Ok(slot) => admit(shared, call, trace).await.map(|permit| (permit, slot)),
@@ -80,6 +81,20 @@
     }
 }
 
+/// Refuses a call to another service than that of the upstream.
+fn other_service(shared: &Shared, call: &Call) -> Option<Refusal> {
+    // A daemon of another service had this address before and may still be in that service's record.
+    (call.service != shared.settings.service).then(|| Reason::OtherService.into())
+}
+
+/// Decides as [`run`] what would become of `call` at the upstream, as far as its admission; changes no state.
+pub(crate) fn preview(shared: &Shared, call: &Call) -> Preview {
+    match other_service(shared, call) {
+        Some(refusal) => Preview::Refused(refusal),
+        None => admission::preview(shared, call),
+    }
+}
+
 async fn send(shared: Rc<Shared>, call: Rc<Call>, mut permit: Permit, _slot: BytesSlot) -> Outcome {
     let mut connection = match checkout(&shared, &call).await {
         Ok(connection) => connection,
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -14,9 +14,11 @@
 mod upstream_snapshot;
 
 pub(crate) use admission::Permit;
+pub(crate) use admission::Preview;
 pub(crate) use admission::admit;
 pub(crate) use admission::start_waiting;
 pub(crate) use ended_requests::ENDED_REQUEST_TIME;
+pub(crate) use exchange::preview;
 pub(crate) use exchange::run;
 pub(crate) use grant_log::log_grant_changes;
 pub(crate) use health_check::check_if_due;
--- a/crates/rattanarch_mesh/src/upstream/upstream_snapshot.rs
+++ b/crates/rattanarch_mesh/src/upstream/upstream_snapshot.rs
@@ -22,14 +22,14 @@
     /// Time left of the daemon's lease.
     lease: Duration,
     record: Version,
-    running: u32,
-    slots: u32,
-    waiting: u32,
+    pub(crate) running: u32,
+    pub(crate) slots: u32,
+    pub(crate) waiting: u32,
     /// Mean service time.
-    mean: Duration,
-    pace: PaceState,
+    pub(crate) mean: Duration,
+    pub(crate) pace: PaceState,
     /// Requests that may run at once now.
-    concurrency: u32,
+    pub(crate) concurrency: u32,
 }
 
 impl UpstreamSnapshot {
--- a/crates/rattanarch_routing/src/table.rs
+++ b/crates/rattanarch_routing/src/table.rs
@@ -59,6 +59,12 @@
         slashes.map(|(index, _)| &path[..=index]).find_map(|prefix| prefixes.get(prefix).cloned())
     }
 
+    /// The host of all rules; `None` if they have different ones, or if there is no rule.
+    pub fn only_host(&self) -> Option<&str> {
+        let mut hosts = self.hosts.keys();
+        hosts.next().filter(|_| hosts.next().is_none()).map(String::as_str)
+    }
+
     /// Configuration of `service`.
     pub fn service(&self, service: &str) -> Option<&ServiceSpec> {
         self.services.get(service)
--- a/crates/rattanarch_types/src/lib.rs
+++ b/crates/rattanarch_types/src/lib.rs
@@ -11,6 +11,7 @@
 mod audit_trail;
 mod config_object;
 mod configuration;
+mod explanation;
 mod ids;
 
 mod key;
@@ -31,6 +32,15 @@
 pub use configuration::Service;
 pub use configuration::Sharing;
 pub use configuration::Standing;
+pub use explanation::ExplainedAdmission;
+pub use explanation::ExplainedInstance;
+pub use explanation::ExplainedLoad;
+pub use explanation::ExplainedRefusal;
+pub use explanation::ExplainedRoute;
+pub use explanation::ExplainedService;
+pub use explanation::Explanation;
+pub use explanation::TakenOut;
+pub use explanation::is_credential_header;
 pub use ids::BootId;
 pub use ids::DataCentreName;
 pub use ids::Fence;
