Command rattanarch explain

Sends method, path, host, key and headers of a request to a daemon and prints the explanation as text or JSON. A daemon of an older version is told by 404, or by a response that is not JSON, and has exit status 6.

--- a/crates/rattanarch_cli/src/client.rs
+++ b/crates/rattanarch_cli/src/client.rs
@@ -4,6 +4,7 @@
 
 use rattanarch_config::OperatorRequest;
 use rattanarch_config::OperatorResponse;
+use rattanarch_types::Explanation;
 use ureq::Agent;
 use ureq::Error;
 use ureq::Timeout;
@@ -17,8 +18,8 @@
 pub(crate) struct Client {
     agent: Agent,
     addresses: Vec<String>,
-    /// Value of the `Authorization` header; never printed.
-    authorization: String,
+    /// Value of the `Authorization` header, if there is a token; never printed.
+    authorization: Option<String>,
 }
 
 /// Why a call got no usable response.
@@ -40,17 +41,21 @@
         /// Body of the response.
         reason: String,
     },
+    /// The daemon does not know the request.
+    #[error("{0} does not explain requests: the daemon's version is older")]
+    Unsupported(String),
 }
 
 impl Client {
     /// Creates a client for the daemons at `addresses`, which authenticates with `token`.
-    pub(crate) fn new(addresses: Vec<String>, token: &str) -> Self {
+    pub(crate) fn new(addresses: Vec<String>, token: Option<&str>) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .timeout_global(Some(RESPONSE_TIMEOUT));
         let agent = config.build().into();
-        Self { agent, addresses, authorization: format!("Bearer {}", token.trim()) }
+        let authorization = token.map(|token| format!("Bearer {}", token.trim()));
+        Self { agent, addresses, authorization }
     }
 
     /// Sends `request` to the daemons in turn until one responds.
@@ -62,9 +67,22 @@
     /// [`CallError::Refused`] as soon as a daemon refuses the request, another [`CallError`] if no daemon
     /// responds.
     pub(crate) fn send(&self, request: &OperatorRequest) -> Result<OperatorResponse, CallError> {
+        self.try_each(|address| self.send_to(address, request))
+    }
+
+    /// Has one of the daemons explain a request, which `query` describes: the first that responds.
+    ///
+    /// # Errors
+    /// [`CallError`], as for [`Client::send`].
+    pub(crate) fn explain(&self, query: &[(&str, &str)]) -> Result<Explanation, CallError> {
+        self.try_each(|address| self.explain_at(address, query))
+    }
+
+    /// Calls the daemons in turn until one responds.
+    fn try_each<R>(&self, call: impl Fn(&str) -> Result<R, CallError>) -> Result<R, CallError> {
         let mut last_error = CallError::NotSent("no address was given".to_owned());
         for address in &self.addresses {
-            let error = match self.send_to(address, request) {
+            let error = match call(address) {
                 Err(CallError::NotSent(reason)) => CallError::NotSent(reason),
                 Err(CallError::NoResponse(reason)) => CallError::NoResponse(reason),
                 result => return result,
@@ -83,7 +101,11 @@
         request: &OperatorRequest,
     ) -> Result<OperatorResponse, CallError> {
         let url = format!("{}/operate", address.trim_end_matches('/'));
-        let call = self.agent.post(&url).header("authorization", &self.authorization);
+        let call = self.agent.post(&url);
+        let call = match &self.authorization {
+            Some(authorization) => call.header("authorization", authorization),
+            None => call,
+        };
         // The daemon uses a thread for each open connection.
         let call = call.header("connection", "close");
         let mut response = call.send_json(request).map_err(|error| call_error(address, &error))?;
@@ -97,6 +119,31 @@
             CallError::NoResponse(format!("{address}: malformed response: {error}"))
         })
     }
+
+    fn explain_at(&self, address: &str, query: &[(&str, &str)]) -> Result<Explanation, CallError> {
+        let url = format!("{}/explain", address.trim_end_matches('/'));
+        let mut call = self.agent.get(&url).query_pairs(query.iter().copied());
+        if let Some(authorization) = &self.authorization {
+            call = call.header("authorization", authorization);
+        }
+        let call = call.header("connection", "close");
+        let mut response = call.call().map_err(|error| call_error(address, &error))?;
+        let status = response.status().as_u16();
+        let is_json = response.body().mime_type() == Some("application/json");
+        let body = response.body_mut().read_to_string();
+        let body = body.map_err(|error| CallError::NoResponse(format!("{address}: {error}")))?;
+        match status {
+            200 if is_json => serde_json::from_str(&body).map_err(|error| {
+                CallError::NoResponse(format!("{address}: malformed response: {error}"))
+            }),
+            // On the users' platform, daemons without this path answer with their metrics.
+            200 | 404 => Err(CallError::Unsupported(address.to_owned())),
+            _ => {
+                let address = address.to_owned();
+                Err(CallError::Refused { address, status, reason: body })
+            }
+        }
+    }
 }
 
 fn call_error(address: &str, error: &Error) -> CallError {
--- a/crates/rattanarch_cli/src/exit.rs
+++ b/crates/rattanarch_cli/src/exit.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
 pub enum Exit {
-    /// A query was answered, a command was accepted or had nothing to change, a dry run ended, a condition was met, or
+    /// A query was answered, a request was explained, a command was accepted or had nothing to change, a dry run ended, a condition was met, or
     /// the checked settings are valid.
     Done = 0,
     /// A command was not accepted, or a query could not be answered.
@@ -19,6 +19,8 @@
     TimedOut = 4,
     /// No daemon could be reached, so nothing was sent.
     Unreachable = 5,
+    /// The daemon does not explain requests: its version is older.
+    Unsupported = 6,
 }
 
 impl From<Exit> for ExitCode {
--- a/crates/rattanarch_cli/src/lib.rs
+++ b/crates/rattanarch_cli/src/lib.rs
@@ -6,6 +6,7 @@
 mod check;
 mod client;
 mod exit;
+mod explain;
 mod options;
 mod render;
 mod run;
--- a/crates/rattanarch_cli/src/render.rs
+++ b/crates/rattanarch_cli/src/render.rs
@@ -59,7 +59,8 @@
     }
 }
 
-fn table_text(table: &Table) -> String {
+/// Formats a table as lines of columns.
+pub(crate) fn table_text(table: &Table) -> String {
     let lines = || std::iter::once(&table.columns).chain(&table.rows);
     let width = |column: usize| lines().map(|line| line[column].chars().count()).max().unwrap_or(0);
     let widths: Vec<usize> = (0..table.columns.len()).map(width).collect();
@@ -82,7 +83,8 @@
     }
 }
 
-fn notes_text(notes: &[String]) -> String {
+/// Formats notes, one a line.
+pub(crate) fn notes_text(notes: &[String]) -> String {
     notes.iter().map(|note| format!("note: {note}\n")).collect()
 }
 
--- a/crates/rattanarch_cli/src/run.rs
+++ b/crates/rattanarch_cli/src/run.rs
@@ -17,6 +17,8 @@
 use crate::check::check;
 use crate::client::CallError;
 use crate::client::Client;
+use crate::explain::explain;
+use crate::explain::is_explain;
 use crate::render::exit_status;
 use crate::render::render;
 use crate::session::Session;
@@ -41,7 +43,14 @@
     {
         return check(file, output, errors);
     }
-    let client = match create_client(options) {
+    if is_explain(options) {
+        return explain(options, output, errors);
+    }
+    if options.host.is_some() || options.key.is_some() || !options.header.is_empty() {
+        let _ = writeln!(errors, "--host, --key and --header are for explain");
+        return Exit::Usage;
+    }
+    let client = match create_client(options, true) {
         Ok(client) => client,
         Err(reason) => {
             let _ = writeln!(errors, "{reason}");
@@ -67,8 +76,9 @@
 /// Creates a client for the daemons and the token in the options or the environment.
 ///
 /// # Errors
-/// A message for the operator if no daemon or token is given, or the token file cannot be read.
-fn create_client(options: &Options) -> Result<Client, String> {
+/// A message for the operator if no daemon is given, the token file cannot be read, or no token is given although
+/// `needs_token`.
+pub(crate) fn create_client(options: &Options, needs_token: bool) -> Result<Client, String> {
     let mut addresses = options.at.clone();
     if addresses.is_empty() {
         let listed = env::var(ADDRESSES_VARIABLE).unwrap_or_default();
@@ -79,11 +89,13 @@
         return Err(format!("no daemon given: use --at URL or {ADDRESSES_VARIABLE}"));
     }
     let token = match &options.token_file {
-        Some(file) => fs::read_to_string(file).map_err(|error| format!("{file}: {error}"))?,
-        None => env::var(TOKEN_VARIABLE)
-            .map_err(|_| format!("no token given: use --token-file FILE or {TOKEN_VARIABLE}"))?,
+        Some(file) => Some(fs::read_to_string(file).map_err(|error| format!("{file}: {error}"))?),
+        None => env::var(TOKEN_VARIABLE).ok(),
     };
-    Ok(Client::new(addresses, &token))
+    if token.is_none() && needs_token {
+        return Err(format!("no token given: use --token-file FILE or {TOKEN_VARIABLE}"));
+    }
+    Ok(Client::new(addresses, token.as_deref()))
 }
 
 /// Reads the statements: from the script, the command line or standard input.
@@ -187,6 +199,7 @@
         match (&failed.error, failed.write_id) {
             (CallError::Refused { .. }, _) => Exit::Usage,
             (CallError::NotSent(_), _) => Exit::Unreachable,
+            (CallError::Unsupported(_), _) => Exit::Unsupported,
             (CallError::NoResponse(_), None) => Exit::Refused,
             (CallError::NoResponse(_), Some(write_id)) => {
                 let hint = "to learn the outcome, repeat it with --write-id";
