Explain a request at the operators' address of rattanarchd

The daemon answers GET /explain to operators with a token. Parsing of the head, the ownership check, the choice among members and the offer of a slot are the functions of real requests; the latter two run on copies. The query is parsed by one type for both daemons.

--- a/crates/rattanarch_admission/src/queue.rs
+++ b/crates/rattanarch_admission/src/queue.rs
@@ -110,7 +110,7 @@
 
     /// A copy of this queue in which each waiting request is what `copy` returns for it; requests for which it returns
     /// `None` are left out.
-    pub(crate) fn copy_with<U>(&self, copy: impl Fn(&T) -> Option<U>) -> Queue<U> {
+    pub fn copy_with<U>(&self, copy: impl Fn(&T) -> Option<U>) -> Queue<U> {
         let entry = |entry: &Entry<T>| {
             let item = copy(&entry.item)?;
             let Entry { flow, deadline, wait_until, .. } = *entry;
--- a/crates/rattanarch_admission/src/selector.rs
+++ b/crates/rattanarch_admission/src/selector.rs
@@ -115,6 +115,12 @@
         Some(if better { second } else { first })
     }
 
+    /// Running requests and mean service time of an upstream, zero before the first outcome; `None` if it is unknown.
+    pub fn load(&self, key: UpstreamKey) -> Option<(u32, Duration)> {
+        let upstream = self.upstreams.get(key)?;
+        Some((upstream.running, Duration::from_secs_f64(upstream.mean)))
+    }
+
     /// Counts a request that was sent to an upstream.
     pub fn start(&mut self, key: UpstreamKey) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
--- a/crates/rattanarch_cli/src/explain.rs
+++ b/crates/rattanarch_cli/src/explain.rs
@@ -95,8 +95,9 @@
 /// Formats the explanation as text that ends with a newline.
 fn render(explanation: &Explanation) -> String {
     let Explanation { instance, data_centre, method, host, path, configuration, .. } = explanation;
+    let at = if host.is_empty() { String::new() } else { format!(" at {host}") };
     let mut text = format!(
-        "{method} {path} at {host}, as {instance} in {data_centre} decides now\n\
+        "{method} {path}{at}, as {instance} in {data_centre} decides now\n\
          configuration {configuration}, {}\n",
         taken_out_text(explanation)
     );
--- a/crates/rattanarch_mesh/src/request/explain.rs
+++ b/crates/rattanarch_mesh/src/request/explain.rs
@@ -2,7 +2,6 @@
 //!
 //! The decisions are those of the functions that requests pass through; no state is changed.
 
-use std::str::FromStr;
 use std::time::Duration;
 
 use hyper::HeaderMap;
@@ -17,6 +16,8 @@
 use rattanarch_adapter::headers;
 use rattanarch_routing::RouteTable;
 use rattanarch_routing::Rule;
+use rattanarch_types::ExplainQuery;
+use rattanarch_types::ExplainQueryError;
 use rattanarch_types::ExplainedAdmission;
 use rattanarch_types::ExplainedInstance;
 use rattanarch_types::ExplainedLoad;
@@ -28,7 +29,6 @@
 use rattanarch_types::Record;
 use rattanarch_types::ServiceName;
 use rattanarch_types::TakenOut;
-use rattanarch_types::is_credential_header;
 use rattanarch_types::slice_of;
 
 use crate::connection::HeldBody;
@@ -54,29 +54,6 @@
 /// choices among 195 candidates take some milliseconds of the process's single thread.
 const DRAWS: u64 = 100;
 
-/// Why a request can't be explained.
-#[derive(Debug, thiserror::Error)]
-enum QueryError {
-    #[error("unknown parameter {0:?}; known are method, path, host, key and header")]
-    UnknownParameter(String),
-    #[error("parameter {0} is given twice")]
-    Repeated(&'static str),
-    #[error("parameter {0} is missing")]
-    Missing(&'static str),
-    #[error("malformed method")]
-    Method,
-    #[error("malformed path; it begins with a slash")]
-    Path,
-    #[error("malformed key; it is a number from 0 to 65535")]
-    Key,
-    #[error("malformed header; it has the form NAME: VALUE")]
-    Header,
-    #[error("header {0} has credentials, which are not accepted here")]
-    Credential(HeaderName),
-    #[error("no host is given, and the configuration does not have exactly one")]
-    NoHost,
-}
-
 /// A request that is to be explained.
 #[derive(Clone, Debug)]
 struct Query {
@@ -86,70 +63,45 @@
     headers: HeaderMap,
 }
 
-impl FromStr for Query {
-    type Err = QueryError;
+impl TryFrom<ExplainQuery> for Query {
+    type Error = ExplainQueryError;
 
-    fn from_str(query: &str) -> Result<Self, QueryError> {
-        let (mut method, mut path, mut host, mut key) = (None, None, None, None);
+    fn try_from(query: ExplainQuery) -> Result<Self, ExplainQueryError> {
+        let method = Method::from_bytes(query.method.as_bytes());
+        let method = method.map_err(|_| ExplainQueryError::Method)?;
+        let uri = query.path.parse().map_err(|_| ExplainQueryError::Path)?;
         let mut headers = HeaderMap::new();
-        for (name, value) in form_urlencoded::parse(query.as_bytes()) {
-            let (slot, name) = match &*name {
-                "method" => (&mut method, "method"),
-                "path" => (&mut path, "path"),
-                "host" => (&mut host, "host"),
-                "key" => (&mut key, "key"),
-                "header" => {
-                    let (name, value) = read_header(&value)?;
-                    headers.append(name, value);
-                    continue;
-                }
-                _ => return Err(QueryError::UnknownParameter(name.into_owned())),
-            };
-            if slot.replace(value.into_owned()).is_some() {
-                return Err(QueryError::Repeated(name));
-            }
+        for (name, value) in query.headers {
+            let name: HeaderName = name.parse().map_err(|_| ExplainQueryError::Header)?;
+            let value: HeaderValue = value.parse().map_err(|_| ExplainQueryError::Header)?;
+            headers.append(name, value);
         }
-        let method = method.ok_or(QueryError::Missing("method"))?;
-        let method = Method::from_bytes(method.as_bytes()).map_err(|_| QueryError::Method)?;
-        let path = path.ok_or(QueryError::Missing("path"))?;
-        let is_path = path.starts_with('/');
-        let uri = path.parse().ok().filter(|_| is_path).ok_or(QueryError::Path)?;
-        if let Some(key) = key {
-            headers::set_key(&mut headers, key.parse().map_err(|_| QueryError::Key)?);
+        if let Some(key) = query.key {
+            headers::set_key(&mut headers, key.parse().map_err(|_| ExplainQueryError::Key)?);
         }
         let header = headers.get(header::HOST).and_then(|host| host.to_str().ok());
-        let host = host.or_else(|| header.map(str::to_owned));
+        let host = query.host.or_else(|| header.map(str::to_owned));
         Ok(Self { method, uri, host, headers })
     }
 }
 
-/// Reads `NAME: VALUE`. Errors do not show the value.
-fn read_header(text: &str) -> Result<(HeaderName, HeaderValue), QueryError> {
-    let (name, value) = text.split_once(':').ok_or(QueryError::Header)?;
-    let name: HeaderName = name.trim().parse().map_err(|_| QueryError::Header)?;
-    if is_credential_header(name.as_str()) {
-        return Err(QueryError::Credential(name));
-    }
-    let value = value.trim().parse().map_err(|_| QueryError::Header)?;
-    Ok((name, value))
-}
-
 /// Responds to a request for an explanation, whose query is `query`.
 pub(crate) fn explain(shared: &Shared, method: &Method, query: &str) -> Response<ResponseBody> {
     if method != Method::GET {
         return responses::plain(StatusCode::METHOD_NOT_ALLOWED, "only GET".to_owned());
     }
-    match query.parse().and_then(|query| explanation(shared, query)) {
+    let query = query.parse().and_then(|query: ExplainQuery| query.try_into());
+    match query.and_then(|query| explanation(shared, query)) {
         Ok(explanation) => responses::serialized(&explanation),
         Err(error) => responses::plain(StatusCode::BAD_REQUEST, error.to_string()),
     }
 }
 
-fn explanation(shared: &Shared, mut query: Query) -> Result<Explanation, QueryError> {
+fn explanation(shared: &Shared, mut query: Query) -> Result<Explanation, ExplainQueryError> {
     if query.host.is_none() {
         let knowledge = shared.knowledge.borrow();
         if let Some(routes) = knowledge.routes_in_force() {
-            query.host = Some(routes.only_host().ok_or(QueryError::NoHost)?.to_owned());
+            query.host = Some(routes.only_host().ok_or(ExplainQueryError::NoHost)?.to_owned());
         }
     }
     let mut explanation = Explanation {
--- a/crates/rattanarch_types/src/lib.rs
+++ b/crates/rattanarch_types/src/lib.rs
@@ -11,6 +11,7 @@
 mod audit_trail;
 mod config_object;
 mod configuration;
+mod explain_query;
 mod explanation;
 mod ids;
 
@@ -32,6 +33,8 @@
 pub use configuration::Service;
 pub use configuration::Sharing;
 pub use configuration::Standing;
+pub use explain_query::ExplainQuery;
+pub use explain_query::ExplainQueryError;
 pub use explanation::ExplainedAdmission;
 pub use explanation::ExplainedInstance;
 pub use explanation::ExplainedLoad;
--- a/crates/rattanarchd/src/operator/operator_api.rs
+++ b/crates/rattanarchd/src/operator/operator_api.rs
@@ -17,6 +17,7 @@
 use rattanarch_language::parse;
 use rattanarch_platform::Platform;
 use rattanarch_types::ConfigObject;
+use rattanarch_types::Explanation;
 use rattanarch_types::FirmName;
 use rattanarch_types::Record;
 use rattanarch_types::Version;
@@ -37,6 +38,7 @@
 use crate::process::Clock;
 use crate::process::ProcessSettings;
 use crate::process::unix_ms;
+use crate::request::RequestHandler;
 use crate::version::Views;
 
 /// Executes statements of authenticated operators.
@@ -45,6 +47,8 @@
     views: Views,
     reader: ObjectReader,
     fleet: Arc<dyn Fleet>,
+    /// Explains requests; `None` if nothing handles any.
+    requests: Option<Arc<RequestHandler>>,
 }
 
 impl OperatorApi {
@@ -56,7 +60,33 @@
         fleet: Arc<dyn Fleet>,
     ) -> Self {
         let reader = ObjectReader::new(platform, views.clone());
-        Self { process_settings, views, reader, fleet }
+        Self { process_settings, views, reader, fleet, requests: None }
+    }
+
+    /// Has `requests` explain where requests would be sent.
+    pub fn with_requests(self, requests: Arc<RequestHandler>) -> Self {
+        Self { requests: Some(requests), ..self }
+    }
+
+    /// Explains where the request that `query` describes would be sent now.
+    ///
+    /// # Errors
+    /// HTTP status and reason, if `operator` may not act for the daemon's firm, `query` is malformed, or nothing handles
+    /// requests.
+    pub(crate) fn explain(
+        &self,
+        operator: &Operator,
+        query: &str,
+    ) -> Result<Explanation, (u16, String)> {
+        if !operator.may_act(&self.process_settings.firm) {
+            let firm = self.process_settings.firm.clone();
+            let error = CommandError::OtherFirm { operator: operator.name.clone(), firm };
+            return Err((403, error.to_string()));
+        }
+        let requests = self.requests.as_ref();
+        let requests = requests.ok_or_else(|| (503, "no requests are handled".to_owned()))?;
+        let explained = query.parse().and_then(|query| requests.explain(query));
+        explained.map_err(|error| (400, error.to_string()))
     }
 
     /// Current status of the daemon.
--- a/crates/rattanarchd/src/operator/server.rs
+++ b/crates/rattanarchd/src/operator/server.rs
@@ -9,6 +9,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use rattanarch_config::Operator;
 use rattanarch_config::OperatorRequest;
 use rouille::Response;
 use serde_json::json;
@@ -88,8 +89,12 @@
     match (request.method(), request.url().as_str()) {
         ("GET", "/health") => health(api),
         ("GET", "/status") => Response::json(&api.status()),
+        ("GET", "/explain") => explain(access, api, request),
         ("POST", "/operate") => operate(access, api, request),
-        _ => error_response(404, "no such page: GET /health, GET /status or POST /operate"),
+        _ => error_response(
+            404,
+            "no such page: GET /health, GET /status, GET /explain or POST /operate",
+        ),
     }
 }
 
@@ -100,11 +105,32 @@
     Response::json(&json!({ "healthy": true }))
 }
 
-fn operate(access: &Access, api: &OperatorApi, request: &rouille::Request) -> Response {
+/// Operator that sends the request, or the response to one without a valid token.
+fn authenticate<'a>(
+    access: &'a Access,
+    request: &rouille::Request,
+) -> Result<&'a Operator, Response> {
     let header = request.header("authorization").unwrap_or_default();
     let token = header.strip_prefix("Bearer ").unwrap_or_default();
-    let Some(operator) = access.authenticate(token) else {
-        return error_response(401, "the token belongs to no operator of this daemon");
+    let reason = "the token belongs to no operator of this daemon";
+    access.authenticate(token).ok_or_else(|| error_response(401, reason))
+}
+
+fn explain(access: &Access, api: &OperatorApi, request: &rouille::Request) -> Response {
+    let operator = match authenticate(access, request) {
+        Ok(operator) => operator,
+        Err(response) => return response,
+    };
+    match api.explain(operator, request.raw_query_string()) {
+        Ok(explanation) => Response::json(&explanation),
+        Err((status, reason)) => error_response(status, &reason),
+    }
+}
+
+fn operate(access: &Access, api: &OperatorApi, request: &rouille::Request) -> Response {
+    let operator = match authenticate(access, request) {
+        Ok(operator) => operator,
+        Err(response) => return response,
     };
     match read_body(request) {
         Ok(body) => Response::json(&api.execute(operator, &body)),
--- a/crates/rattanarchd/src/process/run.rs
+++ b/crates/rattanarchd/src/process/run.rs
@@ -231,8 +231,10 @@
 
 fn start_operators(settings: &Settings, fleet: &Arc<PeerFleet>) -> Result<Server, ServerError> {
     let (views, platform) = (fleet.views.clone(), fleet.platform.clone());
+    let requests = Arc::clone(&fleet.requests);
     let fleet = Arc::clone(fleet) as Arc<dyn Fleet>;
     let api = OperatorApi::new(settings.process.clone(), views, platform, fleet);
+    let api = api.with_requests(requests);
     Server::start(settings.listen.operator, Access::new(&settings.operators), Arc::new(api))
 }
 
--- a/crates/rattanarchd/src/request/admission.rs
+++ b/crates/rattanarchd/src/request/admission.rs
@@ -28,15 +28,38 @@
 pub(crate) struct Admission {
     /// Time zero of the [`Moment`]s passed to the policy.
     origin: Instant,
-    state: Arc<Mutex<AdmissionState>>,
+    state: Arc<Mutex<AdmissionState<Waiter>>>,
 }
 
 #[derive(Debug)]
-struct AdmissionState {
+struct AdmissionState<T> {
     limiter: ConcurrencyLimiter,
     /// Number of permits held.
     running: u32,
-    queue: Queue<Waiter>,
+    queue: Queue<T>,
+}
+
+/// State that decides on a request, and what would become of the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct AdmissionPreview {
+    pub(crate) running: u32,
+    pub(crate) waiting: u32,
+    /// Requests that may run at once now.
+    pub(crate) limit: u32,
+    pub(crate) warm: bool,
+    pub(crate) mean: Duration,
+    pub(crate) outcome: PreviewOutcome,
+}
+
+/// What would become of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PreviewOutcome {
+    /// It starts at once.
+    Starts,
+    /// It waits for a slot.
+    Waits,
+    /// It is shed, with this time to retry after.
+    Shed(Duration),
 }
 
 /// Receives the permit of a queued request, or the time after which to retry if it is shed.
@@ -66,8 +89,7 @@
     ) -> Result<Permit, RequestError> {
         let waiter = {
             let mut state = self.lock();
-            if state.running < state.limiter.limit() && state.queue.ahead(priority) == 0 {
-                state.running += 1;
+            if state.try_start(priority) {
                 return Ok(self.permit());
             }
             let (tx, rx) = oneshot::channel();
@@ -87,6 +109,23 @@
         }
     }
 
+    /// What would become of a request that is offered now, by an offer to a copy of the state.
+    pub(crate) fn preview(&self, priority: Priority, deadline: Instant) -> AdmissionPreview {
+        let mut copy = self.lock().copy();
+        let (running, waiting) = (copy.running, copy.queue.len() as u32);
+        let (limit, warm) = (copy.limiter.limit(), copy.limiter.is_warm());
+        let mean = copy.limiter.mean_service_time();
+        let outcome = if copy.try_start(priority) {
+            PreviewOutcome::Starts
+        } else {
+            let end = deadline.saturating_duration_since(self.origin);
+            let shed = copy.push(self.now(), priority, end, true);
+            let own = shed.into_iter().find(|shed| shed.item);
+            own.map_or(PreviewOutcome::Waits, |shed| PreviewOutcome::Shed(shed.retry_after))
+        };
+        AdmissionPreview { running, waiting, limit, warm, mean, outcome }
+    }
+
     /// Records the outcome of a request that still holds its permit, and adapts the limit.
     pub(crate) fn record_outcome(&self, outcome: AttemptOutcome) {
         let mut state = self.lock();
@@ -144,21 +183,34 @@
         self.origin.elapsed()
     }
 
-    fn lock(&self) -> MutexGuard<'_, AdmissionState> {
+    fn lock(&self) -> MutexGuard<'_, AdmissionState<Waiter>> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl AdmissionState {
+impl<T> AdmissionState<T> {
+    /// A copy in which each waiting request is `false`, so that an offered one can be told from them.
+    fn copy(&self) -> AdmissionState<bool> {
+        let queue = self.queue.copy_with(|_| Some(false));
+        AdmissionState { limiter: self.limiter.clone(), running: self.running, queue }
+    }
+
+    /// Takes a slot for a new request if one is free and no other request waits for it.
+    fn try_start(&mut self, priority: Priority) -> bool {
+        let starts = self.running < self.limiter.limit() && self.queue.ahead(priority) == 0;
+        self.running += u32::from(starts);
+        starts
+    }
+
     fn push(
         &mut self,
         now: Moment,
         priority: Priority,
         deadline: Moment,
-        waiter: Waiter,
-    ) -> Vec<ShedRequest<Waiter>> {
+        item: T,
+    ) -> Vec<ShedRequest<T>> {
         self.update_throughput();
-        self.queue.push(now, priority, deadline, waiter)
+        self.queue.push(now, priority, deadline, item)
     }
 
     fn update_throughput(&mut self) {
--- a/crates/rattanarchd/src/request/handler.rs
+++ b/crates/rattanarchd/src/request/handler.rs
@@ -8,15 +8,18 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use rattanarch_admission::HedgeBudget;
 use rattanarch_admission::LoadReport;
 use rattanarch_admission::RetryBudget;
 use rattanarch_ownership::Refusal;
+use rattanarch_types::Priority;
 use rattanarch_types::Route;
 use rattanarch_types::Service;
 use rattanarch_types::Sharing;
@@ -167,19 +170,12 @@
         start: Instant,
     ) -> Result<Call, RequestError> {
         let (parts, incoming) = request.into_parts();
-        if parts.version < hyper::Version::HTTP_11 {
-            return Err(RequestError::UnsupportedVersion);
-        }
-        let target = Target::parse(parts.uri.path())?;
-        let service = self.service(target, view)?;
-        let route = target.route(&service)?;
-        let key = call_key(target, &service, route, &parts.headers)?;
-        let deadline = start + call_timeout(route, &parts.headers)?;
+        let Head { target, priority, key, timeout, .. } = self.read_head(&parts, view)?;
+        let deadline = start + timeout;
         let forwarded = parts.headers.contains_key(headers::FORWARDED);
         let query = parts.uri.query().map(|q| format!("?{q}")).unwrap_or_default();
         let full_path = format!("{}{query}", parts.uri.path());
         let rest_path = format!("{}{query}", target.rest);
-        let priority = route.priority;
         let reading = Payload::read(incoming, &self.settings);
         let read = tokio::time::timeout_at(deadline.into(), reading).await;
         let payload = read.unwrap_or(Err(RequestError::BodyStalled))?;
@@ -203,6 +199,24 @@
         })
     }
 
+    /// Parses and checks the head of a request.
+    pub(super) fn read_head<'a>(
+        &self,
+        parts: &'a Parts,
+        view: &View,
+    ) -> Result<Head<'a>, RequestError> {
+        if parts.version < hyper::Version::HTTP_11 {
+            return Err(RequestError::UnsupportedVersion);
+        }
+        let target = Target::parse(parts.uri.path())?;
+        let service = self.service(target, view)?;
+        let route = target.route(&service)?;
+        let key = call_key(target, &service, route, &parts.headers)?;
+        let timeout = call_timeout(route, &parts.headers)?;
+        let priority = route.priority;
+        Ok(Head { target, service, priority, key, timeout })
+    }
+
     fn service(&self, target: Target<'_>, view: &View) -> Result<Arc<Service>, RequestError> {
         if target.service != self.settings.service {
             return Err(RequestError::ServiceUnknown(target.service.to_owned()));
@@ -217,6 +231,17 @@
     }
 }
 
+/// What the head of a request says.
+#[derive(Clone, Debug)]
+pub(super) struct Head<'a> {
+    pub(super) target: Target<'a>,
+    pub(super) service: Arc<Service>,
+    pub(super) priority: Priority,
+    pub(super) key: Option<Key>,
+    /// Time until the response head is due.
+    pub(super) timeout: Duration,
+}
+
 /// The key of a request; `None` if the service is unkeyed.
 fn call_key(
     target: Target<'_>,
@@ -233,10 +258,7 @@
 }
 
 /// Timeout for the response head: the smaller of the route's and the caller's.
-fn call_timeout(
-    route: &Route,
-    fields: &hyper::HeaderMap,
-) -> Result<std::time::Duration, RequestError> {
+fn call_timeout(route: &Route, fields: &hyper::HeaderMap) -> Result<Duration, RequestError> {
     match headers::millis(fields, &headers::DEADLINE_MS) {
         None => Ok(route.timeout),
         Some(Ok(requested)) => Ok(requested.min(route.timeout)),
--- a/crates/rattanarchd/src/request/local.rs
+++ b/crates/rattanarchd/src/request/local.rs
@@ -88,7 +88,10 @@
     }
 
     /// Checks that a request may start here now, and returns the fence to send with it.
-    fn check_ownership(&self, hash: Option<KeyHash>) -> Result<Option<Fence>, RequestError> {
+    pub(super) fn check_ownership(
+        &self,
+        hash: Option<KeyHash>,
+    ) -> Result<Option<Fence>, RequestError> {
         let view = self.views.current();
         let now = self.clock.now();
         let grant = view.grant.filter(|grant| now < grant.until);
--- a/crates/rattanarchd/src/request/member_selector.rs
+++ b/crates/rattanarchd/src/request/member_selector.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
 use rattanarch_admission::AttemptOutcome;
@@ -27,7 +28,7 @@
     state: Mutex<MemberSelectorState>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct MemberSelectorState {
     policy: Selector,
     /// Handle of each eligible member.
@@ -55,6 +56,18 @@
     finished: bool,
 }
 
+/// A member that may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct MemberPreview {
+    pub(crate) member_id: BootId,
+    /// How many times it is chosen.
+    pub(crate) count: usize,
+    /// Requests of this daemon that run there.
+    pub(crate) running: u32,
+    /// Mean service time that this daemon has seen; zero if none.
+    pub(crate) mean: Duration,
+}
+
 impl MemberSelector {
     pub(crate) fn new() -> Self {
         Self { origin: Instant::now(), state: Mutex::default() }
@@ -64,17 +77,30 @@
     pub(crate) fn choose(&self, view: &View, tried: Option<BootId>) -> Option<Attempt<'_>> {
         let mut state = self.lock();
         state.update(view);
-        let tried = tried.and_then(|member| state.handles.get(&member).copied());
         // `RandomState` is seeded randomly, so its hashes are random numbers.
         let random = RandomState::new();
         let draws = [random.hash_one(0), random.hash_one(1)];
-        let handle = state.policy.choose(self.now(), draws, tried)?;
-        let member_id =
-            state.handles.iter().find(|(_, known)| **known == handle).map(|(boot, _)| *boot)?;
+        let (member_id, handle) = state.choose(self.now(), draws, tried)?;
         state.policy.start(handle);
         Some(Attempt { selector: self, member_id, handle, finished: false })
     }
 
+    /// The eligible members of `view`, each with how many of `draws` it would be chosen for, its running requests and
+    /// its mean service time. Chooses as [`MemberSelector::choose`], from a copy of the state.
+    pub(crate) fn preview(&self, view: &View, draws: &[[u64; 2]]) -> Vec<MemberPreview> {
+        let mut copy = self.lock().clone();
+        copy.update(view);
+        let now = self.now();
+        let chosen = draws.iter().filter_map(|draws| copy.choose(now, *draws, None));
+        let chosen: Vec<BootId> = chosen.map(|(member, _)| member).collect();
+        let preview = |(member_id, handle): (&BootId, &UpstreamKey)| {
+            let (running, mean) = copy.policy.load(*handle).unwrap_or_default();
+            let count = chosen.iter().filter(|chosen| *chosen == member_id).count();
+            MemberPreview { member_id: *member_id, count, running, mean }
+        };
+        copy.handles.iter().map(preview).collect()
+    }
+
     fn now(&self) -> Moment {
         self.origin.elapsed()
     }
@@ -85,6 +111,19 @@
 }
 
 impl MemberSelectorState {
+    /// Chooses an eligible member other than `tried`; `draws` are random numbers.
+    fn choose(
+        &self,
+        now: Moment,
+        draws: [u64; 2],
+        tried: Option<BootId>,
+    ) -> Option<(BootId, UpstreamKey)> {
+        let tried = tried.and_then(|member| self.handles.get(&member).copied());
+        let handle = self.policy.choose(now, draws, tried)?;
+        let (member_id, _) = self.handles.iter().find(|(_, known)| **known == handle)?;
+        Some((*member_id, handle))
+    }
+
     /// Adds and removes members so that `handles` holds the eligible members of `view`.
     fn update(&mut self, view: &View) {
         let inputs = SelectorInputs {
@@ -137,7 +176,17 @@
 
 /// Whether the member may run requests: it is not stopping, leaving or excluded by operators.
 pub(crate) fn is_eligible(view: &View, boot: BootId, member: &Member) -> bool {
+    exclusion(view, boot, member).is_none()
+}
+
+/// Why the member may run no requests; `None` if it may.
+pub(crate) fn exclusion(view: &View, boot: BootId, member: &Member) -> Option<&'static str> {
     let service = &view.serving.record.service;
-    let is_stopping = view.stopping && boot == view.serving.me;
-    !is_stopping && !member.leaving && !version::is_excluded(&view.configuration, service, member)
+    if view.stopping && boot == view.serving.me {
+        return Some("stopping");
+    }
+    if member.leaving {
+        return Some("leaving");
+    }
+    version::is_excluded(&view.configuration, service, member).then_some("taken out")
 }
--- a/crates/rattanarchd/src/request/mod.rs
+++ b/crates/rattanarchd/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 mod error_counts;
 mod exchange;
+mod explain;
 mod forward;
 mod handler;
 mod headers;
--- a/crates/rattanarchd/src/request/unkeyed.rs
+++ b/crates/rattanarchd/src/request/unkeyed.rs
@@ -67,7 +67,7 @@
         self.run_local(call, None).await
     }
 
-    fn no_instance(&self) -> RequestError {
+    pub(super) fn no_instance(&self) -> RequestError {
         RequestError::NoInstance(self.settings.service.clone())
     }
 }
--- a/crates/rattanarchd/tests/mesh_explain.rs
+++ b/crates/rattanarchd/tests/mesh_explain.rs
@@ -291,7 +291,7 @@
         (&format!("{valid}&key=1&key=2"), "key"),
         (&format!("{valid}&depth=1"), "depth"),
         (&format!("{valid}&header=x-deadline-ms"), "header"),
-        (&format!("{valid}&header=Authorization:+Bearer+hidden"), "authorization"),
+        (&format!("{valid}&header=Authorization:+Bearer+hidden"), "Authorization"),
     ] {
         let (status, text) = get(query);
         assert_eq!(status, 400, "{query}: {text}");
