Measured cost of the choices in an explanation

The comment stated an estimate. A scratch program that evaluates 100 choices among 195 candidates took 0.57 ms (release build, idle core, mean of 20).

--- a/crates/rattanarch_mesh/src/request/explain.rs
+++ b/crates/rattanarch_mesh/src/request/explain.rs
@@ -51,7 +51,7 @@
 use crate::upstream::UpstreamState;
 
 /// Numbers for which the random choice among instances is evaluated. The standard error of a share is up to 5 %; 100
-/// choices among 195 candidates take some milliseconds of the process's single thread.
+/// choices among 195 candidates take 0.6 ms of a whole core.
 const DRAWS: u64 = 100;
 
 /// A request that is to be explained.
