--- a/crates/rattanarch_mesh/src/request/responses.rs
+++ b/crates/rattanarch_mesh/src/request/responses.rs
@@ -45,17 +45,26 @@
     response
 }
 
-/// The response to a request that has not run, by a daemon with or without the retry schedule.
-pub(crate) fn refused(refusal: Refusal, has_retry_schedule: bool) -> Response<ResponseBody> {
-    let status = match refusal.reason {
+/// HTTP status of a refusal.
+pub(crate) fn refusal_status(refusal: Refusal) -> StatusCode {
+    match refusal.reason {
         Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    let mut response = plain(status, refusal.reason.to_string());
+    }
+}
+
+/// Delay that a refused caller is told by a daemon with or without the retry schedule. `draw` is a random number from 0
+/// to 1, which sets the jitter.
+pub(crate) fn retry_after(refusal: Refusal, has_retry_schedule: bool, draw: f64) -> Duration {
     let is_scheduled = refusal.reason.is_scheduled(has_retry_schedule);
     let jitter = if is_scheduled { 0.0 } else { RETRY_AFTER_JITTER };
-    let retry_after =
-        refusal.retry_after.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter * random_fraction());
+    refusal.retry_after.max(MIN_RETRY_AFTER).mul_f64(1.0 + jitter * draw)
+}
+
+/// The response to a request that has not run, by a daemon with or without the retry schedule.
+pub(crate) fn refused(refusal: Refusal, has_retry_schedule: bool) -> Response<ResponseBody> {
+    let mut response = plain(refusal_status(refusal), refusal.reason.to_string());
+    let retry_after = retry_after(refusal, has_retry_schedule, random_fraction());
     set_retry_after(response.headers_mut(), retry_after);
     response
 }
