Tests of clients outside the limits at peers, upstream and metrics

The listeners for peers, for the upstream and for metrics had no test with many clients outside the limits. Each of the three tests starts several kinds of clients at once: heads and bodies that do not end, and requests sent ahead whose responses are not read (at peers: forwarded requests of 6 MiB, store calls of 2 MiB, fetches of a configuration with 1,000 added routes). They check, with all connections still open, that the process lives, that its peak memory and its descriptors stay below those of its machine, and that an ordinary request is served at the listener for callers and at the crowded one.

--- a/crates/rattanarchd/tests/mesh_callers.rs
+++ b/crates/rattanarchd/tests/mesh_callers.rs
@@ -1,4 +1,4 @@
-//! Callers that send more, or more slowly, than the limits allow.
+//! Callers, and clients of the daemon's other listeners, that send more, or more slowly, than the limits allow.
 //!
 //! The daemon's machine is named in its settings (`memory`, `descriptors`). Each test checks that the process lives, that
 //! its peak resident memory and its open descriptors stay below those of the machine, and that it serves an ordinary
@@ -20,6 +20,8 @@
 
 use mesh_support::Site;
 use mesh_support::wait_until;
+use rattanarch_adapter_standins::DESK;
+use rattanarch_adapter_standins::FILES;
 use rattanarch_adapter_standins::HOST;
 
 /// Held by each test while it runs: the memory of one daemon is measured without load by the others.
@@ -76,7 +78,12 @@
 
     /// Waits until the daemon has read what it will read, with the crowd's connections still open, then checks what it
     /// holds and that it serves an ordinary request.
-    fn check(mut self, crowd: Vec<Option<TcpStream>>) {
+    fn check(self, crowd: Vec<Option<TcpStream>>) {
+        self.check_with(crowd, |_| true);
+    }
+
+    /// Like [`Self::check`]; `ordinary` sends an ordinary request to the crowded listener and returns whether it is served.
+    fn check_with(mut self, crowd: Vec<Option<TcpStream>>, ordinary: impl Fn(&Site) -> bool) {
         let start = Instant::now();
         let (mut peak, mut changed) = (0, start);
         let mut descriptors = 0;
@@ -92,6 +99,7 @@
         wait_until("an ordinary request is served", || {
             self.site.get(0, "/stock/crayfish", "ordinary", 3).status == 200
         });
+        wait_until("the crowded listener serves an ordinary request", || ordinary(&self.site));
         drop(crowd);
         let peak = self.site.daemons[0].peak_resident_bytes();
         assert!(self.site.daemons[0].wait(Duration::from_millis(20)).is_none(), "it has ended");
@@ -218,6 +226,111 @@
     daemon.check(crowds);
 }
 
+/// Sends `request` on a new connection to `address`; returns the status line, which is empty if there is no response.
+fn status_line(address: SocketAddr, request: &str) -> String {
+    let exchange = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(WRITE_TIMEOUT))?;
+        stream.write_all(request.as_bytes())?;
+        let mut response = [0; 64];
+        let length = stream.read(&mut response)?;
+        Ok(String::from_utf8_lossy(&response[..length]).lines().next().unwrap_or_default().into())
+    };
+    exchange().unwrap_or_default()
+}
+
+/// A POST request for `path` with the body `body`, whose last `missing` bytes are not sent.
+fn post(path: &str, more: &str, body: &str, missing: usize) -> String {
+    let (length, sent) = (body.len(), &body[..body.len() - missing]);
+    format!("POST {path} HTTP/1.1\r\nhost: daemon\r\n{more}content-length: {length}\r\n\r\n{sent}")
+}
+
+/// A head of permitted length that lacks its end.
+fn unfinished_head(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: daemon\r\nx-long: {}", "x".repeat(14_000))
+}
+
+/// Sends each of `loads`, the number of clients and what each of them sends, to `address`, all at once.
+fn mixed_crowd(address: SocketAddr, loads: &[(usize, String)]) -> Vec<Option<TcpStream>> {
+    thread::scope(|scope| {
+        let start = |(clients, bytes): &'_ (usize, String)| {
+            let (clients, bytes) = (*clients, bytes.clone());
+            scope
+                .spawn(move || crowd(address, clients, |stream| stream.write_all(bytes.as_bytes())))
+        };
+        let started: Vec<_> = loads.iter().map(start).collect();
+        started.into_iter().flat_map(|load| load.join().unwrap()).collect()
+    })
+}
+
+/// Guards against running out of memory or connections at the listener for peers: heads and bodies of forwarded requests
+/// and store calls that do not end, and configurations that are fetched and not read.
+#[test]
+fn crowd_at_peers() {
+    let mut daemon = Crowded::start(BODIES);
+    daemon.site.add(FILES, "files-0", "centre-1");
+    wait_until("the daemon serves a peer", || {
+        daemon.site.get(1, "/stock/crayfish", "peer", 3).status == 200
+    });
+    daemon.site.store.configure_large(6, "/stock/", 1_000);
+    wait_until("the long configuration is in force", || {
+        daemon.site.daemons[0].log().contains("\"version\":6")
+    });
+    let address = daemon.site.daemons[0].addresses.peers;
+    let fetch =
+        post("/rattanarch/state", "", r#"{"configuration":5,"evacuated":0,"records":{}}"#, 0);
+    assert_eq!(status_line(address, &fetch), "HTTP/1.1 200 OK");
+    let forward = format!(
+        "rattanarch-forward: {DESK} {FILES} 1 1000 4000 safe 3 small first - 0\r\nx-attempt-id: c1\r\nx-shard-key: 3\r\n"
+    );
+    let forwarded = post("/stock/crayfish", &forward, "short", 0);
+    assert_eq!(status_line(address, &forwarded), "HTTP/1.1 200 OK");
+    let loads = [
+        (200, unfinished_head("/stock/crayfish")),
+        (16, post("/stock/crayfish", &forward, &"x".repeat(BODY_BYTES), 1)),
+        (32, post("/rattanarch/store", "", &"x".repeat(2 << 20), 1)),
+        (100, fetch.repeat(40)),
+    ];
+    let clients = mixed_crowd(address, &loads);
+    daemon.check_with(clients, |site| site.get(1, "/stock/crayfish", "peer", 3).status == 200);
+}
+
+/// Guards against running out of memory or connections at the listener for the upstream: heads and heartbeats that do not
+/// end, and responses that are not read.
+#[test]
+fn crowd_at_upstream() {
+    let daemon = Crowded::start(CONNECTIONS);
+    let address = daemon.site.daemons[0].addresses.control;
+    let path = "/Instances.Heartbeat/i-other";
+    let foreign = post(path, "", "{}", 0);
+    assert_eq!(status_line(address, &foreign), "HTTP/1.1 400 Bad Request");
+    let loads = [
+        (300, unfinished_head(path)),
+        (100, post(path, "", &"x".repeat(256 << 10), 1)),
+        (100, foreign.repeat(20_000)),
+    ];
+    let clients = mixed_crowd(address, &loads);
+    daemon.check_with(clients, |site| {
+        site.held_keys() == 65_536 && status_line(address, &foreign).contains(" 400 ")
+    });
+}
+
+/// Guards against running out of memory or connections at the listener for metrics: heads and bodies that do not end, and
+/// metrics that are not read.
+#[test]
+fn crowd_at_metrics() {
+    let daemon = Crowded::start(CONNECTIONS);
+    let address = daemon.site.daemons[0].addresses.metrics;
+    let get = "GET /metrics HTTP/1.1\r\nhost: daemon\r\n\r\n";
+    let loads = [
+        (300, unfinished_head("/metrics")),
+        (16, post("/metrics", "", &"x".repeat(BODY_BYTES), 1)),
+        (200, get.repeat(2_000)),
+    ];
+    let clients = mixed_crowd(address, &loads);
+    daemon.check_with(clients, |_| status_line(address, get).contains(" 200 "));
+}
+
 /// Guards against a limit below that of the configuration: a body of 64 MiB is served under calm conditions, at the
 /// daemon that accepts it and at the one that it is forwarded to, on machines with the least memory.
 #[test]
