Admit long bodies that wait for the upstream by rank, then by arrival

Cause: bodies of more than 64 KiB that wait for others under way to the upstream were admitted as they came, and a new one that fitted passed those that waited, so that an urgent body could wait behind less urgent ones until it was refused.

Change: BytesUnderWay keeps the order of those that wait. Only the first of them is admitted, once it fits; a new one waits if one of its rank or a more urgent one waits. The bound of 16 MiB, the longest wait and bodies of at most 64 KiB are as before. Bytes that were admitted are not taken back: an urgent body still waits for less urgent ones that are under way or wait for a slot. The order applies without a setting.

--- a/crates/rattanarch_admission/src/lib.rs
+++ b/crates/rattanarch_admission/src/lib.rs
@@ -76,6 +76,7 @@
 pub use byte_budget::FIRST_BYTES;
 pub use byte_budget::HolderKey;
 pub use byte_budget::Reservation;
+pub use bytes_under_way::BytesTicket;
 pub use bytes_under_way::BytesUnderWay;
 pub use capacity_plan::CapacityPlan;
 pub use cold_start::ColdStart;
--- a/crates/rattanarchd/tests/mesh_callers.rs
+++ b/crates/rattanarchd/tests/mesh_callers.rs
@@ -331,6 +331,31 @@
     daemon.check_with(clients, |_| status_line(address, get).contains(" 200 "));
 }
 
+/// Guards against a long urgent body that waits for less urgent ones which came before it.
+#[test]
+fn long_bodies_by_rank() {
+    let daemon = Crowded::start(SMALLEST);
+    let site = &daemon.site;
+    site.store.configure_timeout(6, "8s");
+    wait_until("the long timeout is in force", || site.daemons[0].log().contains("\"version\":6"));
+    site.upstreams[0].set_work(Duration::from_millis(1_200));
+    let body = "x".repeat(12 << 20);
+    let send = |path: &str, id: &str| site.post(0, path, id, 3, &body);
+    thread::scope(|scope| {
+        scope.spawn(|| send("/stock/crayfish", "running"));
+        thread::sleep(Duration::from_millis(300));
+        // Its wait may end before its turn comes.
+        scope.spawn(|| send("/stock/crayfish", "deferrable"));
+        thread::sleep(Duration::from_millis(300));
+        let urgent = scope.spawn(|| send("/hold/crayfish", "urgent")).join().unwrap();
+        assert_eq!(urgent.status, 200, "{urgent:?}");
+    });
+    let ids = site.run_ids();
+    let place = |id: &str| ids.iter().position(|run| run == id);
+    assert!(place("running") < place("urgent"), "{ids:?}");
+    assert!(place("deferrable").is_none_or(|place_of| Some(place_of) > place("urgent")), "{ids:?}");
+}
+
 /// Guards against a limit below that of the configuration: a body of 64 MiB is served under calm conditions, at the
 /// daemon that accepts it and at the one that it is forwarded to, on machines with the least memory.
 #[test]
