Judge refusals by what ran since the request was sent, and idleness by running requests

Found by review: with the rule on unrelated refusals an upstream that can run a third of its slots had its concurrency restored again and again, since few requests of a batch are left when the last of them is refused; and an upstream that may still be cold counted as warm after 2 s without the end of a request although some ran. Class means kept 64 classes for ever.

full_upstream and running_without_end fail without the changes.

--- a/crates/rattanarch_admission/src/admission_controller.rs
+++ b/crates/rattanarch_admission/src/admission_controller.rs
@@ -216,6 +216,7 @@
 
     /// Sets the rate limit that the pace of the upstream has at `now`.
     fn apply_pace(&mut self, now: Moment) {
+        self.pace.record_running(now, self.running);
         self.pace.update(now);
         let burst = self.pace.take_burst();
         self.rate_limiter.set_pace(now, self.pace.rate(), burst);
--- a/crates/rattanarch_admission/src/upstream_pace.rs
+++ b/crates/rattanarch_admission/src/upstream_pace.rs
@@ -53,14 +53,14 @@
 /// Time for which the factor is kept after a burst that uses up the platform's rule.
 const RULE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time without the end of a request after which an upstream that may still be cold counts as warm: longer than any request
-/// takes while cold. Senders avoid a cold upstream, so that it may get no request that would show that it is warm.
+/// Time in which no request ran after which an upstream that may still be cold counts as warm. Senders avoid a cold upstream, so that it may get no request that would show that it is warm.
 const IDLE_TIME: Duration = Duration::from_secs(2);
 
 /// Part of the slots up to which so few requests run that an upstream which refuses one is not full.
-const FEW_RATIO: f64 = 0.5;
+const FEW_RATIO: f64 = 0.25;
 
-/// Time after such a refusal in which others are not taken for those of a full upstream either.
+/// Time after such a refusal in which others don't lower the concurrency either: an upstream that refuses a part of its
+/// requests does so also while many run.
 const UNRELATED_TIME: Duration = Duration::from_secs(2);
 
 /// Responses from whose mean it is told that the upstream is warm.
@@ -79,7 +79,7 @@
 const FAILURE_COUNT: u32 = 3;
 
 /// Consecutive slow responses after which it may be lowered, as a multiple of the slots: at an upstream whose service times
-/// merely vary, some of so many are in time. With five in all, spells of 400 ms in which work took three times as long
+/// merely vary, some of so many are in time. With five in all, slow periods of 400 ms in which work took three times as long
 /// lowered it.
 const SLOW_ROUNDS: u32 = 2;
 
@@ -151,7 +151,7 @@
     /// The cold time that it told has ended.
     #[display("cold time ended")]
     ColdEnded,
-    /// No request ended for a while.
+    /// No request ran for a while.
     #[display("no requests")]
     Idle,
     /// Responses were in time.
@@ -243,8 +243,10 @@
     /// Whether responses count; otherwise the told cold time alone does.
     adaptive: bool,
     heat: Heat,
-    /// When a request last ended.
+    /// When a request last ran.
     observed_at: Moment,
+    /// When more than a few requests last ran.
+    busy_at: Moment,
     /// Time until which refusals say nothing about the concurrency.
     unrelated_until: Moment,
     /// Requests that may run at once; from `MIN_WINDOW`, if there are as many slots, to `slots`.
@@ -307,6 +309,7 @@
             adaptive: true,
             heat: Heat::Warm,
             observed_at: Moment::ZERO,
+            busy_at: Moment::ZERO,
             unrelated_until: Moment::ZERO,
             window: f64::from(slots),
             probing: false,
@@ -399,7 +402,7 @@
         self.record_change(before, PaceCause::ColdEnded);
     }
 
-    /// Whether no request has ended lately at `now`, in a state that began at `since`.
+    /// Whether no request has run lately at `now`, in a state that began at `since`.
     fn is_idle(&self, now: Moment, since: Moment) -> bool {
         now >= since.max(self.observed_at) + IDLE_TIME
     }
@@ -419,12 +422,12 @@
         if !self.adaptive {
             return;
         }
-        self.observed_at = now;
+        self.record_running(now, running);
         let before = self.state();
         let cause = match outcome {
             AttemptOutcome::Responded(time) => self.respond(now, sent, time, running),
             AttemptOutcome::Failed => self.fail(now, sent),
-            AttemptOutcome::Refused if self.is_unrelated(now, running) => PaceCause::Refusal,
+            AttemptOutcome::Refused if self.is_unrelated(now, sent) => PaceCause::Refusal,
             AttemptOutcome::Refused | AttemptOutcome::Cold => self.refuse(now, sent),
         };
         self.record_change(before, cause);
@@ -538,11 +541,11 @@
         PaceCause::Failures
     }
 
-    /// Whether a refusal at `now`, with `running` requests, has nothing to do with the concurrency: the upstream refuses, or
-    /// has lately refused, while few of its slots were taken. The concurrency is then restored, since a lower one would add
-    /// refusals to those of the upstream.
-    fn is_unrelated(&mut self, now: Moment, running: u32) -> bool {
-        if f64::from(running) <= f64::from(self.slots) * FEW_RATIO {
+    /// Whether a refusal of a request sent at `sent` has nothing to do with the concurrency: few slots of a warm upstream have
+    /// been taken since then, or it has lately refused one so. The concurrency is then restored, since a lower one would add
+    /// refusals to those of the upstream. How many ran is seen at the end of each request.
+    fn is_unrelated(&mut self, now: Moment, sent: Moment) -> bool {
+        if self.heat == Heat::Warm && sent > self.busy_at {
             self.unrelated_until = now + UNRELATED_TIME;
             if !self.failed {
                 self.window = f64::from(self.slots);
@@ -551,6 +554,16 @@
         now < self.unrelated_until
     }
 
+    /// Records that `running` requests run at `now`.
+    pub fn record_running(&mut self, now: Moment, running: u32) {
+        if running > 0 {
+            self.observed_at = now;
+        }
+        if f64::from(running) > f64::from(self.slots) * FEW_RATIO {
+            self.busy_at = now;
+        }
+    }
+
     fn refuse(&mut self, now: Moment, sent: Moment) -> PaceCause {
         if sent >= self.reduced_at {
             self.reduce(now, REFUSED_RATIO);
--- a/crates/rattanarch_admission/src/work_times.rs
+++ b/crates/rattanarch_admission/src/work_times.rs
@@ -65,6 +65,9 @@
 impl WorkTimes {
     /// Records the service time of a response at `now`.
     pub fn record(&mut self, now: Moment, class: WorkClass, service_time: Duration) {
+        if self.by_class.len() >= MAX_CLASSES && !self.by_class.contains_key(&class) {
+            self.by_class.retain(|_, time| !time.is_old(now));
+        }
         if self.by_class.len() >= MAX_CLASSES && !self.by_class.contains_key(&class) {
             return;
         }
