--- a/crates/rattanarch_placement/src/slice_moves.rs
+++ b/crates/rattanarch_placement/src/slice_moves.rs
@@ -8,20 +8,14 @@
 
 use crate::LastingLoad;
 use crate::MemberLoad;
+use crate::slice_relief::MIN_IMBALANCE;
+use crate::slice_relief::USED_SPARE_RATIO;
 use crate::slice_relief::mean_utilization;
 use crate::slice_relief::plan_hot_move;
 
 /// Utilization up to which a member moves nothing: with two slots or more, moves cost more than they gain.
 const MIN_UTILIZATION: f64 = 0.4;
 
-/// Ratio of a member's utilization to the mean from which it gives slices away. Without it, members of an overloaded
-/// service pass the same slices on to each other, and each move costs its callers a gap.
-const MIN_IMBALANCE: f64 = 1.2;
-
-/// Part of a receiver's spare capacity below the mean that one plan uses if it moves several slices to it: other owners
-/// may choose it at the same time.
-const USED_SPARE_RATIO: f64 = 0.6;
-
 /// Largest number of slices in one plan: each becomes a separate range in the lists of owners.
 const MAX_SLICES: usize = 32;
 
@@ -119,7 +113,7 @@
     best_plan(own, lasting, surplus, &slices, &receivers(mean, others))
 }
 
-/// The move of a slice that overloads its owner by itself to a member that is much faster, whatever the mean is.
+/// The move of a slice that overloads its owner by itself to a member that is much faster, which may exceed the mean then.
 fn plan_hot_slice(
     own: MemberLoad,
     lasting: &[LastingLoad],
--- a/crates/rattanarch_placement/src/slice_relief.rs
+++ b/crates/rattanarch_placement/src/slice_relief.rs
@@ -11,11 +11,12 @@
 /// while a slice that moves is not served for about a heartbeat.
 const MIN_UTILIZATION: f64 = 0.5;
 
-/// Ratio of a member's utilization to the mean from which it gives slices away.
-const MIN_IMBALANCE: f64 = 1.2;
+/// Ratio of a member's utilization to the mean from which it gives slices away. Without it, members of an overloaded
+/// service pass the same slices on to each other, and each move costs its callers a gap.
+pub(crate) const MIN_IMBALANCE: f64 = 1.2;
 
 /// Part of a receiver's spare capacity that one move uses: other members may choose it at the same time.
-const USED_SPARE_RATIO: f64 = 0.6;
+pub(crate) const USED_SPARE_RATIO: f64 = 0.6;
 
 /// Largest number of receivers of one plan.
 const MAX_RECEIVERS: usize = 4;
