--- a/crates/rattanarch_mesh/src/control/quotas.rs
+++ b/crates/rattanarch_mesh/src/control/quotas.rs
@@ -33,6 +33,9 @@
 /// Interval at which to check whether there are quotas, if there are none.
 const DISABLED_INTERVAL: Duration = Duration::from_millis(500);
 
+/// When the caller of a request that got no grant within its deadline is told to return.
+const RETRY_TIME: Duration = Duration::from_millis(200);
+
 /// Quotas of client accounts; nothing unless the platform sets the rule and the configuration has accounts.
 #[derive(Debug, Default)]
 pub(crate) struct Quotas {
@@ -76,8 +79,13 @@
     }
 }
 
-/// Decides on a request of `account`, after waiting for a coordinator if need be; `None` if it has no quota.
-pub(crate) async fn request_quota(shared: &Rc<Shared>, account: &Account) -> Option<QuotaVerdict> {
+/// Decides on a request of `account`, after waiting for a coordinator for at most `max_wait` if need be; `None` if it has
+/// no quota.
+pub(crate) async fn request_quota(
+    shared: &Rc<Shared>,
+    account: &Account,
+    max_wait: Duration,
+) -> Option<QuotaVerdict> {
     let limit = account.limit?;
     if shared.quotas.state.borrow().is_none() {
         update(shared);
@@ -93,8 +101,12 @@
     }
     advance(shared);
     set_timer(shared);
-    // The sender is dropped only if the quotas are disabled meanwhile.
-    receiver.await.ok()
+    match tokio::time::timeout(max_wait, receiver).await {
+        // The sender is dropped only if the quotas are disabled meanwhile.
+        Ok(verdict) => verdict.ok(),
+        // The receiver is dropped, so that a token that arrives later is given back.
+        Err(_) => Some(QuotaVerdict::Refused(RETRY_TIME)),
+    }
 }
 
 /// Refuses a request of `account` before its body has been read, if the account is known to be over its quota; returns
@@ -160,7 +172,7 @@
 
 fn deliver(shared: &Shared, verdicts: Vec<(Waiter, QuotaVerdict)>) {
     for (waiter, verdict) in verdicts {
-        // The caller may have disconnected while its request waited.
+        // The caller may have disconnected while its request waited, or the wait was too long for the deadline.
         if let Err(QuotaVerdict::Admitted(token)) = waiter.sender.send(verdict) {
             give_back_quota(shared, waiter.flow, token);
         }
--- a/crates/rattanarch_mesh/src/request/account_request.rs
+++ b/crates/rattanarch_mesh/src/request/account_request.rs
@@ -7,6 +7,7 @@
 use rattanarch_accounts::QuotaToken;
 use rattanarch_accounts::QuotaVerdict;
 use rattanarch_types::FlowId;
+use rattanarch_types::Moment;
 
 use crate::control;
 use crate::process::Shared;
@@ -16,6 +17,9 @@
 use crate::request::Refusal;
 use crate::request::RequestTrace;
 
+/// Part of the time until the deadline that a request may wait for a grant; the rest is left for its run.
+const WAIT_RATIO: f64 = 0.4;
+
 /// A request that is within the quota of its account, or needs no quota.
 pub(crate) struct AccountRequest {
     shared: Rc<Shared>,
@@ -39,19 +43,21 @@
         Err(over_quota(account, retry_after, trace))
     }
 
-    /// Admits a request of `account` that has been read; `None` for a request that belongs to no account. A token that
+    /// Admits a request of `account` that has been read and has until `deadline`; `None` for a request that belongs to no account. A token that
     /// was taken before the body was read would be used as late as the body ends, in a window that grants its own tokens.
     ///
     /// # Errors
-    /// If the account is over its quota.
+    /// If the account is over its quota, or no grant arrives in time.
     pub(crate) async fn admit(
         shared: &Rc<Shared>,
         account: Option<&Account>,
+        deadline: Moment,
         trace: &RequestTrace,
     ) -> Result<Self, Refusal> {
         let without_token = Self { shared: Rc::clone(shared), token: None };
         let Some(account) = account else { return Ok(without_token) };
-        let verdict = control::request_quota(shared, account).await;
+        let max_wait = deadline.saturating_sub(shared.now()).mul_f64(WAIT_RATIO);
+        let verdict = control::request_quota(shared, account, max_wait).await;
         let refused = matches!(verdict, Some(QuotaVerdict::Refused(_)));
         shared.meters.account_request(account, !refused);
         match verdict {
--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -92,7 +92,8 @@
             Ok(call) => Rc::new(call),
             Err(response) => return finish(&trace, Outcome::Answered(response)),
         };
-        let admitted = match AccountRequest::admit(&self.shared, account, &trace).await {
+        let admission = AccountRequest::admit(&self.shared, account, call.deadline, &trace).await;
+        let admitted = match admission {
             Ok(admitted) => admitted,
             Err(refusal) => return finish(&trace, Outcome::Refused(refusal)),
         };
--- a/crates/rattanarchd/tests/mesh_quotas.rs
+++ b/crates/rattanarchd/tests/mesh_quotas.rs
@@ -158,6 +158,37 @@
     assert!(most <= SMALL_ALLOWED, "{most} in a window");
 }
 
+/// Guards against a request that waits for a grant beyond its deadline, although its coordinator is lost.
+#[test]
+fn wait_within_deadline() {
+    let timeout = Duration::from_millis(450);
+    let mut site = start("450ms");
+    let pause = Duration::from_millis(10);
+    let grants = |daemon| site.metric(daemon, "rattanarch_quota_datagrams_total{kind=\"grant\"}");
+    let before: Vec<_> = (0..3).map(grants).collect();
+    send(&site, &[0, 1, 2], "small-key", (Duration::from_secs(2), pause));
+    let sent =
+        |daemon: &usize| grants(*daemon).unwrap_or_default() - before[*daemon].unwrap_or_default();
+    let coordinator = (0..3).max_by_key(sent).expect("there are daemons");
+    // The account is not known to be over its quota any more.
+    thread::sleep(Duration::from_millis(1_500));
+    site.daemons[coordinator].kill();
+    let daemon = (coordinator + 1) % 3;
+    let credentials = [("authorization", "Bearer small-key")];
+    // The first ones may use tokens in advance.
+    let limited = (0..30).find_map(|index| {
+        let begin = Instant::now();
+        let response = site.get_with(daemon, "/files/a", &format!("late-{index}"), &credentials);
+        let took = begin.elapsed();
+        assert!(took < timeout, "{took:?}, status {}", response.status);
+        (response.status == 429).then_some((took, response.retry_after))
+    });
+    let (took, retry_after) = limited.expect("a request gets no grant");
+    assert!(retry_after.is_some(), "{took:?}");
+    // It waited for the grant.
+    assert!(took > timeout / 5, "{took:?}");
+}
+
 /// Opens a connection to a daemon and sends a request of the account `held` on it, but for the end of its body.
 fn send_start(site: &Site, daemon: usize, index: usize) -> TcpStream {
     let address = site.daemons[daemon].addresses.callers;
