accounts: regard coordinators as silent whose replies all come too late

Replies after the grant timeout of 600 ms kept a coordinator from being regarded as silent, although their tokens had expired. Only earlier replies count now, also to probes, and requests are not sent again after that time.

--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -51,7 +51,7 @@
 /// The same with a slow coordinator, which may be slow because of the number of datagrams.
 const SLOW_MIN_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time without any reply to a request after which a coordinator is not asked any more. A machine that is busy for a
+/// Time without any reply to a request within [`GRANT_TIMEOUT`] after which a coordinator is not asked any more. A machine that is busy for a
 /// moment replies after 400 ms, or some 200 ms later if a datagram is lost, and a change of the coordinator costs the
 /// account 2 s.
 const SILENCE_TIME: Duration = Duration::from_millis(700);
@@ -122,7 +122,8 @@
     last_sent: Option<Moment>,
     /// Requests without a reply, oldest first.
     in_flight: Vec<InFlight>,
-    /// Time since the first request after the coordinator's last reply; `None` without such a request.
+    /// Time since the first request after the coordinator's last reply within [`GRANT_TIMEOUT`]; `None` without such a
+    /// request.
     silence: Option<Duration>,
     /// Time that the coordinator takes to reply; follows a lower one slowly.
     reply_time: Duration,
@@ -244,7 +245,7 @@
     pub fn handle(&mut self, now: Moment, grant: &QuotaGrant) -> Vec<(T, QuotaVerdict)> {
         // After a later reply the coordinator would be regarded as silent again at once.
         let answered =
-            |(sent, probe): &(Moment, u64)| *probe == grant.sequence && now < *sent + SILENCE_TIME;
+            |(sent, probe): &(Moment, u64)| *probe == grant.sequence && now < *sent + GRANT_TIMEOUT;
         if let Some(member) =
             self.silent.iter().find(|(_, probe)| answered(probe)).map(|(id, _)| *id)
         {
@@ -259,7 +260,10 @@
         let is_reply = |request: &InFlight| request.sequence == grant.sequence;
         let Some(index) = group.in_flight.iter().position(is_reply) else { return Vec::new() };
         let request = group.in_flight.remove(index);
-        group.silence = None;
+        // The requests that waited for a later reply have ended.
+        if now < request.sent + GRANT_TIMEOUT {
+            group.silence = None;
+        }
         group.measure_reply(now.saturating_sub(request.sent));
         apply(&self.rule, (self.me, &self.members), group, (now, &request), grant)
     }
@@ -401,7 +405,8 @@
         for request in self.in_flight.iter_mut().filter(|request| !request.is_superseded) {
             if !request.long_valid {
                 request.is_superseded = now >= request.sent + SLOW_REPLY;
-            } else if now >= request.resent + RESEND_INTERVAL {
+            } else if now >= request.resent + RESEND_INTERVAL && now < request.sent + GRANT_TIMEOUT
+            {
                 request.resent = now;
                 self.last_sent = Some(now);
                 self.silence.get_or_insert_default();
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -301,3 +301,50 @@
     };
     grants.iter().map(|(_, end, _)| usable(*end)).max().unwrap_or_default()
 }
+
+/// Guards against a coordinator that is never regarded as silent although its replies, also those to probes, come after
+/// the requests that waited for them have ended.
+#[test]
+fn late_replies_are_silence() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let mut pending: Vec<(Moment, QuotaRequest)> = Vec::new();
+    let delay = Duration::from_millis(650);
+    let mut silent_since = None;
+    for step in 0..400 {
+        let now = START + Duration::from_millis(10) * step;
+        if step % 10 == 0 {
+            ask(&mut client, now, step);
+        }
+        let output = client.poll(now);
+        pending.extend(output.messages.into_iter().map(|(_, request)| (now, request)));
+        for (_, request) in pending.extract_if(.., |(sent, _)| now >= *sent + delay) {
+            client.handle(now, &grant(&request, 1, 0));
+        }
+        if client.silent().count() == 0 {
+            assert!(silent_since.is_none(), "a late reply to a probe counts");
+        } else {
+            silent_since = silent_since.or(Some(now));
+        }
+    }
+    let silent_since = silent_since.expect("it is silent");
+    assert!(silent_since < START + Duration::from_secs(1), "{:?}", silent_since - START);
+}
+
+/// Guards against a request that is sent again when its tokens have expired.
+#[test]
+fn no_resend_after_timeout() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let mut last_sent = std::collections::HashMap::new();
+    assert!(ask(&mut client, START, 1).is_none());
+    for step in 0..=69 {
+        let now = START + Duration::from_millis(10) * step;
+        for (_, request) in requests(&client.poll(now)) {
+            let sent = last_sent.entry(request.sequence).or_insert((now, 0));
+            assert!(now < sent.0 + GRANT_TIMEOUT, "sent again after {:?}", now - sent.0);
+            sent.1 += 1;
+        }
+    }
+    assert!(last_sent.values().any(|(_, count)| *count == 3), "{last_sent:?}");
+}
