--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -118,8 +118,10 @@
     /// Request by which the former coordinator was released. It also asks for tokens in advance, until the new one has
     /// some.
     release: Option<InFlight>,
-    /// When the coordinator was last asked.
+    /// When the coordinator was last asked, also by a request that was sent again.
     last_sent: Option<Moment>,
+    /// When the last new request was sent.
+    last_requested: Option<Moment>,
     /// Requests without a reply, oldest first.
     in_flight: Vec<InFlight>,
     /// Time since the first request after the coordinator's last reply within [`GRANT_TIMEOUT`]; `None` without such a
@@ -150,6 +152,7 @@
             settled_at: Moment::ZERO,
             release: None,
             last_sent: None,
+            last_requested: None,
             in_flight: Vec::new(),
             silence: None,
             reply_time: Duration::ZERO,
@@ -357,7 +360,7 @@
                 group.release = None;
             }
             (group.coordinator, group.reply_time) = (chosen, Duration::ZERO);
-            (group.last_sent, group.silence) = (None, None);
+            (group.last_sent, group.last_requested, group.silence) = (None, None, None);
             group.in_flight.clear();
         }
     }
@@ -434,7 +437,8 @@
         (id, sequence): (QuotaGroupId, &mut u64),
     ) -> Option<(QuotaMember, QuotaRequest)> {
         let coordinator = self.coordinator?;
-        let passed = |time: Duration| self.last_sent.is_none_or(|sent| now >= sent + time);
+        // Requests that are sent again don't delay new ones.
+        let passed = |time: Duration| self.last_requested.is_none_or(|sent| now >= sent + time);
         if !passed(if self.is_slow() { SLOW_MIN_INTERVAL } else { MIN_INTERVAL }) {
             return None;
         }
@@ -447,7 +451,7 @@
             return None;
         }
         *sequence += 1;
-        self.last_sent = Some(now);
+        (self.last_sent, self.last_requested) = (Some(now), Some(now));
         self.silence.get_or_insert_default();
         let (settled, long_valid) = (now >= self.settled_at, self.is_slow());
         self.in_flight.push(InFlight::new(*sequence, now, (wants.clone(), long_valid)));
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -348,3 +348,43 @@
     }
     assert!(last_sent.values().any(|(_, count)| *count == 3), "{last_sent:?}");
 }
+
+/// Polls `client`, and answers the requests for groups other than 0.
+fn poll_group(client: &mut QuotaClient<u32>, now: Moment) -> QuotaOutput<u32> {
+    let output = client.poll(now);
+    for (_, request) in output.messages.iter().filter(|(_, request)| request.group != 0) {
+        client.handle(now, &QuotaGrant { accounts: Vec::new(), ..grant(request, 0, 0) });
+    }
+    output
+}
+
+/// Has the coordinator regarded as slow by a reply after 100 ms; returns the time afterwards.
+fn slow_down(client: &mut QuotaClient<u32>) -> Moment {
+    assert!(ask(client, START, 1).is_none());
+    let first = poll_group(client, START);
+    let first = requests(&first)[0].1.clone();
+    let late = START + Duration::from_millis(100);
+    let second = waiting_request(&poll_group(client, late)).expect("it is asked again");
+    client.handle(late, &grant(&first, 0, 0));
+    client.handle(late, &grant(&second, 1, 0));
+    late
+}
+
+/// Guards against new requests that are held back by a request that is sent again.
+#[test]
+fn resend_does_not_delay() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let now = slow_down(&mut client) + Duration::from_millis(100);
+    assert!(ask(&mut client, now, 2).is_none());
+    let sent = waiting_request(&poll_group(&mut client, now)).expect("the coordinator is asked");
+    assert!(sent.long_valid);
+    let later = now + Duration::from_millis(200);
+    let again = waiting_request(&poll_group(&mut client, later)).expect("it is asked again");
+    assert_eq!(again.sequence, sent.sequence);
+    let later = later + Duration::from_millis(10);
+    assert!(ask(&mut client, later, 3).is_none());
+    let new =
+        waiting_request(&poll_group(&mut client, later)).expect("the new request is not held back");
+    assert_ne!(new.sequence, sent.sequence);
+}
