accounts: do not measure lost datagrams as quota reply times

After one lost datagram a coordinator counted as slow, and was asked at each interval, for a second or more. A request without a reply no longer counts once a later one was answered, and the reply to a request that was sent again is not measured.

--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -142,6 +142,8 @@
     long_valid: bool,
     /// Whether the requests that wait for it are asked for once more, since the reply is late.
     is_superseded: bool,
+    /// Whether a later request was answered: its missing reply says nothing about the reply time then.
+    is_overtaken: bool,
     wants: Vec<QuotaWant>,
 }
 
@@ -267,7 +269,12 @@
         if now < request.sent + GRANT_TIMEOUT {
             group.silence = None;
         }
-        group.measure_reply(now.saturating_sub(request.sent));
+        let earlier = group.in_flight.iter_mut().filter(|other| other.sequence < request.sequence);
+        earlier.for_each(|other| other.is_overtaken = true);
+        // It is unknown which of the datagrams was answered if the request was sent again.
+        if request.resent == request.sent {
+            group.measure_reply(now.saturating_sub(request.sent));
+        }
         apply(&self.rule, (self.me, &self.members), group, (now, &request), grant)
     }
 
@@ -369,7 +376,8 @@
 impl InFlight {
     fn new(sequence: u64, now: Moment, (wants, long_valid): (Vec<QuotaWant>, bool)) -> Self {
         let (sent, resent) = (now, now);
-        Self { sequence, sent, resent, long_valid, is_superseded: false, wants }
+        let (is_superseded, is_overtaken) = (false, false);
+        Self { sequence, sent, resent, long_valid, is_superseded, is_overtaken, wants }
     }
 
     /// What it wants for the account `flow`.
@@ -419,7 +427,8 @@
                 messages.push((coordinator, message));
             }
         }
-        let superseded = self.in_flight.iter().filter(|request| request.is_superseded);
+        let superseded =
+            self.in_flight.iter().filter(|request| request.is_superseded && !request.is_overtaken);
         if let Some(late) = superseded.map(|request| now.saturating_sub(request.sent)).max() {
             self.reply_time = self.reply_time.max(late.min(SILENCE_TIME));
         }
@@ -443,7 +452,9 @@
             return None;
         }
         // A request that was lost is sent again at once, to find out whether the coordinator is.
-        let is_lost = !self.in_flight.is_empty() && self.in_flight.iter().all(|r| r.is_superseded);
+        let mut unanswered =
+            self.in_flight.iter().filter(|request| !request.is_overtaken).peekable();
+        let is_lost = unanswered.peek().is_some() && unanswered.all(|r| r.is_superseded);
         let is_count_due = passed(COUNT_INTERVAL) || is_lost;
         let wants = self.wants(now, true);
         // Tokens in advance alone are no reason for a datagram: a coordinator that has none would be asked all the time.
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -388,3 +388,53 @@
         waiting_request(&poll_group(&mut client, later)).expect("the new request is not held back");
     assert_ne!(new.sequence, sent.sequence);
 }
+
+/// Guards against a coordinator with fast replies that counts as slow, and is asked at each interval, for as long as a
+/// lost request is kept.
+#[test]
+fn lost_datagram_is_no_slow_reply() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    assert!(ask(&mut client, START, 1).is_none());
+    let lost = poll_group(&mut client, START);
+    let lost = requests(&lost)[0].1.sequence;
+    let (mut asked, mut last) = (0, None);
+    for step in 1..=30 {
+        let now = START + Duration::from_millis(10) * step;
+        if step == 25 {
+            assert!(ask(&mut client, now, 2).is_none());
+        }
+        let output = poll_group(&mut client, now);
+        for (_, request) in requests(&output) {
+            assert_ne!(request.sequence, lost);
+            asked += 1;
+            last = Some(request.clone());
+            client
+                .handle(now, &grant(request, request.accounts.first().map_or(0, |w| w.waiting), 0));
+        }
+    }
+    assert!(!last.expect("it is asked").long_valid, "one lost datagram is no slow reply");
+    assert_eq!(asked, 2, "once for each request that waits");
+}
+
+/// Guards against a lost datagram to a slow coordinator that is measured as the time of the reply: it then counts as slow
+/// for some further replies.
+#[test]
+fn resent_request_is_not_measured() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let now = slow_down(&mut client) + Duration::from_millis(100);
+    assert!(ask(&mut client, now, 2).is_none());
+    assert!(waiting_request(&poll_group(&mut client, now)).expect("it is asked").long_valid);
+    let mut now = now + Duration::from_millis(400);
+    let again = waiting_request(&poll_group(&mut client, now)).expect("it is asked again");
+    client.handle(now, &grant(&again, 1, 0));
+    // The measured time of 100 ms, of which each of these replies takes an eighth off, is below 60 ms after four.
+    for id in 0..5 {
+        now += Duration::from_millis(210);
+        assert!(ask(&mut client, now, id + 3).is_none());
+        let request = waiting_request(&poll_group(&mut client, now)).expect("it is asked");
+        client.handle(now, &grant(&request, 1, 0));
+        assert!(id < 4 || !request.long_valid, "still slow");
+    }
+}
