accounts: tell a wait until long-valid quota tokens end

Where unused tokens limited a grant, the wait was 0 or computed from a negative number of tokens. It now lasts at least until the earliest of them ends.

--- a/crates/rattanarch_accounts/src/token_bucket.rs
+++ b/crates/rattanarch_accounts/src/token_bucket.rs
@@ -75,15 +75,22 @@
         self.level = (self.level + limit.rate() * (fill.seconds - self.filled)).min(cap);
         self.filled = fill.seconds;
         let mut granted = want.waiting.min(self.level as u32);
+        let mut earliest = now;
         if long_valid {
             // Binding only for a bucket that holds one token at least: its level is not reduced by unused tokens.
-            granted = granted.min((burst + spare - self.unused_spare(now)).max(0.0) as u32);
+            let room = (burst + spare - self.unused_spare(now)).max(0.0) as u32;
+            let is_limited = room < granted;
+            granted = granted.min(room);
             self.add_unused(now + LONG_TOKEN_TIME, granted);
+            if is_limited {
+                // There is no room until one of the unused tokens ends, whatever the level.
+                earliest = self.spare.iter().map(|(until, _)| *until).min().unwrap_or(now);
+            }
         }
         self.level -= f64::from(granted);
         let missing = want.waiting - granted;
         if missing > 0 {
-            return (granted, self.wait(now, missing, limit.rate() * fill.fraction));
+            return (granted, self.wait(now, (missing, earliest), limit.rate() * fill.fraction));
         }
         let spare = self.take_spare(now, want.spare, spare + burst * SPARE_CAP_RATIO);
         (granted + spare, Duration::ZERO)
@@ -109,12 +116,14 @@
         f64::from(self.spare.iter().map(|(_, count)| count).sum::<u32>())
     }
 
-    /// Time until there is a token for the next request that gets none; each of `missing` requests is told a later one.
-    fn wait(&mut self, now: Moment, missing: u32, rate: f64) -> Duration {
+    /// Time until there is a token for the next request that gets none, not before `earliest`; each of `missing` requests
+    /// is told a later one.
+    fn wait(&mut self, now: Moment, (missing, earliest): (u32, Moment), rate: f64) -> Duration {
         let time = |tokens: f64| {
             Duration::try_from_secs_f64(tokens / rate).unwrap_or(MAX_WAIT).min(MAX_WAIT)
         };
-        let free = self.next_free.max(now + time(1.0 - self.level));
+        // The level is 1 or more where unused tokens limit the grant.
+        let free = self.next_free.max(now + time((1.0 - self.level).max(0.0))).max(earliest);
         self.next_free = (free + time(f64::from(missing))).min(now + MAX_WAIT);
         free.saturating_sub(now)
     }
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -438,3 +438,38 @@
         assert!(id < 4 || !request.long_valid, "still slow");
     }
 }
+
+/// A request of `waiting` long-valid tokens.
+fn long_valid_request(sequence: u64, waiting: u32) -> QuotaRequest {
+    let accounts = vec![QuotaWant { flow: FLOW, waiting, spare: 0 }];
+    let (settled, released, long_valid) = (true, false, true);
+    QuotaRequest { sequence, group: 0, settled, released, long_valid, accounts }
+}
+
+/// Guards against a wait of 0 for a request that gets no token until unused tokens of long validity end.
+#[test]
+fn wait_for_unused_tokens() {
+    let mut coordinator = QuotaCoordinator::new(RULE, START);
+    let from = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let limit = |_| RateLimit::new(100.0, 5.0);
+    let (mut granted, mut limited) = (Vec::new(), 0);
+    for index in 0..200 {
+        let now = START + Duration::from_millis(20) * index;
+        // More than the unused tokens allow, and less than the rate.
+        let waiting = u32::from(index >= 100);
+        let request = long_valid_request(u64::from(index), waiting);
+        let grant = coordinator.handle(now, from, &request, limit);
+        let Some(share) = grant.accounts.first() else { continue };
+        if share.granted > 0 {
+            granted.push(now);
+        }
+        if waiting > 0 && share.granted == 0 {
+            let earliest = granted.iter().map(|at| *at + LONG_TOKEN_TIME).find(|end| *end >= now);
+            let earliest = earliest.expect("unused tokens are the limit");
+            let told = Duration::from_millis(u64::from(share.wait_ms));
+            assert!(now + told >= earliest, "told {told:?}, {:?} left", earliest - now);
+            limited += 1;
+        }
+    }
+    assert!(limited > 20, "{limited} limited");
+}
