accounts: keep quota grants by age for requests that are sent again

Eight grants are fewer than a daemon asks for until a request is sent again, which then took tokens twice. They are kept for the grant timeout now, 32 at most.

--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -26,7 +26,7 @@
 
 /// Longest time that a request waits for a grant. A reply usually takes 3 ms; that of a machine with a tenth of a core and
 /// a link of 10 Mbit/s often over 60 ms, at times 400 ms, and the first late one is noticed after [`SLOW_REPLY`].
-const GRANT_TIMEOUT: Duration = LONG_TOKEN_TIME;
+pub(crate) const GRANT_TIMEOUT: Duration = LONG_TOKEN_TIME;
 
 /// Reply time above which a coordinator is slow: its tokens are asked for with a longer validity.
 const SLOW_REPLY: Duration = Duration::from_millis(60);
--- a/crates/rattanarch_accounts/src/quota_coordinator.rs
+++ b/crates/rattanarch_accounts/src/quota_coordinator.rs
@@ -14,6 +14,7 @@
 use crate::QuotaRule;
 use crate::QuotaShare;
 use crate::RateLimit;
+use crate::quota_client::GRANT_TIMEOUT;
 use crate::token_bucket::Fill;
 use crate::token_bucket::SPARE_TIME;
 use crate::token_bucket::TokenBucket;
@@ -24,9 +25,9 @@
 /// Time without a call above which the process was paused: another coordinator may have taken over meanwhile.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(500);
 
-/// Maximum number of grants to one daemon that are kept for requests that are sent again: a daemon asks a coordinator
-/// whose replies take 400 ms every 50 ms.
-const MAX_KEPT_GRANTS: usize = 8;
+/// Maximum number of grants to one daemon that are kept for requests that are sent again. A daemon asks a slow coordinator
+/// every 50 ms, and any other every 20 ms, so that up to 30 are not older than [`GRANT_TIMEOUT`].
+const MAX_KEPT_GRANTS: usize = 32;
 
 /// Grants tokens of the accounts whose daemons ask this one.
 ///
@@ -139,7 +140,9 @@
     fn keep_grant(&mut self, (now, to): (Moment, SocketAddr), grant: &QuotaGrant) {
         let grants = self.grants.entry(to).or_default();
         grants.push_back((now, grant.clone()));
-        if grants.len() > MAX_KEPT_GRANTS {
+        // Requests are not sent again later.
+        let is_old = |(at, _): &(Moment, QuotaGrant)| now >= *at + GRANT_TIMEOUT;
+        while grants.len() > MAX_KEPT_GRANTS || grants.front().is_some_and(is_old) {
             grants.pop_front();
         }
     }
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -473,3 +473,25 @@
     }
     assert!(limited > 20, "{limited} limited");
 }
+
+/// Guards against a request that takes tokens twice because its grant was dropped before it was sent again.
+#[test]
+fn grants_kept_for_resends() {
+    let mut coordinator = QuotaCoordinator::new(RULE, START);
+    let from = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let limit = |_| RateLimit::new(10.0, 10.0);
+    for step in 0..20 {
+        let now = START + Duration::from_millis(100) * step;
+        coordinator.handle(now, from, &long_valid_request(u64::from(step), 0), limit);
+    }
+    let begin = START + Duration::from_secs(2);
+    let first = coordinator.handle(begin, from, &long_valid_request(100, 100), limit);
+    assert_eq!(first.accounts[0].granted, 10, "the burst is 10");
+    for step in 1..=11 {
+        let now = begin + Duration::from_millis(50) * step;
+        coordinator.handle(now, from, &long_valid_request(100 + u64::from(step), 0), limit);
+    }
+    let now = begin + Duration::from_millis(560);
+    let again = coordinator.handle(now, from, &long_valid_request(100, 100), limit);
+    assert_eq!(again, first);
+}
