accounts: ask for tokens again once a quota request is too late

A long-valid request without a reply was taken to ask for the tokens of new requests for up to 400 ms after those that it was sent for had ended.

--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -140,7 +140,7 @@
     /// When it was sent last.
     resent: Moment,
     long_valid: bool,
-    /// Whether the requests that wait for it are asked for once more, since the reply is late.
+    /// Whether a reply would be too late for the requests that wait, so that those left are asked for once more.
     is_superseded: bool,
     /// Whether a later request was answered: its missing reply says nothing about the reply time then.
     is_overtaken: bool,
@@ -414,10 +414,11 @@
         let Some(coordinator) = self.coordinator else { return };
         let settled = now >= self.settled_at;
         for request in self.in_flight.iter_mut().filter(|request| !request.is_superseded) {
-            if !request.long_valid {
-                request.is_superseded = now >= request.sent + SLOW_REPLY;
-            } else if now >= request.resent + RESEND_INTERVAL && now < request.sent + GRANT_TIMEOUT
-            {
+            // The requests that waited for a long-valid one have ended then.
+            let max_wait = if request.long_valid { GRANT_TIMEOUT } else { SLOW_REPLY };
+            request.is_superseded = now >= request.sent + max_wait;
+            let is_resend_due = request.long_valid && now >= request.resent + RESEND_INTERVAL;
+            if is_resend_due && !request.is_superseded {
                 request.resent = now;
                 self.last_sent = Some(now);
                 self.silence.get_or_insert_default();
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -389,6 +389,23 @@
     assert_ne!(new.sequence, sent.sequence);
 }
 
+/// Guards against a new request for which no token is asked, since an earlier one without a reply is taken to ask for it.
+#[test]
+fn asked_after_timeout() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let begin = slow_down(&mut client) + Duration::from_millis(100);
+    assert!(ask(&mut client, begin, 2).is_none());
+    let lost = waiting_request(&poll_group(&mut client, begin)).expect("the coordinator is asked");
+    for step in 1..60 {
+        poll_group(&mut client, begin + Duration::from_millis(10) * step);
+    }
+    let now = begin + GRANT_TIMEOUT;
+    assert!(ask(&mut client, now, 3).is_none());
+    let new = waiting_request(&poll_group(&mut client, now)).expect("a token is asked for");
+    assert_ne!(new.sequence, lost.sequence);
+}
+
 /// Guards against a coordinator with fast replies that counts as slow, and is asked at each interval, for as long as a
 /// lost request is kept.
 #[test]
