--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -26,7 +26,7 @@
 
 /// Longest time that a request waits for a grant. A reply usually takes 3 ms; that of a machine with a tenth of a core and
 /// a link of 10 Mbit/s often over 60 ms, at times 400 ms, and the first late one is noticed after [`SLOW_REPLY`].
-const GRANT_TIMEOUT: Duration = LONG_TOKEN_TIME;
+pub(crate) const GRANT_TIMEOUT: Duration = LONG_TOKEN_TIME;
 
 /// Reply time above which a coordinator is slow: its tokens are asked for with a longer validity.
 const SLOW_REPLY: Duration = Duration::from_millis(60);
@@ -51,7 +51,7 @@
 /// The same with a slow coordinator, which may be slow because of the number of datagrams.
 const SLOW_MIN_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time without any reply to a request after which a coordinator is not asked any more. A machine that is busy for a
+/// Time without any reply to a request within [`GRANT_TIMEOUT`] after which a coordinator is not asked any more. A machine that is busy for a
 /// moment replies after 400 ms, or some 200 ms later if a datagram is lost, and a change of the coordinator costs the
 /// account 2 s.
 const SILENCE_TIME: Duration = Duration::from_millis(700);
@@ -118,11 +118,14 @@
     /// Request by which the former coordinator was released. It also asks for tokens in advance, until the new one has
     /// some.
     release: Option<InFlight>,
-    /// When the coordinator was last asked.
+    /// When the coordinator was last asked, also by a request that was sent again.
     last_sent: Option<Moment>,
+    /// When the last new request was sent.
+    last_requested: Option<Moment>,
     /// Requests without a reply, oldest first.
     in_flight: Vec<InFlight>,
-    /// Time since the first request after the coordinator's last reply; `None` without such a request.
+    /// Time since the first request after the coordinator's last reply within [`GRANT_TIMEOUT`]; `None` without such a
+    /// request.
     silence: Option<Duration>,
     /// Time that the coordinator takes to reply; follows a lower one slowly.
     reply_time: Duration,
@@ -137,8 +140,10 @@
     /// When it was sent last.
     resent: Moment,
     long_valid: bool,
-    /// Whether the requests that wait for it are asked for once more, since the reply is late.
+    /// Whether a reply would be too late for the requests that wait, so that those left are asked for once more.
     is_superseded: bool,
+    /// Whether a later request was answered: its missing reply says nothing about the reply time then.
+    is_overtaken: bool,
     wants: Vec<QuotaWant>,
 }
 
@@ -149,6 +154,7 @@
             settled_at: Moment::ZERO,
             release: None,
             last_sent: None,
+            last_requested: None,
             in_flight: Vec::new(),
             silence: None,
             reply_time: Duration::ZERO,
@@ -244,7 +250,7 @@
     pub fn handle(&mut self, now: Moment, grant: &QuotaGrant) -> Vec<(T, QuotaVerdict)> {
         // After a later reply the coordinator would be regarded as silent again at once.
         let answered =
-            |(sent, probe): &(Moment, u64)| *probe == grant.sequence && now < *sent + SILENCE_TIME;
+            |(sent, probe): &(Moment, u64)| *probe == grant.sequence && now < *sent + GRANT_TIMEOUT;
         if let Some(member) =
             self.silent.iter().find(|(_, probe)| answered(probe)).map(|(id, _)| *id)
         {
@@ -259,8 +265,16 @@
         let is_reply = |request: &InFlight| request.sequence == grant.sequence;
         let Some(index) = group.in_flight.iter().position(is_reply) else { return Vec::new() };
         let request = group.in_flight.remove(index);
-        group.silence = None;
-        group.measure_reply(now.saturating_sub(request.sent));
+        // The requests that waited for a later reply have ended.
+        if now < request.sent + GRANT_TIMEOUT {
+            group.silence = None;
+        }
+        let earlier = group.in_flight.iter_mut().filter(|other| other.sequence < request.sequence);
+        earlier.for_each(|other| other.is_overtaken = true);
+        // It is unknown which of the datagrams was answered if the request was sent again.
+        if request.resent == request.sent {
+            group.measure_reply(now.saturating_sub(request.sent));
+        }
         apply(&self.rule, (self.me, &self.members), group, (now, &request), grant)
     }
 
@@ -353,7 +367,7 @@
                 group.release = None;
             }
             (group.coordinator, group.reply_time) = (chosen, Duration::ZERO);
-            (group.last_sent, group.silence) = (None, None);
+            (group.last_sent, group.last_requested, group.silence) = (None, None, None);
             group.in_flight.clear();
         }
     }
@@ -362,7 +376,8 @@
 impl InFlight {
     fn new(sequence: u64, now: Moment, (wants, long_valid): (Vec<QuotaWant>, bool)) -> Self {
         let (sent, resent) = (now, now);
-        Self { sequence, sent, resent, long_valid, is_superseded: false, wants }
+        let (is_superseded, is_overtaken) = (false, false);
+        Self { sequence, sent, resent, long_valid, is_superseded, is_overtaken, wants }
     }
 
     /// What it wants for the account `flow`.
@@ -399,9 +414,11 @@
         let Some(coordinator) = self.coordinator else { return };
         let settled = now >= self.settled_at;
         for request in self.in_flight.iter_mut().filter(|request| !request.is_superseded) {
-            if !request.long_valid {
-                request.is_superseded = now >= request.sent + SLOW_REPLY;
-            } else if now >= request.resent + RESEND_INTERVAL {
+            // The requests that waited for a long-valid one have ended then.
+            let max_wait = if request.long_valid { GRANT_TIMEOUT } else { SLOW_REPLY };
+            request.is_superseded = now >= request.sent + max_wait;
+            let is_resend_due = request.long_valid && now >= request.resent + RESEND_INTERVAL;
+            if is_resend_due && !request.is_superseded {
                 request.resent = now;
                 self.last_sent = Some(now);
                 self.silence.get_or_insert_default();
@@ -411,7 +428,8 @@
                 messages.push((coordinator, message));
             }
         }
-        let superseded = self.in_flight.iter().filter(|request| request.is_superseded);
+        let superseded =
+            self.in_flight.iter().filter(|request| request.is_superseded && !request.is_overtaken);
         if let Some(late) = superseded.map(|request| now.saturating_sub(request.sent)).max() {
             self.reply_time = self.reply_time.max(late.min(SILENCE_TIME));
         }
@@ -429,12 +447,15 @@
         (id, sequence): (QuotaGroupId, &mut u64),
     ) -> Option<(QuotaMember, QuotaRequest)> {
         let coordinator = self.coordinator?;
-        let passed = |time: Duration| self.last_sent.is_none_or(|sent| now >= sent + time);
+        // Requests that are sent again don't delay new ones.
+        let passed = |time: Duration| self.last_requested.is_none_or(|sent| now >= sent + time);
         if !passed(if self.is_slow() { SLOW_MIN_INTERVAL } else { MIN_INTERVAL }) {
             return None;
         }
         // A request that was lost is sent again at once, to find out whether the coordinator is.
-        let is_lost = !self.in_flight.is_empty() && self.in_flight.iter().all(|r| r.is_superseded);
+        let mut unanswered =
+            self.in_flight.iter().filter(|request| !request.is_overtaken).peekable();
+        let is_lost = unanswered.peek().is_some() && unanswered.all(|r| r.is_superseded);
         let is_count_due = passed(COUNT_INTERVAL) || is_lost;
         let wants = self.wants(now, true);
         // Tokens in advance alone are no reason for a datagram: a coordinator that has none would be asked all the time.
@@ -442,7 +463,7 @@
             return None;
         }
         *sequence += 1;
-        self.last_sent = Some(now);
+        (self.last_sent, self.last_requested) = (Some(now), Some(now));
         self.silence.get_or_insert_default();
         let (settled, long_valid) = (now >= self.settled_at, self.is_slow());
         self.in_flight.push(InFlight::new(*sequence, now, (wants.clone(), long_valid)));
--- a/crates/rattanarch_accounts/tests/quota_requests.rs
+++ b/crates/rattanarch_accounts/tests/quota_requests.rs
@@ -301,3 +301,214 @@
     };
     grants.iter().map(|(_, end, _)| usable(*end)).max().unwrap_or_default()
 }
+
+/// Guards against a coordinator that is never regarded as silent although its replies, also those to probes, come after
+/// the requests that waited for them have ended.
+#[test]
+fn late_replies_are_silence() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let mut pending: Vec<(Moment, QuotaRequest)> = Vec::new();
+    let delay = Duration::from_millis(650);
+    let mut silent_since = None;
+    for step in 0..400 {
+        let now = START + Duration::from_millis(10) * step;
+        if step % 10 == 0 {
+            ask(&mut client, now, step);
+        }
+        let output = client.poll(now);
+        pending.extend(output.messages.into_iter().map(|(_, request)| (now, request)));
+        for (_, request) in pending.extract_if(.., |(sent, _)| now >= *sent + delay) {
+            client.handle(now, &grant(&request, 1, 0));
+        }
+        if client.silent().count() == 0 {
+            assert!(silent_since.is_none(), "a late reply to a probe counts");
+        } else {
+            silent_since = silent_since.or(Some(now));
+        }
+    }
+    let silent_since = silent_since.expect("it is silent");
+    assert!(silent_since < START + Duration::from_secs(1), "{:?}", silent_since - START);
+}
+
+/// Guards against a request that is sent again when its tokens have expired.
+#[test]
+fn no_resend_after_timeout() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let mut last_sent = std::collections::HashMap::new();
+    assert!(ask(&mut client, START, 1).is_none());
+    for step in 0..=69 {
+        let now = START + Duration::from_millis(10) * step;
+        for (_, request) in requests(&client.poll(now)) {
+            let sent = last_sent.entry(request.sequence).or_insert((now, 0));
+            assert!(now < sent.0 + GRANT_TIMEOUT, "sent again after {:?}", now - sent.0);
+            sent.1 += 1;
+        }
+    }
+    assert!(last_sent.values().any(|(_, count)| *count == 3), "{last_sent:?}");
+}
+
+/// Polls `client`, and answers the requests for groups other than 0.
+fn poll_group(client: &mut QuotaClient<u32>, now: Moment) -> QuotaOutput<u32> {
+    let output = client.poll(now);
+    for (_, request) in output.messages.iter().filter(|(_, request)| request.group != 0) {
+        client.handle(now, &QuotaGrant { accounts: Vec::new(), ..grant(request, 0, 0) });
+    }
+    output
+}
+
+/// Has the coordinator regarded as slow by a reply after 100 ms; returns the time afterwards.
+fn slow_down(client: &mut QuotaClient<u32>) -> Moment {
+    assert!(ask(client, START, 1).is_none());
+    let first = poll_group(client, START);
+    let first = requests(&first)[0].1.clone();
+    let late = START + Duration::from_millis(100);
+    let second = waiting_request(&poll_group(client, late)).expect("it is asked again");
+    client.handle(late, &grant(&first, 0, 0));
+    client.handle(late, &grant(&second, 1, 0));
+    late
+}
+
+/// Guards against new requests that are held back by a request that is sent again.
+#[test]
+fn resend_does_not_delay() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let now = slow_down(&mut client) + Duration::from_millis(100);
+    assert!(ask(&mut client, now, 2).is_none());
+    let sent = waiting_request(&poll_group(&mut client, now)).expect("the coordinator is asked");
+    assert!(sent.long_valid);
+    let later = now + Duration::from_millis(200);
+    let again = waiting_request(&poll_group(&mut client, later)).expect("it is asked again");
+    assert_eq!(again.sequence, sent.sequence);
+    let later = later + Duration::from_millis(10);
+    assert!(ask(&mut client, later, 3).is_none());
+    let new =
+        waiting_request(&poll_group(&mut client, later)).expect("the new request is not held back");
+    assert_ne!(new.sequence, sent.sequence);
+}
+
+/// Guards against a new request for which no token is asked, since an earlier one without a reply is taken to ask for it.
+#[test]
+fn asked_after_timeout() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let begin = slow_down(&mut client) + Duration::from_millis(100);
+    assert!(ask(&mut client, begin, 2).is_none());
+    let lost = waiting_request(&poll_group(&mut client, begin)).expect("the coordinator is asked");
+    for step in 1..60 {
+        poll_group(&mut client, begin + Duration::from_millis(10) * step);
+    }
+    let now = begin + GRANT_TIMEOUT;
+    assert!(ask(&mut client, now, 3).is_none());
+    let new = waiting_request(&poll_group(&mut client, now)).expect("a token is asked for");
+    assert_ne!(new.sequence, lost.sequence);
+}
+
+/// Guards against a coordinator with fast replies that counts as slow, and is asked at each interval, for as long as a
+/// lost request is kept.
+#[test]
+fn lost_datagram_is_no_slow_reply() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    assert!(ask(&mut client, START, 1).is_none());
+    let lost = poll_group(&mut client, START);
+    let lost = requests(&lost)[0].1.sequence;
+    let (mut asked, mut last) = (0, None);
+    for step in 1..=30 {
+        let now = START + Duration::from_millis(10) * step;
+        if step == 25 {
+            assert!(ask(&mut client, now, 2).is_none());
+        }
+        let output = poll_group(&mut client, now);
+        for (_, request) in requests(&output) {
+            assert_ne!(request.sequence, lost);
+            asked += 1;
+            last = Some(request.clone());
+            client
+                .handle(now, &grant(request, request.accounts.first().map_or(0, |w| w.waiting), 0));
+        }
+    }
+    assert!(!last.expect("it is asked").long_valid, "one lost datagram is no slow reply");
+    assert_eq!(asked, 2, "once for each request that waits");
+}
+
+/// Guards against a lost datagram to a slow coordinator that is measured as the time of the reply: it then counts as slow
+/// for some further replies.
+#[test]
+fn resent_request_is_not_measured() {
+    let mut client = client();
+    client.set_members(9, vec![1]);
+    let now = slow_down(&mut client) + Duration::from_millis(100);
+    assert!(ask(&mut client, now, 2).is_none());
+    assert!(waiting_request(&poll_group(&mut client, now)).expect("it is asked").long_valid);
+    let mut now = now + Duration::from_millis(400);
+    let again = waiting_request(&poll_group(&mut client, now)).expect("it is asked again");
+    client.handle(now, &grant(&again, 1, 0));
+    // The measured time of 100 ms, of which each of these replies takes an eighth off, is below 60 ms after four.
+    for id in 0..5 {
+        now += Duration::from_millis(210);
+        assert!(ask(&mut client, now, id + 3).is_none());
+        let request = waiting_request(&poll_group(&mut client, now)).expect("it is asked");
+        client.handle(now, &grant(&request, 1, 0));
+        assert!(id < 4 || !request.long_valid, "still slow");
+    }
+}
+
+/// A request of `waiting` long-valid tokens.
+fn long_valid_request(sequence: u64, waiting: u32) -> QuotaRequest {
+    let accounts = vec![QuotaWant { flow: FLOW, waiting, spare: 0 }];
+    let (settled, released, long_valid) = (true, false, true);
+    QuotaRequest { sequence, group: 0, settled, released, long_valid, accounts }
+}
+
+/// Guards against a wait of 0 for a request that gets no token until unused tokens of long validity end.
+#[test]
+fn wait_for_unused_tokens() {
+    let mut coordinator = QuotaCoordinator::new(RULE, START);
+    let from = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let limit = |_| RateLimit::new(100.0, 5.0);
+    let (mut granted, mut limited) = (Vec::new(), 0);
+    for index in 0..200 {
+        let now = START + Duration::from_millis(20) * index;
+        // More than the unused tokens allow, and less than the rate.
+        let waiting = u32::from(index >= 100);
+        let request = long_valid_request(u64::from(index), waiting);
+        let grant = coordinator.handle(now, from, &request, limit);
+        let Some(share) = grant.accounts.first() else { continue };
+        if share.granted > 0 {
+            granted.push(now);
+        }
+        if waiting > 0 && share.granted == 0 {
+            let earliest = granted.iter().map(|at| *at + LONG_TOKEN_TIME).find(|end| *end >= now);
+            let earliest = earliest.expect("unused tokens are the limit");
+            let told = Duration::from_millis(u64::from(share.wait_ms));
+            assert!(now + told >= earliest, "told {told:?}, {:?} left", earliest - now);
+            limited += 1;
+        }
+    }
+    assert!(limited > 20, "{limited} limited");
+}
+
+/// Guards against a request that takes tokens twice because its grant was dropped before it was sent again.
+#[test]
+fn grants_kept_for_resends() {
+    let mut coordinator = QuotaCoordinator::new(RULE, START);
+    let from = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let limit = |_| RateLimit::new(10.0, 10.0);
+    for step in 0..20 {
+        let now = START + Duration::from_millis(100) * step;
+        coordinator.handle(now, from, &long_valid_request(u64::from(step), 0), limit);
+    }
+    let begin = START + Duration::from_secs(2);
+    let first = coordinator.handle(begin, from, &long_valid_request(100, 100), limit);
+    assert_eq!(first.accounts[0].granted, 10, "the burst is 10");
+    for step in 1..=11 {
+        let now = begin + Duration::from_millis(50) * step;
+        coordinator.handle(now, from, &long_valid_request(100 + u64::from(step), 0), limit);
+    }
+    let now = begin + Duration::from_millis(560);
+    let again = coordinator.handle(now, from, &long_valid_request(100, 100), limit);
+    assert_eq!(again, first);
+}
