Close connections that discard the rest of a refused body for new ones

Cause: a connection counted as busy while the rest of a refused request's body was awaited, for up to 1.1 s, and had no holder in the byte budget, so that refused clients could fill the callers' listener. It counts as idle since the response now.

Test refused_bodies: an ordinary request got no response before; passes now.

--- a/crates/rattanarch_mesh/src/connection/connections.rs
+++ b/crates/rattanarch_mesh/src/connection/connections.rs
@@ -35,6 +35,9 @@
     requests: Cell<u64>,
     /// End of the last request, or start of the connection.
     idle_since: Cell<Moment>,
+    /// Whether what arrives without a request under way is a head; otherwise it is the rest of a body, which is discarded
+    /// until the connection is closed.
+    pub(crate) awaits_head: Cell<bool>,
     /// Closes the connection.
     pub(crate) close: Rc<Notify>,
 }
@@ -68,6 +71,7 @@
             busy: Cell::new(0),
             requests: Cell::new(0),
             idle_since: Cell::new(Clock.now()),
+            awaits_head: Cell::new(true),
             close: Rc::default(),
         });
         self.open.borrow_mut().insert(id, Rc::clone(&state));
--- a/crates/rattanarch_mesh/src/connection/server.rs
+++ b/crates/rattanarch_mesh/src/connection/server.rs
@@ -132,6 +132,7 @@
                 && let Some(rest) = UnreadBody::new(unread).discard_received().await
             {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                state.awaits_head.set(false);
                 tokio::task::spawn_local(discard_rest(rest, Rc::clone(&state)));
             }
             if let Some(guard) = response.body().guard() {
@@ -173,9 +174,8 @@
 }
 
 /// Discards the rest of a request body after the response, and closes the connection if the body does not end. The
-/// connection counts as busy meanwhile.
+/// connection counts as idle since its response, so that it can be closed for a new one.
 async fn discard_rest(rest: UnreadBody, state: Rc<ConnectionState>) {
-    let _busy = state.begin();
     if !rest.discard_rest().await {
         state.close.notify_one();
     }
--- a/crates/rattanarch_mesh/src/connection/server_stream.rs
+++ b/crates/rattanarch_mesh/src/connection/server_stream.rs
@@ -46,7 +46,7 @@
     fn check_head(&mut self, cx: &mut Context<'_>, received: bool) -> io::Result<()> {
         let requests = self.state.requests();
         self.head.take_if(|(before, _)| *before != requests);
-        if self.state.idle_since().is_none() {
+        if self.state.idle_since().is_none() || !self.state.awaits_head.get() {
             return Ok(());
         }
         if received && self.head.is_none() {
--- a/crates/rattanarchd/tests/mesh_callers.rs
+++ b/crates/rattanarchd/tests/mesh_callers.rs
@@ -226,6 +226,19 @@
     daemon.check(crowds);
 }
 
+/// Guards against connections of refused requests that can't be closed for new ones while the rest of a body is awaited.
+#[test]
+fn refused_bodies() {
+    let daemon = Crowded::start(CONNECTIONS);
+    let refused = head("POST", "/none", "content-length: 60000\r\n\r\nx");
+    let crowd = crowd(daemon.callers(), 300, |stream| stream.write_all(refused.as_bytes()));
+    // The last requests have been refused; the rest of their bodies is awaited for a second.
+    thread::sleep(Duration::from_millis(100));
+    let request = head("GET", "/stock/crayfish", "\r\n");
+    assert_eq!(status_line(daemon.callers(), &request), "HTTP/1.1 200 OK");
+    daemon.check(crowd);
+}
+
 /// Sends `request` on a new connection to `address`; returns the status line, which is empty if there is no response.
 fn status_line(address: SocketAddr, request: &str) -> String {
     let exchange = || -> std::io::Result<String> {
