Don't hold back long bodies behind one above 16 MiB

Cause: a body that fits beside no other long one held back all bodies of its rank or lower while it waited, although they fit beside those under way. It waits until no other long body is under way, and holds back those behind it only then.

--- a/crates/rattanarch_mesh/src/upstream/bytes_slot.rs
+++ b/crates/rattanarch_mesh/src/upstream/bytes_slot.rs
@@ -35,7 +35,7 @@
     if shared.upstream.state.borrow_mut().bytes.try_add(call.rank, bytes) {
         return Ok(slot());
     }
-    let ticket = shared.upstream.state.borrow_mut().bytes.wait(call.rank);
+    let ticket = shared.upstream.state.borrow_mut().bytes.wait(call.rank, bytes);
     let place = WaitingBytes { shared, ticket };
     let waiting = async {
         loop {
