Discard the body of a request whose announced length is above the limit

Cause: a Content-Length above the limit got 413 before any byte was read, and the connection was closed with unread bytes, so that a reset could destroy the response. It is handled like other requests that are refused unread now; log line and metric stay.

Test announced_too_long: the caller got a broken pipe before; passes now.

--- a/crates/rattanarch_mesh/src/request/outbound.rs
+++ b/crates/rattanarch_mesh/src/request/outbound.rs
@@ -19,6 +19,7 @@
 
 use crate::connection::Handler;
 use crate::connection::HeldBody;
+use crate::connection::LimitEvent;
 use crate::connection::Listener;
 use crate::connection::ReadError;
 use crate::connection::ResponseBody;
@@ -88,6 +89,9 @@
         if let Err(refusal) = AccountRequest::check(&self.shared, account, &trace) {
             return unread(request, finish(&trace, Outcome::Refused(refusal)));
         }
+        if let Some(response) = self.announced_too_long(&request, &routes) {
+            return unread(request, finish(&trace, Outcome::Answered(response)));
+        }
         let call = match self.read(request, (&rule, account), received, &routes).await {
             Ok(call) => Rc::new(call),
             Err(response) => return finish(&trace, Outcome::Answered(response)),
@@ -182,6 +186,20 @@
         }
     }
 
+    /// The response to a request whose head announces a body above the limit.
+    fn announced_too_long(
+        &self,
+        request: &Request<Incoming>,
+        routes: &RouteTable,
+    ) -> Option<Response<ResponseBody>> {
+        let length = request.body().size_hint().exact()?;
+        if length <= routes.limits.max_body_bytes as u64 {
+            return None;
+        }
+        self.shared.held.record(LimitEvent::BodyTooLong);
+        Some(too_long())
+    }
+
     /// Reads the request with its whole body.
     async fn read(
         &self,
@@ -208,6 +226,11 @@
     }
 }
 
+/// The response to a request whose body is above the limit.
+fn too_long() -> Response<ResponseBody> {
+    responses::plain(StatusCode::PAYLOAD_TOO_LARGE, ReadError::TooLong.to_string())
+}
+
 async fn read_body(
     shared: &Shared,
     body: Incoming,
@@ -216,7 +239,7 @@
     let plain = |status, error: ReadError| responses::plain(status, error.to_string());
     HeldBody::read((&shared.held, Listener::Callers), body, limit).await.map_err(
         |error| match error {
-            ReadError::TooLong => plain(StatusCode::PAYLOAD_TOO_LARGE, error),
+            ReadError::TooLong => too_long(),
             // The caller disconnected in the middle of its body, or sent malformed chunks.
             ReadError::Cut => plain(StatusCode::BAD_REQUEST, error),
             ReadError::Stalled => plain(StatusCode::REQUEST_TIMEOUT, error),
--- a/crates/rattanarchd/tests/mesh_callers.rs
+++ b/crates/rattanarchd/tests/mesh_callers.rs
@@ -239,6 +239,24 @@
     daemon.check(crowd);
 }
 
+/// Guards against a 413 that is lost because the connection is reset while the caller still sends the body.
+#[test]
+fn announced_too_long() {
+    let daemon = Crowded::start(SMALLEST);
+    let head = head("POST", "/stock/crayfish", "content-length: 100000000\r\n\r\n");
+    let mut connection = TcpStream::connect(daemon.callers()).unwrap();
+    connection.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    connection.write_all(head.as_bytes()).unwrap();
+    for _ in 0..6 {
+        connection.write_all(&[b'x'; 10_000]).expect("the daemon takes the body");
+        thread::sleep(Duration::from_millis(100));
+    }
+    let mut response = String::new();
+    connection.read_to_string(&mut response).expect("the connection ends without a reset");
+    assert!(response.starts_with("HTTP/1.1 413"), "{response}");
+    assert!(daemon.site.daemons[0].log().contains("body-too-long"));
+}
+
 /// Sends `request` on a new connection to `address`; returns the status line, which is empty if there is no response.
 fn status_line(address: SocketAddr, request: &str) -> String {
     let exchange = || -> std::io::Result<String> {
