Limit explanations at the metrics address to one per 100 ms

Cause: the thread that serves callers also explains requests, without a limit on the work per second.

Test rate_limited: all of 40 requests in a row were explained before; passes now. Test too_early of the command. In mesh_explain the direct requests of malformed_queries are sent 110 ms apart; all its tests pass, and so do explain of rattanarch_cli and rattanarchd.

--- a/crates/rattanarch_cli/src/client.rs
+++ b/crates/rattanarch_cli/src/client.rs
@@ -14,6 +14,9 @@
 /// Limit on the time from the call to its response. Longer than a daemon's own limit on a command.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest time that a daemon's `Retry-After` is waited for.
+const MAX_RETRY_WAIT: Duration = Duration::from_secs(1);
+
 /// Sends requests to several daemons in turn until one responds.
 pub(crate) struct Client {
     agent: Agent,
@@ -122,12 +125,20 @@
 
     fn explain_at(&self, address: &str, query: &[(&str, &str)]) -> Result<Explanation, CallError> {
         let url = format!("{}/explain", address.trim_end_matches('/'));
-        let mut call = self.agent.get(&url).query_pairs(query.iter().copied());
-        if let Some(authorization) = &self.authorization {
-            call = call.header("authorization", authorization);
+        let send = || {
+            let mut call = self.agent.get(&url).query_pairs(query.iter().copied());
+            if let Some(authorization) = &self.authorization {
+                call = call.header("authorization", authorization);
+            }
+            let call = call.header("connection", "close");
+            call.call().map_err(|error| call_error(address, &error))
+        };
+        let mut response = send()?;
+        // A daemon on the users' platform limits the rate of explanations.
+        if let Some(wait) = retry_wait(&response) {
+            std::thread::sleep(wait);
+            response = send()?;
         }
-        let call = call.header("connection", "close");
-        let mut response = call.call().map_err(|error| call_error(address, &error))?;
         let status = response.status().as_u16();
         let is_json = response.body().mime_type() == Some("application/json");
         let body = response.body_mut().read_to_string();
@@ -146,6 +157,15 @@
     }
 }
 
+/// The time after which a request that came too early is to be sent again.
+fn retry_wait<B>(response: &ureq::http::Response<B>) -> Option<Duration> {
+    if response.status() != ureq::http::StatusCode::TOO_MANY_REQUESTS {
+        return None;
+    }
+    let seconds = response.headers().get("retry-after")?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().filter(|wait| *wait <= MAX_RETRY_WAIT)
+}
+
 fn call_error(address: &str, error: &Error) -> CallError {
     let reason = format!("{address}: {error}");
     match error {
--- a/crates/rattanarch_cli/src/explain.rs
+++ b/crates/rattanarch_cli/src/explain.rs
@@ -57,9 +57,9 @@
         Err(error) => {
             let _ = writeln!(errors, "{error}");
             match error {
+                CallError::Refused { status: 429, .. } | CallError::NoResponse(_) => Exit::Refused,
                 CallError::Refused { .. } => Exit::Usage,
                 CallError::NotSent(_) => Exit::Unreachable,
-                CallError::NoResponse(_) => Exit::Refused,
                 CallError::Unsupported(_) => Exit::Unsupported,
             }
         }
--- a/crates/rattanarch_cli/tests/explain.rs
+++ b/crates/rattanarch_cli/tests/explain.rs
@@ -155,6 +155,29 @@
     assert!(exit == Exit::Usage && errors.contains("malformed key"), "{errors}");
 }
 
+/// Guards against a command that fails because another request was explained just before, and against one that repeats
+/// its request without end.
+#[test]
+fn too_early() {
+    let too_early = || {
+        let response = Response::text("another request was explained").with_status_code(429);
+        response.with_additional_header("retry-after", "0.050")
+    };
+    let first = std::sync::atomic::AtomicBool::new(true);
+    let (url, received) = daemon(move || {
+        let is_first = first.swap(false, std::sync::atomic::Ordering::Relaxed);
+        if is_first { too_early() } else { Response::json(&explanation()) }
+    });
+    let (exit, output, errors) = explain_with(&url, Options::default());
+    assert_eq!((exit, errors.as_str()), (Exit::Done, ""), "{output}");
+    assert_eq!(received.lock().expect("lock the URLs").len(), 2);
+
+    let (url, received) = daemon(too_early);
+    let (exit, _, errors) = explain_with(&url, Options::default());
+    assert!(exit == Exit::Refused && errors.contains("429"), "{errors}");
+    assert_eq!(received.lock().expect("lock the URLs").len(), 2);
+}
+
 /// Malformed command lines are refused before anything is sent, and so are credentials.
 #[test]
 fn malformed_arguments() {
--- a/crates/rattanarch_mesh/src/process/listeners.rs
+++ b/crates/rattanarch_mesh/src/process/listeners.rs
@@ -1,5 +1,6 @@
 //! Listeners of the process, and the handlers of readiness checks and metrics.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +10,9 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use rattanarch_adapter::headers::set_retry_after;
 use rattanarch_routing::Limits;
+use rattanarch_types::Moment;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 
@@ -104,7 +107,7 @@
         shared,
         (listen.metrics, Listener::Metrics, plan.others),
         fixed,
-        MetricsHandler(Rc::clone(shared)),
+        MetricsHandler { shared: Rc::clone(shared), next_explanation: Cell::new(Moment::ZERO) },
     )
 }
 
@@ -150,15 +153,38 @@
 /// Path at which requests are explained.
 const EXPLAIN_PATH: &str = "/explain";
 
+/// Shortest time between two explanations. They are made in the thread that serves callers.
+const EXPLAIN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Serves the metrics as text, and explanations of requests.
-struct MetricsHandler(Rc<Shared>);
+struct MetricsHandler {
+    shared: Rc<Shared>,
+    /// When the next request may be explained.
+    next_explanation: Cell<Moment>,
+}
+
+impl MetricsHandler {
+    /// Explains the request that `request` describes, at most one in [`EXPLAIN_INTERVAL`].
+    fn explain(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+        let now = self.shared.now();
+        let wait = self.next_explanation.get().saturating_sub(now);
+        if wait > Duration::ZERO {
+            let text = "another request was explained just now".to_owned();
+            let mut response = responses::plain(StatusCode::TOO_MANY_REQUESTS, text);
+            set_retry_after(response.headers_mut(), wait);
+            return response;
+        }
+        self.next_explanation.set(now + EXPLAIN_INTERVAL);
+        let query = request.uri().query().unwrap_or_default();
+        explain(&self.shared, request.method(), query)
+    }
+}
 
 impl Handler for MetricsHandler {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        let uri = request.uri();
-        if uri.path() == EXPLAIN_PATH {
-            return explain(&self.0, request.method(), uri.query().unwrap_or_default());
+        if request.uri().path() == EXPLAIN_PATH {
+            return self.explain(&request);
         }
-        Response::new(ResponseBody::full(self.0.meters.text(&self.0)))
+        Response::new(ResponseBody::full(self.shared.meters.text(&self.shared)))
     }
 }
--- a/crates/rattanarchd/tests/mesh_explain.rs
+++ b/crates/rattanarchd/tests/mesh_explain.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use mesh_support::Site;
 use mesh_support::wait_until;
@@ -264,6 +265,32 @@
     });
 }
 
+/// Guards against explanations that take the time of the thread which serves callers: of many requests at once, few are
+/// explained, and the others are told when to come back.
+#[test]
+fn rate_limited() {
+    let site = Site::start(1, 0);
+    let metrics = site.daemons[0].addresses.metrics;
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().http_status_as_error(false).build().into();
+    let start = Instant::now();
+    let get = |_| {
+        let url = format!("http://{metrics}/explain?method=GET&path=%2Fstock%2Fcrayfish&key=3");
+        let response = agent.get(url).call().expect("the daemon responds");
+        let retry_after = response.headers().get("retry-after");
+        let retry_after = retry_after.map(|value| value.to_str().unwrap().parse::<f64>().unwrap());
+        (response.status().as_u16(), retry_after)
+    };
+    let responses: Vec<_> = (0..40).map(get).collect();
+    let most = start.elapsed().as_millis() / 100 + 1;
+    let (explained, refused): (Vec<_>, Vec<_>) =
+        responses.into_iter().partition(|(status, _)| *status == 200);
+    assert!(!explained.is_empty() && explained.len() as u128 <= most, "{explained:?}");
+    for response in &refused {
+        assert!(matches!(response, (429, Some(seconds)) if *seconds <= 0.1), "{response:?}");
+    }
+}
+
 /// Guards against secrets and addresses in the output, and against a parameter that is silently ignored: headers with
 /// credentials are refused without being shown, by the command and by the daemon, and malformed parameters are named.
 #[test]
@@ -277,6 +304,8 @@
     let agent: ureq::Agent =
         ureq::Agent::config_builder().http_status_as_error(false).build().into();
     let get = |query: &str| {
+        // The daemon explains at most one request per 100 ms.
+        thread::sleep(Duration::from_millis(110));
         let mut response = agent.get(format!("http://{metrics}/explain{query}")).call().unwrap();
         (response.status().as_u16(), response.body_mut().read_to_string().unwrap())
     };
