--- a/crates/rattanarch_accounts/src/quota_client.rs
+++ b/crates/rattanarch_accounts/src/quota_client.rs
@@ -51,9 +51,9 @@
 /// The same with a slow coordinator, which may be slow because of the number of datagrams.
 const SLOW_MIN_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time without any reply to a request within [`GRANT_TIMEOUT`] after which a coordinator is not asked any more. A machine that is busy for a
-/// moment replies after 400 ms, or some 200 ms later if a datagram is lost, and a change of the coordinator costs the
-/// account 2 s.
+/// Time without any reply to a request within [`GRANT_TIMEOUT`] after which a coordinator is not asked any more. A machine
+/// that is busy for a moment replies after 400 ms, or some 200 ms later if a datagram is lost, and a change of the
+/// coordinator costs the account 2 s.
 const SILENCE_TIME: Duration = Duration::from_millis(700);
 
 /// Longest time between two calls that counts towards [`SILENCE_TIME`]: after a longer one this daemon was paused, and
--- a/crates/rattanarch_admission/src/upstream_pace.rs
+++ b/crates/rattanarch_admission/src/upstream_pace.rs
@@ -53,7 +53,8 @@
 /// Time for which the factor is kept after a burst that uses up the platform's rule.
 const RULE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time in which no request ran after which an upstream that may still be cold counts as warm. Senders avoid a cold upstream, so that it may get no request that would show that it is warm.
+/// Time in which no request ran after which an upstream that may still be cold counts as warm. Senders avoid a cold
+/// upstream, so that it may get no request that would show that it is warm.
 const IDLE_TIME: Duration = Duration::from_secs(2);
 
 /// Part of the slots up to which so few requests run that an upstream which refuses one is not full.
--- a/crates/rattanarch_mesh/src/request/account_request.rs
+++ b/crates/rattanarch_mesh/src/request/account_request.rs
@@ -43,8 +43,9 @@
         Err(over_quota(account, retry_after, trace))
     }
 
-    /// Admits a request of `account` that has been read and has until `deadline`; `None` for a request that belongs to no account. A token that
-    /// was taken before the body was read would be used as late as the body ends, in a window that grants its own tokens.
+    /// Admits a request of `account` that has been read and has until `deadline`; `None` for a request that belongs to no
+    /// account. A token that was taken before the body was read would be used as late as the body ends, in a window that
+    /// grants its own tokens.
     ///
     /// # Errors
     /// If the account is over its quota, or no grant arrives in time.
