--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -19,6 +19,9 @@
 use crate::http;
 use crate::record::Recorder;
 
+/// Memory of a machine of the site hummer-mesh.
+pub const MEMORY_MB: usize = 260;
+
 /// Interval of heartbeats.
 pub const BEAT: Duration = Duration::from_millis(870);
 
@@ -105,7 +108,7 @@
         let text = format!(
             "instance = \"{name}\"\ndata_centre = \"{zone}\"\nservice = \"{FILES}\"\n\
              upstream = \"{upstream}\"\nheartbeat = \"870ms\"\nstore = \"{store}\"\nlink = 1000.0\n\
-             memory = 260\ndescriptors = 4100\nretry_schedule = true\nbootstrap = true\n\
+             memory = {MEMORY_MB}\ndescriptors = 4100\nretry_schedule = true\nbootstrap = true\n\
              cost_based_moves = true\nbounds = [{BOUNDS}]\n\
              [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\ndatagrams = \"{datagrams}\"\n\
              ready = \"{ready}\"\nupstream = \"{control}\"\nmetrics = \"{metrics}\"\n\
@@ -179,6 +182,15 @@
         assert!(status.is_ok_and(|status| status.success()), "kill -s {name} {id}");
     }
 
+    /// Largest resident memory in bytes that the process has had.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("the daemon runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
+        kilobytes.unwrap_or(0) << 10
+    }
+
     /// Waits for the end of the process.
     pub fn wait(&mut self) {
         // The process was started by this one.
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod fleet;
 mod http;
+mod long_ids;
 mod many_slashes;
 mod record;
 mod slow_body;
@@ -66,6 +67,7 @@
     let run = AssertUnwindSafe(|| match case.as_str() {
         "deregistered" => deregistered::run(&setting),
         "slow-body" => slow_body::run(&setting),
+        "long-ids" => long_ids::run(&setting),
         "many-slashes" => many_slashes::run(&setting),
         _ => Verdict::Unfit(format!("no case {case}")),
     });
