--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -9,6 +9,7 @@
 mod many_slashes;
 mod record;
 mod slow_body;
+mod slow_crowd;
 
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -68,6 +69,7 @@
         "deregistered" => deregistered::run(&setting),
         "slow-body" => slow_body::run(&setting),
         "long-ids" => long_ids::run(&setting),
+        "slow-crowd" => slow_crowd::run(&setting),
         "many-slashes" => many_slashes::run(&setting),
         _ => Verdict::Unfit(format!("no case {case}")),
     });
