--- a/review/standins-2/src/deregistered.rs
+++ b/review/standins-2/src/deregistered.rs
@@ -7,6 +7,7 @@
 
 use rattanarch_adapter_standins::Store;
 
+use crate::FILES;
 use crate::HOST;
 use crate::Setting;
 use crate::Verdict;
@@ -36,7 +37,7 @@
     let store = Store::start();
     configure(&store);
     let site = Site::new(record, &setting.root, store.address);
-    let mut machines = site.machines(&["hafenhalle"; 3]);
+    let mut machines = site.machines(FILES, &["hafenhalle"; 3]);
     let endpoints = Endpoint::beside(record, &machines);
     if !machines.iter().all(|machine| machine.await_ready(Duration::from_secs(20))) {
         return Verdict::Unfit("a daemon was not ready".to_owned());
@@ -61,6 +62,7 @@
                             host: HOST.to_owned(),
                             id: format!("r{number}"),
                             deadline_ms: 1_500,
+                            key: None,
                             body: b"pledge".to_vec(),
                         };
                         let patience = Duration::from_secs(2);
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -78,6 +78,7 @@
     pub id: String,
     /// Value of `X-Deadline-Ms`.
     pub deadline_ms: u64,
+    pub key: Option<u16>,
     pub body: Vec<u8>,
 }
 
@@ -114,11 +115,12 @@
     let mut stream = TcpStream::connect_timeout(&to, left()?.min(Duration::from_secs(1)))?;
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(left()?))?;
-    let Request { method, path, host, id, deadline_ms, body } = request;
+    let Request { method, path, host, id, deadline_ms, key, body } = request;
+    let key = key.map_or_else(String::new, |key| format!("x-shard-key: {key}\r\n"));
     let length = body.len();
     let head = format!(
         "{method} {path} HTTP/1.1\r\nhost: {host}\r\nx-attempt-id: {id}\r\n\
-         x-deadline-ms: {deadline_ms}\r\ncontent-length: {length}\r\n\r\n"
+         x-deadline-ms: {deadline_ms}\r\n{key}content-length: {length}\r\n\r\n"
     );
     stream.write_all(head.as_bytes())?;
     stream.write_all(body)?;
@@ -155,6 +157,17 @@
     body: &str,
     limit: Duration,
 ) -> io::Result<u16> {
+    exchange_call(to, method, path, body, limit).map(|(status, _)| status)
+}
+
+/// Sends a JSON call with a time limit; returns the status and the body.
+pub fn exchange_call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    limit: Duration,
+) -> io::Result<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&to, limit)?;
     stream.set_nodelay(true)?;
     let length = body.len();
@@ -165,5 +178,7 @@
     stream.write_all(text.as_bytes())?;
     let mut reader = Limited { stream, end: Instant::now() + limit };
     let head = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-    Ok(head.status())
+    let mut body = vec![0; head.length()];
+    reader.read_exact(&mut body)?;
+    Ok((head.status(), String::from_utf8_lossy(&body).into_owned()))
 }
--- a/review/standins-2/src/long_ids.rs
+++ b/review/standins-2/src/long_ids.rs
@@ -12,6 +12,7 @@
 
 use rattanarch_adapter_standins::Store;
 
+use crate::FILES;
 use crate::HOST;
 use crate::Setting;
 use crate::Verdict;
@@ -50,7 +51,7 @@
     let store = Store::start();
     configure(&store);
     let site = Site::new(record, &setting.root, store.address);
-    let machines = site.machines(&["hafenhalle"]);
+    let machines = site.machines(FILES, &["hafenhalle"]);
     let _endpoints = Endpoint::beside(record, &machines);
     if !machines.iter().all(|machine| machine.await_ready(Duration::from_secs(20))) {
         return Verdict::Unfit("a daemon was not ready".to_owned());
@@ -64,6 +65,7 @@
             host: HOST.to_owned(),
             id: id.to_owned(),
             deadline_ms: 1_000,
+            key: None,
             body: Vec::new(),
         };
         let (answer, _) = http::send(record, machine.callers, &request, Duration::from_secs(4));
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,12 +4,13 @@
 mod deregistered;
 mod endpoint;
 mod fleet;
+mod gate;
 mod http;
+mod late_write;
 mod long_ids;
 mod many_slashes;
 mod record;
 mod slow_body;
-mod slow_crowd;
 
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
@@ -69,7 +70,7 @@
         "deregistered" => deregistered::run(&setting),
         "slow-body" => slow_body::run(&setting),
         "long-ids" => long_ids::run(&setting),
-        "slow-crowd" => slow_crowd::run(&setting),
+        "late-write" => late_write::run(&setting),
         "many-slashes" => many_slashes::run(&setting),
         _ => Verdict::Unfit(format!("no case {case}")),
     });
--- a/review/standins-2/src/many_slashes.rs
+++ b/review/standins-2/src/many_slashes.rs
@@ -10,6 +10,7 @@
 
 use rattanarch_adapter_standins::Store;
 
+use crate::FILES;
 use crate::HOST;
 use crate::Setting;
 use crate::Verdict;
@@ -41,7 +42,7 @@
     let store = Store::start();
     configure(&store);
     let site = Site::new(record, &setting.root, store.address);
-    let machines = site.machines(&["hafenhalle", "nordkuehl"]);
+    let machines = site.machines(FILES, &["hafenhalle", "nordkuehl"]);
     let _endpoints = Endpoint::beside(record, &machines);
     if !machines.iter().all(|machine| machine.await_ready(Duration::from_secs(20))) {
         return Verdict::Unfit("a daemon was not ready".to_owned());
@@ -100,6 +101,7 @@
                     host: HOST.to_owned(),
                     id,
                     deadline_ms: 1_000,
+                    key: None,
                     body: Vec::new(),
                 };
                 let (answer, took) = http::send(&record, to, &request, Duration::from_secs(5));
--- a/review/standins-2/src/slow_body.rs
+++ b/review/standins-2/src/slow_body.rs
@@ -8,6 +8,7 @@
 
 use rattanarch_adapter_standins::Store;
 
+use crate::FILES;
 use crate::HOST;
 use crate::Setting;
 use crate::Verdict;
@@ -48,7 +49,7 @@
     let store = Store::start();
     configure(&store);
     let site = Site::new(record, &setting.root, store.address);
-    let machines = site.machines(&["hafenhalle", "nordkuehl"]);
+    let machines = site.machines(FILES, &["hafenhalle", "nordkuehl"]);
     let endpoints = Endpoint::beside(record, &machines);
     if !machines.iter().all(|machine| machine.await_ready(Duration::from_secs(20))) {
         return Verdict::Unfit("a daemon was not ready".to_owned());
@@ -64,7 +65,8 @@
             } else {
                 ("GET", format!("/book/{id}"), 1_000, Vec::new())
             };
-            let request = Request { method, path, host: HOST.to_owned(), id, deadline_ms, body };
+            let request =
+                Request { method, path, host: HOST.to_owned(), id, deadline_ms, key: None, body };
             let (answer, took) = http::send(&record, callers, &request, Duration::from_secs(4));
             ends.lock().unwrap().push(End { long, answer, took });
         })
