--- a/review/standins-2/src/long_ids.rs
+++ b/review/standins-2/src/long_ids.rs
@@ -1,10 +1,12 @@
-//! A crowd of clients that stop short of the ends of bodies and heads, and of clients whose requests have long ids.
+//! Crowds of clients that stop short of the ends of bodies and heads, and of clients whose requests have long ids.
 
 use std::io;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -19,15 +21,16 @@
 use crate::configure;
 use crate::endpoint::Endpoint;
 use crate::fleet::MEMORY_MB;
+use crate::fleet::Machine;
 use crate::fleet::Site;
 use crate::http;
 use crate::http::Answer;
 use crate::http::Request;
 use crate::record::Recorder;
 
-/// Clients whose requests have long ids, and the length of an id. The head stays below `max_header_bytes`, which is
+/// Clients on each machine whose requests have long ids, and the length of an id. The head stays below `max_header_bytes`, which is
 /// 16,384.
-const CLIENTS: usize = 40;
+const CLIENTS: usize = 24;
 const ID: usize = 15_600;
 
 /// How long such a client waits for its answer before it leaves.
@@ -46,53 +49,113 @@
 /// How long the crowd stays once it is complete.
 const STAY: Duration = Duration::from_secs(8);
 
+/// How often a process has to end, and on how many machines, by the rule.
+const ENDS: usize = 3;
+const ZONES: [&str; 2] = ["hafenhalle", "nordkuehl"];
+
+/// Times that the crowd comes at most.
+const CROWDS: usize = 5;
+
+/// After which the platform starts a process again that it has killed.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 pub fn run(setting: &Setting) -> Verdict {
     let record = &setting.record;
     let store = Store::start();
     configure(&store);
     let site = Site::new(record, &setting.root, store.address);
-    let machines = site.machines(FILES, &["hafenhalle"]);
+    let mut machines = site.machines(FILES, &ZONES);
     let _endpoints = Endpoint::beside(record, &machines);
     if !machines.iter().all(|machine| machine.await_ready(Duration::from_secs(20))) {
         return Verdict::Unfit("a daemon was not ready".to_owned());
     }
     thread::sleep(Duration::from_secs(6));
-    let machine = &machines[0];
-    let ordinary = |id: &str| {
-        let request = Request {
-            method: "GET",
-            path: format!("/book/{id}"),
-            host: HOST.to_owned(),
-            id: id.to_owned(),
-            deadline_ms: 1_000,
-            key: None,
-            body: Vec::new(),
-        };
-        let (answer, _) = http::send(record, machine.callers, &request, Duration::from_secs(4));
-        answer == Answer::Whole { status: 200, stamped: true }
-    };
-    if !ordinary("before") {
+    if !machines.iter().all(|machine| is_served(record, machine.callers, "before")) {
         return Verdict::Unfit("an ordinary request failed in calm".to_owned());
     }
-    record.say(&format!("peak resident memory before: {} MiB", machine.peak_memory() >> 20));
-    let sent = Arc::new(AtomicUsize::new(0));
-    if setting.trouble {
-        press(record, machine.callers, &sent);
+    for machine in &machines {
+        let peak = machine.peak_memory() >> 20;
+        record.say(&format!("{}: peak resident memory before: {peak} MiB", machine.name));
     }
-    let peak = machine.peak_memory();
-    record.say(&format!(
-        "requests with long ids: {}; peak resident memory: {} MiB, memory of the machine: {MEMORY_MB} MB",
-        sent.load(Ordering::Relaxed),
-        peak >> 20
-    ));
-    thread::sleep(Duration::from_secs(2));
-    record.say(&format!("an ordinary request afterwards is served: {}", ordinary("after")));
-    // The larger reading of a megabyte.
-    if peak > MEMORY_MB << 20 { Verdict::Broken } else { Verdict::Held }
+    let mut ends = [0; ZONES.len()];
+    for crowd in 1..=CROWDS {
+        if !setting.trouble || ends.iter().all(|ends| *ends >= ENDS) {
+            break;
+        }
+        record.say(&format!("crowd {crowd} comes"));
+        let ended = press_all(record, &setting.root, &mut machines);
+        for (ends, ended) in ends.iter_mut().zip(ended) {
+            *ends += usize::from(ended);
+        }
+        if !machines.iter().all(|machine| machine.await_ready(Duration::from_secs(10))) {
+            record.say("a daemon was not ready within 10 s of the crowd");
+        }
+        thread::sleep(Duration::from_secs(4));
+    }
+    for (machine, ends) in machines.iter().zip(ends) {
+        let served = is_served(record, machine.callers, "after");
+        record.say(&format!(
+            "{}: processes killed over {MEMORY_MB} MB of memory: {ends}, peak of the last: {} MiB, an ordinary request \
+             afterwards is served: {served}",
+            machine.name,
+            machine.peak_memory() >> 20
+        ));
+    }
+    if ends.iter().all(|ends| *ends >= ENDS) { Verdict::Broken } else { Verdict::Held }
+}
+
+/// Sends an ordinary request and returns whether it is served.
+fn is_served(record: &Recorder, to: SocketAddr, id: &str) -> bool {
+    let request = Request {
+        method: "GET",
+        path: format!("/book/{id}"),
+        host: HOST.to_owned(),
+        id: id.to_owned(),
+        deadline_ms: 1_000,
+        key: None,
+        body: Vec::new(),
+    };
+    let (answer, _) = http::send(record, to, &request, Duration::from_secs(4));
+    answer == Answer::Whole { status: 200, stamped: true }
 }
 
-/// Opens the crowd, holds it for [`STAY`] and ends it.
-fn press(record: &Recorder, to: SocketAddr, sent: &Arc<AtomicUsize>) {
+/// Lets a crowd come to each machine and plays the platform meanwhile: a process that exceeds the memory of its machine is
+/// killed and started again. Returns which processes were.
+fn press_all(record: &Recorder, root: &Path, machines: &mut [Machine]) -> Vec<bool> {
+    let crowds: Vec<_> = machines
+        .iter()
+        .map(|machine| {
+            let leave = Arc::new(AtomicBool::new(false));
+            let (record, to, leaves) = (record.clone(), machine.callers, Arc::clone(&leave));
+            (leave, thread::spawn(move || press(&record, to, &leaves)))
+        })
+        .collect();
+    let mut ended = vec![false; machines.len()];
+    while !crowds.iter().all(|(_, crowd)| crowd.is_finished()) {
+        for ((machine, (leave, _)), ended) in machines.iter_mut().zip(&crowds).zip(&mut ended) {
+            let peak = machine.peak_memory();
+            // The larger reading of a megabyte.
+            if *ended || peak <= MEMORY_MB << 20 {
+                continue;
+            }
+            record.say(&format!("{}: peak resident memory: {} MiB", machine.name, peak >> 20));
+            machine.signal("KILL");
+            machine.wait();
+            leave.store(true, Ordering::Relaxed);
+            thread::sleep(RESTART_DELAY);
+            machine.restart(root);
+            *ended = true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    for (_, crowd) in crowds {
+        crowd.join().expect("crowd ends");
+    }
+    ended
+}
+
+/// Opens the crowd, holds it for [`STAY`] or until `leave`, and ends it.
+fn press(record: &Recorder, to: SocketAddr, leave: &Arc<AtomicBool>) {
     let large = (0..LARGE_BODIES).map(|number| (format!("large-{number}"), LARGE));
     let small = (0..SMALL_BODIES).map(|number| (format!("small-{number}"), SMALL));
     let open: Vec<_> = large
@@ -100,15 +163,16 @@
         .filter_map(|(id, length)| stop_short(record, to, &id, length).ok())
         .collect();
     record.say(&format!("bodies that stop short of their end: {}", open.len()));
+    let sent = Arc::new(AtomicUsize::new(0));
     let end = record.now() + STAY;
     // Without these clients, the same crowd stays within the memory of the machine.
     let count = if std::env::var("IDS").is_ok_and(|value| value == "0") { 0 } else { CLIENTS };
     let clients: Vec<_> = (0..count)
         .map(|client| {
-            let (record, sent) = (record.clone(), Arc::clone(sent));
+            let (record, sent, leave) = (record.clone(), Arc::clone(&sent), Arc::clone(leave));
             thread::spawn(move || {
                 for number in 0.. {
-                    if record.now() > end {
+                    if record.now() > end || leave.load(Ordering::Relaxed) {
                         break;
                     }
                     let name = format!("long-{client}-{number}-");
@@ -120,12 +184,20 @@
             })
         })
         .collect();
-    thread::sleep(end.saturating_sub(record.now() + HEADS_BEFORE_END));
-    let heads: Vec<_> = (0..HEADS).filter_map(|_| stop_in_head(to).ok()).collect();
-    record.say(&format!("heads that stop half-way: {}", heads.len()));
+    while record.now() + HEADS_BEFORE_END < end && !leave.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    if !leave.load(Ordering::Relaxed) {
+        let heads: Vec<_> = (0..HEADS).filter_map(|_| stop_in_head(to).ok()).collect();
+        record.say(&format!("heads that stop half-way: {}", heads.len()));
+        while record.now() < end && !leave.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
     for client in clients {
         client.join().expect("client ends");
     }
+    record.say(&format!("requests with long ids: {}", sent.load(Ordering::Relaxed)));
 }
 
 /// Sends most of a head, and leaves the connection open.
