--- a/crates/rattanarch_mesh/src/connection/held_body.rs
+++ b/crates/rattanarch_mesh/src/connection/held_body.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// The bytes, in order.
+    pub(crate) fn blocks(&self) -> impl Iterator<Item = &[u8]> {
+        self.0.blocks.iter().map(|block| &block[..])
+    }
+
     /// A body that sends these bytes.
     pub(crate) fn to_request(&self) -> RequestBody {
         RequestBody { body: self.clone(), next: 0, left: self.len() }
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -136,6 +136,12 @@
         self.metrics.add("rattanarch_heartbeats", "Heartbeats of the upstream", &labels, 1);
     }
 
+    /// Counts the end of a life of the upstream: `planned` or `crash`.
+    pub(crate) fn upstream_end(&self, kind: &str) {
+        let labels = labels(&[("kind", kind)]);
+        self.metrics.add("rattanarch_upstream_ends", "Ends of lives of the upstream", &labels, 1);
+    }
+
     /// Counts a change of the upstream's pace.
     pub(crate) fn pace_change(&self, change: &PaceChange) {
         let (from, to, cause) =
--- a/crates/rattanarch_mesh/src/request/call.rs
+++ b/crates/rattanarch_mesh/src/request/call.rs
@@ -7,6 +7,8 @@
 use hyper::Uri;
 use hyper::header;
 use hyper::header::HeaderName;
+use rattanarch_quarantine::Fingerprint;
+use rattanarch_quarantine::RequestContent;
 use rattanarch_routing::ResponseSize;
 use rattanarch_types::FlowId;
 use rattanarch_types::Moment;
@@ -62,6 +64,25 @@
     pub(crate) retry: Cell<bool>,
 }
 
+impl Call {
+    /// Fingerprint of the content.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::new(&self.content(), self.body.blocks())
+    }
+
+    /// The content without the body.
+    pub(crate) fn content(&self) -> RequestContent<'_> {
+        let host = self.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        RequestContent {
+            service: &self.service,
+            method: self.method.as_str(),
+            host: host.or(self.uri.host()).unwrap_or_default(),
+            target: self.uri.path_and_query().map_or("/", |target| target.as_str()),
+            account: self.flow.unwrap_or_default(),
+        }
+    }
+}
+
 /// Removes the fields of a single connection, and those that the `Connection` field names.
 pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -40,6 +40,8 @@
 use crate::upstream::admit;
 use crate::upstream::bytes_slot::BytesSlot;
 use crate::upstream::bytes_slot::wait_for_bytes;
+use crate::upstream::in_flight::Flight;
+use crate::upstream::in_flight::record_end;
 use crate::upstream::life::LifeKey;
 use crate::upstream::notices::FromLeaving;
 use crate::upstream::notices::apply_notices;
@@ -114,6 +116,7 @@
         return Outcome::Refused(Refusal::from(Reason::NoUpstream));
     };
     let reused = connection.is_reused();
+    let flight = Flight::begin(&shared, &call, &life);
     let sent = within(left, connection.send(request)).await;
     let response = match sent {
         None => {
@@ -122,6 +125,7 @@
         }
         Some(Ok(response)) => response,
         Some(Err(SendError::Unsent(_))) => {
+            flight.end();
             return Outcome::Refused(Refusal::new(Reason::NoUpstream, Duration::from_millis(20)));
         }
         Some(Err(SendError::Broken(reason))) => {
@@ -135,7 +139,11 @@
         }
     };
     let sent = SentCall { call: &call, life };
-    read_response(&shared, &sent, (response, connection), &mut permit).await
+    let outcome = read_response(&shared, &sent, (response, connection), &mut permit).await;
+    if matches!(outcome, Outcome::Answered(_) | Outcome::Refused(_)) {
+        flight.end();
+    }
+    outcome
 }
 
 async fn checkout(shared: &Shared, call: &Call) -> Result<PooledConnection, Refusal> {
@@ -159,6 +167,9 @@
     if life.refused.is_none() {
         life.refused = Some(now);
         log::warn!(life:% = life.id; "upstream gone: connection refused");
+        let key = life.key();
+        drop(state);
+        record_end(shared, &key);
     }
 }
 
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -27,6 +27,7 @@
 use crate::upstream::Life;
 use crate::upstream::UpstreamState;
 use crate::upstream::check_if_due;
+use crate::upstream::in_flight::record_end;
 use crate::upstream::life::HeartbeatOrder;
 use crate::upstream::life::LeavingSource;
 use crate::upstream::log_grant_changes;
@@ -141,7 +142,11 @@
 }
 
 fn begin_life(shared: &Rc<Shared>, id: &str, beat: &Heartbeat, now: Moment) {
-    let first = shared.upstream.state.borrow().life.is_none();
+    let ended = shared.upstream.state.borrow().life.as_ref().map(Life::key);
+    if let Some(ended) = &ended {
+        record_end(shared, ended);
+    }
+    let first = ended.is_none();
     let mut state = shared.upstream.state.borrow_mut();
     state.life = Some(Life::new(id, beat, now));
     state.admission.set_rate_limit(now, None);
--- a/crates/rattanarch_mesh/src/upstream/life.rs
+++ b/crates/rattanarch_mesh/src/upstream/life.rs
@@ -23,6 +23,8 @@
     pub(crate) leaving: Option<Moment>,
     /// When a connection to it was first refused since its last heartbeat.
     pub(crate) refused: Option<Moment>,
+    /// Whether its end was recorded.
+    pub(crate) ended: bool,
     /// Requests a second that it takes, by its last response; `None` without a limit.
     pub(crate) rate_limit: Option<f64>,
     /// When its last response began to arrive.
@@ -80,6 +82,7 @@
             last_heartbeat: now,
             leaving: None,
             refused: None,
+            ended: false,
             rate_limit: None,
             heard: None,
             checked: None,
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod grant_log;
 mod health_check;
 mod heartbeat;
+mod in_flight;
 mod life;
 mod notices;
 mod pace;
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -26,6 +26,7 @@
 use crate::request::Reason;
 use crate::upstream::Life;
 use crate::upstream::ended_requests::EndedRequests;
+use crate::upstream::in_flight::InFlight;
 
 /// How long before the end of a bound the daemon stops sending: requests that were sent just before still
 /// have to arrive, and timers fire late on a busy machine.
@@ -79,6 +80,8 @@
     requests: HashMap<String, ActiveRequest>,
     /// Requests that ended a moment ago.
     ended: EndedRequests,
+    /// Requests that the upstream has and has not answered.
+    pub(crate) in_flight: InFlight,
     /// Load by slice.
     pub(crate) meter: SliceMeter,
     /// Utilization over the last seconds.
@@ -115,6 +118,7 @@
             running: Vec::new(),
             requests: HashMap::new(),
             ended: EndedRequests::default(),
+            in_flight: InFlight::default(),
             meter: SliceMeter::default(),
             history: LoadHistory::default(),
             expected_moves: BTreeMap::new(),
