--- a/crates/rattanarchd/tests/mesh_support/faulty_proxy.rs
+++ b/crates/rattanarchd/tests/mesh_support/faulty_proxy.rs
@@ -69,7 +69,7 @@
 }
 
 /// Reads a head and the body whose length it names; `None` if the sender closes before.
-fn read_message(stream: &mut TcpStream) -> Option<Vec<u8>> {
+pub(super) fn read_message(stream: &mut TcpStream) -> Option<Vec<u8>> {
     let mut message = Vec::new();
     let mut byte = [0];
     while head_length(&message).is_none() {
