Stop requests that end the upstreams which run them

Callers saw whole services fail for as long as one request was repeated: each repeat, under another id and through any daemon, was a new request, and each ended one more upstream with all that ran there. Nothing related a request to the ends of upstreams under it.

Now the daemon beside an upstream that ends tells all others which requests were in flight, by fingerprints of their content. Two ends without an answered run in between put a request into quarantine; it is refused at once (503, not run) until one trial in the whole fleet, alone, which proves it or clears it. A broken connection is followed by a fresh one, so that an end shows within milliseconds.

Why it works: a request that ends each upstream is in flight at every end and is never answered, while what ran beside it is in flight once, or is answered meanwhile.

--- a/crates/rattanarch_mesh/src/control/gossip.rs
+++ b/crates/rattanarch_mesh/src/control/gossip.rs
@@ -111,7 +111,7 @@
 }
 
 /// Datagram addresses of all other daemons.
-fn peer_addresses(shared: &Shared) -> Vec<SocketAddr> {
+pub(super) fn peer_addresses(shared: &Shared) -> Vec<SocketAddr> {
     let own = shared.settings.listen.datagrams;
     shared.knowledge.borrow().other_members(own).map(|member| member.peer).collect()
 }
--- a/crates/rattanarch_mesh/src/control/mod.rs
+++ b/crates/rattanarch_mesh/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod slice_drain;
 mod socket;
 mod state;
+mod suspects;
 mod timing;
 
 pub(crate) use change_requests::CHANGE_REQUEST_PATH;
@@ -41,4 +42,7 @@
 pub(crate) use socket::PeerSocket;
 pub(crate) use socket::receive;
 pub(crate) use state::Control;
+pub(crate) use suspects::record_answer;
+pub(crate) use suspects::record_upstream_end;
+pub(crate) use suspects::run_suspects;
 pub(crate) use timing::timing;
--- a/crates/rattanarch_mesh/src/control/socket.rs
+++ b/crates/rattanarch_mesh/src/control/socket.rs
@@ -14,13 +14,16 @@
 use rattanarch_wire::MAX_DATAGRAM_BYTES;
 use rattanarch_wire::Packet;
 use rattanarch_wire::QuotaMessage;
+use rattanarch_wire::SuspectsMessage;
 use rattanarch_wire::WireMessage;
 use rattanarch_wire::WireQuota;
+use rattanarch_wire::WireSuspects;
 use tokio::net::UdpSocket;
 
 use crate::control::gossip;
 use crate::control::quotas::handle_quota_message;
 use crate::control::step;
+use crate::control::suspects::handle_suspects;
 use crate::process::Shared;
 
 /// Key of the datagrams' tag. It is no secret, since the platform gives the daemons none in common: the tag only
@@ -80,6 +83,13 @@
         }
     }
 
+    /// Sends a message about suspects to the daemon at `to`.
+    pub(crate) fn send_suspects(&self, message: &WireSuspects, to: SocketAddr) {
+        if let Ok(frame) = self.codec.encode(message) {
+            self.try_send(&frame, to);
+        }
+    }
+
     /// Sends a frame, and drops it on an error: the protocol tolerates lost datagrams.
     fn try_send(&self, frame: &[u8], to: SocketAddr) {
         let _ = self.socket.try_send_to(frame, to);
@@ -118,6 +128,13 @@
         }
         return;
     }
+    if let Ok(message) = codec.decode::<WireSuspects>(frame, MAX_DATAGRAM_BYTES) {
+        match SuspectsMessage::try_from(message) {
+            Ok(message) => handle_suspects(shared, &message, from),
+            Err(error) => log::warn!(from:% = from, reason:% = error; "datagram malformed"),
+        }
+        return;
+    }
     if let Ok(digest) = codec.decode::<Digest>(frame, MAX_DATAGRAM_BYTES) {
         gossip::handle_digest(shared, &digest, from);
     }
--- a/crates/rattanarch_mesh/src/process/meters.rs
+++ b/crates/rattanarch_mesh/src/process/meters.rs
@@ -10,6 +10,7 @@
 use rattanarch_process::Labels;
 use rattanarch_process::Metrics;
 use rattanarch_process::dropped_lines;
+use rattanarch_quarantine::QuarantineChange;
 use rattanarch_routing::ProbeResult;
 
 use crate::control::quota_numbers;
@@ -142,6 +143,19 @@
         self.metrics.add("rattanarch_upstream_ends", "Ends of lives of the upstream", &labels, 1);
     }
 
+    /// Counts a request that was put into quarantine, or released from it.
+    pub(crate) fn quarantine_change(&self, change: &QuarantineChange) {
+        let labels = labels(&[("change", &change.to_string())]);
+        let help = "Requests put into quarantine or released from it";
+        self.metrics.add("rattanarch_quarantine_changes", help, &labels, 1);
+    }
+
+    /// Counts a datagram about suspects that is sent.
+    pub(crate) fn suspects_datagram(&self) {
+        let help = "Datagrams about requests that were in flight when upstreams ended";
+        self.metrics.add("rattanarch_suspects_datagrams", help, &Labels::new(), 1);
+    }
+
     /// Counts a change of the upstream's pace.
     pub(crate) fn pace_change(&self, change: &PaceChange) {
         let (from, to, cause) =
@@ -251,7 +265,7 @@
     }
 }
 
-fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 24] {
+fn gauges(shared: &Shared) -> [(&'static str, &'static str, i64); 26] {
     let now = shared.now();
     let state = shared.upstream.state.borrow();
     let knowledge = shared.knowledge.borrow();
@@ -259,6 +273,7 @@
     let margin = state.serving.lease_end.and_then(|until| until.checked_sub(now));
     let heard = state.life.as_ref().map(|life| now.saturating_sub(life.last_heartbeat));
     let configuration = knowledge.routes().map(|routes| routes.version).unwrap_or_default();
+    let (suspects, quarantined) = shared.quarantine.borrow().counts();
     let millis = |time: Option<Duration>| time.map_or(-1, |time| time.as_millis() as i64);
     [
         (
@@ -368,6 +383,12 @@
             "Bytes of bodies and responses held for callers and peers",
             shared.held.used() as i64,
         ),
+        (
+            "rattanarch_suspects",
+            "Requests that were in flight when upstreams ended",
+            suspects as i64,
+        ),
+        ("rattanarch_quarantined", "Requests in quarantine", quarantined as i64),
         ("rattanarch_dropped_log_lines", "Log lines not written", dropped_lines() as i64),
     ]
 }
--- a/crates/rattanarch_mesh/src/process/run.rs
+++ b/crates/rattanarch_mesh/src/process/run.rs
@@ -112,6 +112,7 @@
     tokio::task::spawn_local(control::run(Rc::clone(&shared)));
     tokio::task::spawn_local(control::gossip(Rc::clone(&shared)));
     tokio::task::spawn_local(control::run_quotas(Rc::clone(&shared)));
+    tokio::task::spawn_local(control::run_suspects(Rc::clone(&shared)));
     tokio::task::spawn_local(reload_settings(Rc::clone(&shared), reload, path));
     tokio::task::spawn_local(log_usage(Rc::clone(&shared)));
     tokio::task::spawn_local(measure_lag(Rc::clone(&shared)));
@@ -145,6 +146,7 @@
         control: RefCell::new(Control::new(timing, clock.now())),
         socket,
         quotas: Quotas::default(),
+        quarantine: RefCell::default(),
         peers: Peers::default(),
         held: HeldBytes::new(CapacityPlan::new(settings.memory, settings.descriptors), clock),
         buffers: Buffers::default(),
--- a/crates/rattanarch_mesh/src/process/shared.rs
+++ b/crates/rattanarch_mesh/src/process/shared.rs
@@ -7,6 +7,7 @@
 use rattanarch_adapter::Bounds;
 use rattanarch_adapter::Store;
 use rattanarch_process::Clock;
+use rattanarch_quarantine::Quarantine;
 use rattanarch_types::Moment;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -45,6 +46,8 @@
     pub(crate) control: RefCell<Control>,
     pub(crate) socket: PeerSocket,
     pub(crate) quotas: Quotas,
+    /// Requests that were in flight when upstreams ended.
+    pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) peers: Peers,
     /// What callers and peers make this process hold.
     pub(crate) held: HeldBytes,
--- a/crates/rattanarch_mesh/src/request/call.rs
+++ b/crates/rattanarch_mesh/src/request/call.rs
@@ -1,6 +1,7 @@
 //! A request with its routing data.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 
 use hyper::HeaderMap;
 use hyper::Method;
@@ -62,16 +63,30 @@
     /// Whether the next run counts as a retry: an upstream may have run the request before, or it is a
     /// nested call of such a run. Nested calls of that run count as retries too.
     pub(crate) retry: Cell<bool>,
+    /// Fingerprint of the content, once it was needed.
+    pub(crate) fingerprint: CachedFingerprint,
+}
+
+/// The parts of a fingerprint that have been computed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CachedFingerprint {
+    head: OnceCell<u64>,
+    whole: OnceCell<Fingerprint>,
 }
 
 impl Call {
     /// Fingerprint of the content.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        Fingerprint::new(&self.content(), self.body.blocks())
+        let compute = || Fingerprint::of_parts(self.fingerprint_head(), self.body.blocks());
+        *self.fingerprint.whole.get_or_init(compute)
+    }
+
+    /// The part of the fingerprint that leaves out the body.
+    pub(crate) fn fingerprint_head(&self) -> u64 {
+        *self.fingerprint.head.get_or_init(|| self.content().hash())
     }
 
-    /// The content without the body.
-    pub(crate) fn content(&self) -> RequestContent<'_> {
+    fn content(&self) -> RequestContent<'_> {
         let host = self.headers.get(header::HOST).and_then(|host| host.to_str().ok());
         RequestContent {
             service: &self.service,
--- a/crates/rattanarch_mesh/src/request/inbound.rs
+++ b/crates/rattanarch_mesh/src/request/inbound.rs
@@ -22,6 +22,7 @@
 use crate::request::Call;
 use crate::request::Outcome;
 use crate::request::Reason;
+use crate::request::call::CachedFingerprint;
 use crate::request::call::strip_connection_headers;
 use crate::request::forward_headers::FLOW;
 use crate::request::forward_headers::FORWARD;
@@ -105,6 +106,7 @@
         flow,
         size: header.size,
         retry: Cell::new(header.retry),
+        fingerprint: CachedFingerprint::default(),
     })
 }
 
--- a/crates/rattanarch_mesh/src/request/mod.rs
+++ b/crates/rattanarch_mesh/src/request/mod.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod pending_attempts;
 mod progress;
+pub(crate) mod quarantine;
 mod reason;
 mod request_trace;
 pub(crate) mod responses;
--- a/crates/rattanarch_mesh/src/request/reason.rs
+++ b/crates/rattanarch_mesh/src/request/reason.rs
@@ -56,6 +56,9 @@
     /// The data centre is evacuated.
     #[display("evacuated")]
     Evacuated,
+    /// Upstreams have ended with requests of this content in flight.
+    #[display("quarantined")]
+    Quarantined,
     /// The daemon has no usable upstream.
     #[display("no-upstream")]
     NoUpstream,
@@ -77,7 +80,7 @@
 }
 
 impl Reason {
-    const ALL: [Self; 22] = [
+    const ALL: [Self; 23] = [
         Self::NoConfiguration,
         Self::NoInstance,
         Self::NoKey,
@@ -94,6 +97,7 @@
         Self::UpstreamRefused,
         Self::Draining,
         Self::Evacuated,
+        Self::Quarantined,
         Self::NoUpstream,
         Self::Unreachable,
         Self::Silent,
@@ -112,6 +116,8 @@
             Self::Overloaded | Self::RateLimited | Self::OverQuota | Self::LinkFull => {
                 Duration::from_millis(150)
             }
+            // A trial of another copy runs.
+            Self::Quarantined => Duration::from_millis(200),
             // It refuses some requests and accepts others.
             Self::UpstreamRefused => Duration::from_millis(50),
             // Time for a process to start or its keys to move.
@@ -147,7 +153,7 @@
 
     /// Whether another instance of a service without keys may take the request.
     pub(crate) fn allows_other_instance(self) -> bool {
-        !matches!(self, Self::NoConfiguration | Self::NoInstance | Self::NoKey)
+        !matches!(self, Self::NoConfiguration | Self::NoInstance | Self::NoKey | Self::Quarantined)
     }
 }
 
--- a/crates/rattanarch_mesh/src/request/route.rs
+++ b/crates/rattanarch_mesh/src/request/route.rs
@@ -22,6 +22,7 @@
 use crate::request::Call;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::call::CachedFingerprint;
 use crate::request::call::strip_connection_headers;
 use crate::request::forward_headers::FLOW;
 use crate::request::forward_headers::FORWARD;
@@ -116,6 +117,7 @@
             RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => ResponseSize::Small,
         },
         retry: Cell::new(is_nested_in_retry(shared, &id)),
+        fingerprint: CachedFingerprint::default(),
         id,
     }
 }
--- a/crates/rattanarch_mesh/src/request/target.rs
+++ b/crates/rattanarch_mesh/src/request/target.rs
@@ -6,6 +6,7 @@
 
 use derive_more::Display;
 use rattanarch_process::random;
+use rattanarch_quarantine::Verdict;
 use rattanarch_routing::Candidate;
 use rattanarch_routing::ResponseSize;
 use rattanarch_routing::choose_instance;
@@ -18,6 +19,7 @@
 use crate::request::Call;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::quarantine;
 use crate::upstream::UpstreamState;
 
 /// The daemon that a request is sent to.
@@ -43,6 +45,17 @@
 pub(crate) fn find(shared: &Shared, call: &Call, tried: &[SocketAddr]) -> Result<Target, Refusal> {
     let record = shared.knowledge.borrow().record(&call.service).cloned();
     let Some(record) = record else { return Err(Reason::NoInstance.into()) };
+    let verdict = quarantine::check(shared, call);
+    if let Verdict::Quarantined(left) = verdict {
+        return Err(Refusal::new(Reason::Quarantined, left));
+    }
+    if record.slice_count() == 0 && verdict == Verdict::Trial {
+        let trial = quarantine::trial_member(shared, &record, call);
+        let found = trial.filter(|(_, member)| !tried.contains(&member.caller));
+        return found
+            .map(|(id, member)| target(shared, &record, id, member))
+            .ok_or_else(|| Reason::Quarantined.into());
+    }
     if record.slice_count() == 0 {
         return Instances::of(shared, &record, tried)
             .choose(call.size, random())
--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -40,12 +40,17 @@
 use crate::upstream::admit;
 use crate::upstream::bytes_slot::BytesSlot;
 use crate::upstream::bytes_slot::wait_for_bytes;
+use crate::upstream::end_check::check_for_end;
+use crate::upstream::end_check::record_connection_refused;
 use crate::upstream::in_flight::Flight;
-use crate::upstream::in_flight::record_end;
 use crate::upstream::life::LifeKey;
 use crate::upstream::notices::FromLeaving;
 use crate::upstream::notices::apply_notices;
 use crate::upstream::pace;
+use crate::upstream::trial::Trial;
+use crate::upstream::trial::begin_trial;
+use crate::upstream::trial::check_before_send;
+use crate::upstream::trial::record_answer;
 
 /// Shortest time to the deadline with which a request is sent.
 const MIN_SEND_TIME: Duration = Duration::from_millis(5);
@@ -58,11 +63,7 @@
     if let Some(refusal) = other_service(shared, call) {
         return Outcome::Refused(refusal);
     }
-    let admitted = match wait_for_bytes(shared, call).await {
-        Ok(slot) => admit(shared, call, trace).await.map(|permit| (permit, slot)),
-        Err(refusal) => Err(refusal),
-    };
-    let (permit, slot) = match admitted {
+    let (permit, claim) = match claim(shared, call, trace).await {
         Ok(admitted) => admitted,
         Err(Refusal { reason, retry_after, by_upstream }) => {
             trace.add(Decision::Refused {
@@ -73,7 +74,7 @@
             return Outcome::Refused(Refusal { reason, retry_after, by_upstream });
         }
     };
-    let exchange = send(Rc::clone(shared), Rc::clone(call), permit, slot);
+    let exchange = send(Rc::clone(shared), Rc::clone(call), permit, claim);
     if call.idempotent {
         return exchange.await;
     }
@@ -83,6 +84,24 @@
     }
 }
 
+/// What a call holds beside its slot until its end.
+struct Claim {
+    trial: Option<Trial>,
+    _bytes: BytesSlot,
+}
+
+/// Waits until `call` may be sent to the upstream.
+async fn claim(
+    shared: &Rc<Shared>,
+    call: &Call,
+    trace: &RequestTrace,
+) -> Result<(Permit, Claim), Refusal> {
+    let trial = begin_trial(shared, call).await?;
+    let bytes = wait_for_bytes(shared, call).await?;
+    let permit = admit(shared, call, trace).await?;
+    Ok((permit, Claim { trial, _bytes: bytes }))
+}
+
 /// Refuses a call to another service than that of the upstream.
 fn other_service(shared: &Shared, call: &Call) -> Option<Refusal> {
     // A daemon of another service had this address before and may still be in that service's record.
@@ -97,7 +116,7 @@
     }
 }
 
-async fn send(shared: Rc<Shared>, call: Rc<Call>, mut permit: Permit, _slot: BytesSlot) -> Outcome {
+async fn send(shared: Rc<Shared>, call: Rc<Call>, mut permit: Permit, claim: Claim) -> Outcome {
     let mut connection = match checkout(&shared, &call).await {
         Ok(connection) => connection,
         Err(refusal) => return Outcome::Refused(refusal),
@@ -112,11 +131,15 @@
     if left < MIN_SEND_TIME || !can_end {
         return Outcome::Refused(Refusal::new(Reason::Overloaded, Duration::ZERO));
     }
+    // An end may have become known while the call waited.
+    if let Err(refusal) = check_before_send(&shared, &call, claim.trial.as_ref()) {
+        return Outcome::Refused(refusal);
+    }
     let Some((request, life)) = build_request(&shared, &call, left) else {
         return Outcome::Refused(Refusal::from(Reason::NoUpstream));
     };
     let reused = connection.is_reused();
-    let flight = Flight::begin(&shared, &call, &life);
+    let flight = Flight::begin(&shared, &call, &life, claim.trial.is_some());
     let sent = within(left, connection.send(request)).await;
     let response = match sent {
         None => {
@@ -129,6 +152,7 @@
             return Outcome::Refused(Refusal::new(Reason::NoUpstream, Duration::from_millis(20)));
         }
         Some(Err(SendError::Broken(reason))) => {
+            check_for_end(&shared);
             // A reused connection may have been closed for being idle.
             if reused {
                 shared.upstream.pool.clear();
@@ -143,6 +167,9 @@
     if matches!(outcome, Outcome::Answered(_) | Outcome::Refused(_)) {
         flight.end();
     }
+    if matches!(outcome, Outcome::Answered(_)) {
+        record_answer(&shared, &call);
+    }
     outcome
 }
 
@@ -159,20 +186,6 @@
     })
 }
 
-/// Records that nothing listens at the upstream's address any more: its life has ended.
-fn record_connection_refused(shared: &Shared) {
-    let now = shared.now();
-    let mut state = shared.upstream.state.borrow_mut();
-    let Some(life) = &mut state.life else { return };
-    if life.refused.is_none() {
-        life.refused = Some(now);
-        log::warn!(life:% = life.id; "upstream gone: connection refused");
-        let key = life.key();
-        drop(state);
-        record_end(shared, &key);
-    }
-}
-
 /// A call and the life of the upstream that it was sent to.
 struct SentCall<'a> {
     call: &'a Call,
@@ -217,6 +230,7 @@
         }
         Some(Err(error)) => {
             if matches!(error, BufferError::Broken(_)) {
+                check_for_end(shared);
                 pace::observe(shared, life, permit.started_at(), AttemptOutcome::Failed);
             } else {
                 log::warn!(id:% = call.id, life:% = life.id, reason:% = error;
--- a/crates/rattanarch_mesh/src/upstream/heartbeat.rs
+++ b/crates/rattanarch_mesh/src/upstream/heartbeat.rs
@@ -172,6 +172,7 @@
         life.sequence = beat.sequence;
         life.last_heartbeat = now;
         life.refused = None;
+        life.ended = false;
         if beat.leaving {
             life.leave(now, LeavingSource::Heartbeat);
         }
--- a/crates/rattanarch_mesh/src/upstream/in_flight.rs
+++ b/crates/rattanarch_mesh/src/upstream/in_flight.rs
@@ -10,6 +10,7 @@
 use rattanarch_types::ServiceName;
 use slab::Slab;
 
+use crate::control;
 use crate::process::Shared;
 use crate::request::Call;
 use crate::upstream::life::LifeKey;
@@ -34,6 +35,7 @@
 struct SentRequest {
     call: Rc<Call>,
     life: LifeKey,
+    is_trial: bool,
 }
 
 /// A request that a life of the upstream had when it ended.
@@ -45,16 +47,19 @@
     /// Service of the daemon that received it from its caller.
     pub(crate) origin_service: ServiceName,
     pub(crate) key: Option<u16>,
+    /// Whether it ran as a trial.
+    pub(crate) is_trial: bool,
 }
 
-impl From<&Call> for CutRequest {
-    fn from(call: &Call) -> Self {
+impl From<&SentRequest> for CutRequest {
+    fn from(SentRequest { call, is_trial, .. }: &SentRequest) -> Self {
         Self {
             id: call.id.clone(),
             fingerprint: call.fingerprint(),
             method: call.method.to_string(),
             origin_service: call.origin_service.clone(),
             key: call.key,
+            is_trial: *is_trial,
         }
     }
 }
@@ -66,7 +71,7 @@
         let recent =
             unanswered.filter(|(at, at_life, _)| now < *at + UNANSWERED_TIME && at_life == life);
         let running = self.requests.iter().filter(|(_, request)| request.life == *life);
-        let running = running.map(|(_, request)| CutRequest::from(&*request.call));
+        let running = running.map(|(_, request)| CutRequest::from(request));
         recent.map(|(_, _, request)| request).chain(running).collect()
     }
 
@@ -74,7 +79,7 @@
         if self.unanswered.len() >= MAX_UNANSWERED {
             self.unanswered.pop_front();
         }
-        let cut = CutRequest::from(&*request.call);
+        let cut = CutRequest::from(request);
         self.unanswered.push_back((now, request.life.clone(), cut));
     }
 }
@@ -88,8 +93,13 @@
 
 impl Flight {
     /// Counts `call`, which is about to be sent to the life `life`.
-    pub(crate) fn begin(shared: &Rc<Shared>, call: &Rc<Call>, life: &LifeKey) -> Self {
-        let request = SentRequest { call: Rc::clone(call), life: life.clone() };
+    pub(crate) fn begin(
+        shared: &Rc<Shared>,
+        call: &Rc<Call>,
+        life: &LifeKey,
+        is_trial: bool,
+    ) -> Self {
+        let request = SentRequest { call: Rc::clone(call), life: life.clone(), is_trial };
         let key = shared.upstream.state.borrow_mut().in_flight.requests.insert(request);
         Self { shared: Rc::clone(shared), key, answered: Cell::new(false) }
     }
@@ -126,7 +136,13 @@
     log::warn!(life:% = life.id, kind:% = kind, requests = requests.len(); "upstream ended");
     for request in &requests {
         log::warn!(life:% = life.id, id:% = request.id, fingerprint:% = request.fingerprint,
-            method:% = request.method, origin:% = request.origin_service, key:? = request.key;
+            method:% = request.method, origin:% = request.origin_service, key:? = request.key, trial = request.is_trial;
             "request in flight at upstream end");
     }
+    if !planned {
+        let fingerprints: Vec<_> = requests.iter().map(|request| request.fingerprint).collect();
+        let trial = requests.iter().find(|request| request.is_trial);
+        let trial = trial.map(|request| request.fingerprint);
+        control::record_upstream_end(shared, life, &fingerprints, trial);
+    }
 }
--- a/crates/rattanarch_mesh/src/upstream/mod.rs
+++ b/crates/rattanarch_mesh/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod bytes_slot;
+mod end_check;
 mod ended_requests;
 mod exchange;
 mod grant_log;
@@ -12,6 +13,7 @@
 mod notices;
 mod pace;
 mod state;
+mod trial;
 mod upstream_snapshot;
 
 pub(crate) use admission::Permit;
@@ -27,6 +29,7 @@
 pub(crate) use heartbeat::slices_within;
 pub(crate) use life::LeavingSource;
 pub(crate) use life::Life;
+pub(crate) use life::LifeKey;
 pub(crate) use notices::FromLeaving;
 pub(crate) use notices::learn_leaving;
 pub(crate) use state::Readiness;
--- a/crates/rattanarch_mesh/src/upstream/state.rs
+++ b/crates/rattanarch_mesh/src/upstream/state.rs
@@ -45,6 +45,10 @@
     pub(crate) state: RefCell<UpstreamState>,
     /// Whether a timer is set for the next request that the rate limit of the upstream allows.
     pub(crate) pace_timer: Cell<bool>,
+    /// Whether a request in quarantine runs as a trial.
+    pub(crate) trial: Cell<bool>,
+    /// Whether a check runs whether the upstream has ended.
+    pub(crate) end_check: Cell<bool>,
     /// Notified when bytes of requests under way are freed.
     pub(crate) bytes_freed: Notify,
 }
@@ -130,6 +134,8 @@
             pool,
             state: RefCell::new(state),
             pace_timer: Cell::new(false),
+            trial: Cell::new(false),
+            end_check: Cell::new(false),
             bytes_freed: Notify::new(),
         }
     }
--- a/crates/rattanarch_quarantine/src/fingerprint.rs
+++ b/crates/rattanarch_quarantine/src/fingerprint.rs
@@ -38,17 +38,24 @@
         content: &RequestContent<'_>,
         blocks: impl IntoIterator<Item = &'a [u8]>,
     ) -> Self {
-        Self { head: Self::head(content), body: hash_body(blocks) }
+        Self::of_parts(content.hash(), blocks)
     }
 
-    /// [`Self::head`](field@Self::head) of a request with `content`.
-    pub fn head(content: &RequestContent<'_>) -> u64 {
+    /// The fingerprint with the given `head` of a request whose body consists of `blocks`.
+    pub fn of_parts<'a>(head: u64, blocks: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        Self { head, body: hash_body(blocks) }
+    }
+}
+
+impl RequestContent<'_> {
+    /// The head of the fingerprint.
+    pub fn hash(&self) -> u64 {
         let mut hash = Sha256::new();
-        for part in [content.service, content.method, content.host, content.target] {
+        for part in [self.service, self.method, self.host, self.target] {
             hash.update((part.len() as u64).to_be_bytes());
             hash.update(part);
         }
-        hash.update(content.account.to_be_bytes());
+        hash.update(self.account.to_be_bytes());
         first_bytes(hash)
     }
 }
--- a/crates/rattanarchd/tests/mesh_deadly_requests.rs
+++ b/crates/rattanarchd/tests/mesh_deadly_requests.rs
@@ -2,6 +2,9 @@
 
 mod mesh_support;
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,6 +16,7 @@
 use mesh_support::wait_until;
 use rattanarch_adapter_standins::DESK;
 use rattanarch_adapter_standins::FILES;
+use rattanarch_adapter_standins::Response;
 use rattanarch_adapter_standins::Store;
 
 /// Time after the third end from which on the platform counts further arrivals.
@@ -24,6 +28,9 @@
 /// Time between two requests of [`Fleet::send_steadily`].
 const SEND_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Number in the id of the next request.
+static NEXT_ID: AtomicU32 = AtomicU32::new(1);
+
 /// A site whose upstreams end at requests with `deadly` in their paths.
 struct Fleet {
     site: Site,
@@ -62,17 +69,19 @@
         });
     }
 
+    /// Sends a GET request for `path` under an id of its own.
+    fn get(&self, daemon: usize, path: &str, key: u16) -> Response {
+        let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+        self.site.get(daemon, path, &format!("request{id}"), key)
+    }
+
     /// Sends GET requests for `path`, one after the other at each daemon in turn, for `duration`; returns their statuses.
     fn send_steadily(&self, path: &str, key: u16, duration: Duration) -> Vec<u16> {
         let end = Instant::now() + duration;
         let mut statuses = Vec::new();
         while Instant::now() < end {
-            let number = statuses.len();
-            let daemon = number % self.site.daemons.len();
-            let id = format!("{:?}-{number}", Instant::now());
-            statuses.push(
-                self.site.get(daemon, path, &id.replace([' ', '{', '}', ':'], ""), key).status,
-            );
+            let daemon = statuses.len() % self.site.daemons.len();
+            statuses.push(self.get(daemon, path, key).status);
             thread::sleep(SEND_INTERVAL);
         }
         statuses
@@ -132,3 +141,116 @@
     fleet.assert_stopped("/stock/deadly");
     fleet.assert_served(DESK);
 }
+
+/// Repeats come through a daemon of another service, as nested calls do.
+#[test]
+fn deadly_nested_calls() {
+    let mut fleet = Fleet::start(FILES, 3);
+    fleet.site.add(DESK, "desk-0", "centre-0");
+    wait_until("the other daemon serves a request", || {
+        fleet.get(3, sound_path(FILES), 7).status == 200
+    });
+    let end = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < end {
+        fleet.get(3, "/files/deadly", 7);
+        thread::sleep(SEND_INTERVAL);
+    }
+    fleet.assert_stopped("/files/deadly");
+    fleet.assert_served(FILES);
+}
+
+/// Two requests that end their upstreams come at the same time.
+#[test]
+fn two_deadly_requests() {
+    let fleet = Fleet::start(FILES, 4);
+    thread::scope(|scope| {
+        for path in ["/files/deadly-a", "/files/deadly-b"] {
+            let fleet = &fleet;
+            scope.spawn(move || fleet.send_steadily(path, 7, Duration::from_secs(12)));
+        }
+    });
+    fleet.assert_stopped("/files/deadly-a");
+    fleet.assert_stopped("/files/deadly-b");
+    fleet.assert_served(FILES);
+}
+
+/// A request that is in flight at each of three kills, and answered elsewhere meanwhile, is never refused for it.
+#[test]
+fn hot_request_at_kills() {
+    let fleet = Fleet::start(FILES, 4);
+    fleet.upstreams.iter().for_each(|upstream| upstream.set_work(Duration::from_millis(100)));
+    let ended = AtomicBool::new(false);
+    let refused = thread::scope(|scope| {
+        let fleet = &fleet;
+        let ended = &ended;
+        let send = move |daemon: usize| {
+            let mut refused = 0;
+            while !ended.load(Ordering::Relaxed) {
+                refused += usize::from(fleet.get(daemon, "/files/hot", 7).body == "quarantined");
+            }
+            refused
+        };
+        let callers: Vec<_> = (0..12).map(|caller| scope.spawn(move || send(caller % 4))).collect();
+        for upstream in &fleet.upstreams[..3] {
+            thread::sleep(Duration::from_millis(500));
+            upstream.kill();
+        }
+        thread::sleep(Duration::from_secs(2));
+        ended.store(true, Ordering::Relaxed);
+        callers.into_iter().map(|caller| caller.join().expect("it ends")).sum::<usize>()
+    });
+    assert_eq!((fleet.ends().len(), refused), (3, 0));
+    let cut = |daemon: usize| {
+        fleet.site.daemons[daemon].log().contains("request in flight at upstream end")
+    };
+    assert!((0..3).all(cut), "it was in flight at each kill");
+    fleet.assert_served(FILES);
+}
+
+/// A sound request that was in flight when all instances were killed at once is served again after a trial.
+#[test]
+fn all_instances_killed() {
+    let fleet = Fleet::start(FILES, 2);
+    fleet.upstreams.iter().for_each(|upstream| upstream.set_work(Duration::from_millis(300)));
+    thread::scope(|scope| {
+        for daemon in [0, 1, 0, 1] {
+            let fleet = &fleet;
+            scope.spawn(move || fleet.get(daemon, "/files/sound", 7));
+        }
+        thread::sleep(Duration::from_millis(100));
+        fleet.upstreams.iter().for_each(MortalUpstream::kill);
+    });
+    fleet.assert_served(FILES);
+}
+
+/// A daemon that was restarted learns from the others what they know.
+#[test]
+fn restarted_daemon() {
+    let mut fleet = Fleet::start(FILES, 3);
+    fleet.send_steadily("/files/deadly", 7, Duration::from_secs(1));
+    for daemon in 0..3 {
+        fleet.site.restart_daemon(daemon);
+        thread::sleep(STABLE);
+    }
+    fleet.assert_served(FILES);
+    fleet.send_steadily("/files/deadly", 7, Duration::from_secs(8));
+    fleet.assert_stopped("/files/deadly");
+}
+
+/// A daemon that was paused while upstreams ended learns of it afterwards.
+#[test]
+fn paused_daemon() {
+    let fleet = Fleet::start(FILES, 4);
+    thread::scope(|scope| {
+        scope.spawn(|| fleet.site.pause_daemon(3, Duration::from_secs(2)));
+        thread::sleep(Duration::from_millis(200));
+        for _ in 0..20 {
+            (0..3).for_each(|daemon| drop(fleet.get(daemon, "/files/deadly", 7)));
+            thread::sleep(SEND_INTERVAL);
+        }
+    });
+    thread::sleep(STABLE);
+    fleet.send_steadily("/files/deadly", 7, Duration::from_secs(8));
+    fleet.assert_stopped("/files/deadly");
+    fleet.assert_served(FILES);
+}
