--- a/crates/rattanarch_mesh/src/upstream/exchange.rs
+++ b/crates/rattanarch_mesh/src/upstream/exchange.rs
@@ -217,6 +217,12 @@
 ) -> Outcome {
     let (mut parts, body) = response.into_parts();
     let head = ResponseHead::read(parts.status.as_u16(), &parts.headers);
+    // Upgrades are never asked for, so that 101 is no final response.
+    if parts.status.is_informational() {
+        log::warn!(id:% = call.id, life:% = life.id, status = parts.status.as_u16();
+            "upstream response has no final status");
+        return Outcome::Failed(Failure::Spoilt);
+    }
     if !is_response_to(&parts.headers, call) {
         shared.upstream.pool.clear();
         return Outcome::Failed(Failure::Crossed);
--- a/crates/rattanarchd/tests/mesh_spoilt_answers.rs
+++ b/crates/rattanarchd/tests/mesh_spoilt_answers.rs
@@ -1,4 +1,4 @@
-//! Upstreams that repeat a refusal, or close in the middle of a response's head.
+//! Upstreams that repeat a refusal, close in the middle of a response's head, or send a status that is none.
 
 mod mesh_support;
 
@@ -80,3 +80,25 @@
     set(&switches, Fault::None);
     assert_eq!(site.post(0, "/hold/a", "whole", 7, "crate").status, 200);
 }
+
+/// A response whose status is not one of HTTP is a failure, not an answer.
+#[test]
+fn status_000_as_answer() {
+    let (site, switches) = start();
+    for status in ["000", "099", "0", "20", "2000", "101", "-20"] {
+        set(&switches, Fault::Status(status));
+        for (kind, response) in [
+            ("w", site.post(0, "/hold/a", &format!("w{status}"), 7, "crate")),
+            ("r", site.get(0, "/stock/a", &format!("r{status}"), 7)),
+            ("f", site.get(1, "/files/a", &format!("f{status}"), 7)),
+            ("m", site.get(2, "/maps/a", &format!("m{status}"), 7)),
+        ] {
+            assert!(matches!(response.status, 502 | 504), "{kind} {status}: {response:?}");
+            assert!(!response.stamped, "{kind} {status}: {response:?}");
+        }
+        let writes = site.run_ids().into_iter().filter(|run| *run == format!("w{status}")).count();
+        assert_eq!(writes, 1, "status {status}");
+    }
+    set(&switches, Fault::None);
+    assert_eq!(site.get(0, "/files/a", "last", 7).status, 200);
+}
--- a/crates/rattanarchd/tests/mesh_support/faulty_proxy.rs
+++ b/crates/rattanarchd/tests/mesh_support/faulty_proxy.rs
@@ -17,6 +17,8 @@
     RepeatRefusal,
     /// Closes the connection after this many bytes of a response's head, counted from its end.
     CutHead(usize),
+    /// Writes this in place of the status code of responses.
+    Status(&'static str),
 }
 
 /// A handle to set the fault of a proxy.
@@ -59,10 +61,19 @@
             daemon.write_all(&response[..head - missing]).ok()?;
             return None;
         }
-        daemon.write_all(&response).ok()?;
+        match fault {
+            Fault::Status(code) => daemon.write_all(&with_status(&response, code)).ok()?,
+            _ => daemon.write_all(&response).ok()?,
+        }
     }
 }
 
+/// The response with `code` in place of its status code.
+fn with_status(response: &[u8], code: &str) -> Vec<u8> {
+    let (version, rest) = response.split_at(b"HTTP/1.1 ".len());
+    [version, code.as_bytes(), &rest[b"200".len()..]].concat()
+}
+
 /// Length of a message's head with its empty line, if it is complete.
 fn head_length(message: &[u8]) -> Option<usize> {
     message.windows(4).position(|window| window == b"\r\n\r\n").map(|index| index + 4)
