--- a/crates/rattanarch_mesh/src/upstream/in_flight.rs
+++ b/crates/rattanarch_mesh/src/upstream/in_flight.rs
@@ -22,6 +22,9 @@
 /// Most requests without a response that are kept: several times the slots of an upstream.
 const MAX_UNANSWERED: usize = 128;
 
+/// Longest id that is kept for the log: callers choose ids of any length.
+const MAX_ID_CHARS: usize = 64;
+
 /// Requests that the upstream has got and not answered.
 #[derive(Debug, Default)]
 pub(crate) struct InFlight {
@@ -41,6 +44,7 @@
 /// A request that a life of the upstream had when it ended.
 #[derive(Clone, Debug)]
 pub(crate) struct CutRequest {
+    /// The beginning of its id.
     pub(crate) id: String,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) method: String,
@@ -54,9 +58,9 @@
 impl From<&SentRequest> for CutRequest {
     fn from(SentRequest { call, is_trial, .. }: &SentRequest) -> Self {
         Self {
-            id: call.id.clone(),
+            id: call.id.chars().take(MAX_ID_CHARS).collect(),
             fingerprint: call.fingerprint(),
-            method: call.method.to_string(),
+            method: call.method.as_str().chars().take(MAX_ID_CHARS).collect(),
             origin_service: call.origin_service.clone(),
             key: call.key,
             is_trial: *is_trial,
--- a/crates/rattanarch_routing/src/lib.rs
+++ b/crates/rattanarch_routing/src/lib.rs
@@ -28,6 +28,7 @@
 mod candidate;
 mod choice;
 mod limits;
+mod prefix_tree;
 mod probe_tracker;
 mod retry_share;
 mod rule;
--- a/crates/rattanarch_routing/src/table.rs
+++ b/crates/rattanarch_routing/src/table.rs
@@ -11,6 +11,7 @@
 use crate::Limits;
 use crate::Rule;
 use crate::ServiceSpec;
+use crate::prefix_tree::PrefixTree;
 
 /// Routes, services and limits of one version of the configuration; immutable.
 #[derive(Clone, Debug, Default)]
@@ -22,7 +23,7 @@
     /// Client accounts; `None` if requests need no key.
     pub accounts: Option<AccountTable>,
     services: BTreeMap<ServiceName, ServiceSpec>,
-    hosts: HashMap<String, HashMap<String, Rc<Rule>>>,
+    hosts: HashMap<String, PrefixTree>,
 }
 
 impl RouteTable {
@@ -33,10 +34,9 @@
         services: impl IntoIterator<Item = ServiceSpec>,
         limits: Limits,
     ) -> Self {
-        let mut hosts: HashMap<String, HashMap<String, Rc<Rule>>> = HashMap::new();
+        let mut hosts: HashMap<String, PrefixTree> = HashMap::new();
         for rule in rules {
-            let prefixes = hosts.entry(rule.host.clone()).or_default();
-            prefixes.insert(rule.prefix.clone(), Rc::new(rule));
+            hosts.entry(rule.host.clone()).or_default().insert(Rc::new(rule));
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service));
         Self { version, limits, accounts: None, services: services.collect(), hosts }
@@ -54,9 +54,7 @@
             Some(prefixes) => prefixes,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
         };
-        // Every prefix ends with a slash, so only parts of the path that end with one can match.
-        let slashes = path.char_indices().rev().filter(|(_, character)| *character == '/');
-        slashes.map(|(index, _)| &path[..=index]).find_map(|prefix| prefixes.get(prefix).cloned())
+        prefixes.find(path).cloned()
     }
 
     /// The host of all rules; `None` if they have different ones, or if there is no rule.
@@ -72,6 +70,6 @@
 
     /// Number of rules.
     pub fn rule_count(&self) -> usize {
-        self.hosts.values().map(HashMap::len).sum()
+        self.hosts.values().map(PrefixTree::len).sum()
     }
 }
--- a/crates/rattanarch_routing/tests/routes.rs
+++ b/crates/rattanarch_routing/tests/routes.rs
@@ -59,3 +59,64 @@
     split.targets = vec![target("none", 0)];
     assert_eq!(split.target(5), None);
 }
+
+/// The rule that the definition names: that of the longest prefix which ends with a slash and begins `path`.
+fn by_definition<'a>(prefixes: &[&'a str], path: &str) -> Option<&'a str> {
+    let matching = prefixes.iter().filter(|prefix| path.starts_with(**prefix));
+    matching.max_by_key(|prefix| prefix.len()).copied()
+}
+
+/// Empty segments, prefixes of prefixes and paths that end in the middle match as the definition says.
+#[test]
+fn odd_paths() {
+    let prefixes = ["/", "//", "/a/", "/a//", "/a//b/", "/a/b/c/", "/a/b/c//", "/\u{e4}/"];
+    let paths = [
+        "/",
+        "//",
+        "///",
+        "/a",
+        "/a/",
+        "/a//",
+        "/a//b",
+        "/a//b/",
+        "/a/b",
+        "/a/b/",
+        "/a/b/c",
+        "/a/b/c/",
+        "/a/b/c//d",
+        "/\u{e4}/x",
+        "/\u{e4}",
+        "*",
+        "a/b/",
+        "",
+    ];
+    for skipped in 0..=prefixes.len() {
+        let kept: Vec<_> = prefixes
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != skipped)
+            .map(|(_, p)| *p)
+            .collect();
+        let rules = kept.iter().map(|prefix| rule("a.example", prefix, prefix)).collect();
+        let table = RouteTable::new(3, rules, [], Limits::default());
+        assert_eq!(table.rule_count(), kept.len());
+        for path in paths {
+            let expected = by_definition(&kept, path);
+            assert_eq!(found(&table, "a.example", path).as_deref(), expected, "{path} in {kept:?}");
+        }
+    }
+}
+
+/// Matching a path with many slashes takes no longer than one with few: its time does not grow with the square of the
+/// path's length.
+#[test]
+fn slashes_hang_daemon() {
+    let rules = vec![rule("a.example", "/maps/", "maps"), rule("a.example", "/", "rest")];
+    let table = RouteTable::new(3, rules, [], Limits::default());
+    let path = "/".repeat(16_000);
+    let began = std::time::Instant::now();
+    for _ in 0..100 {
+        assert_eq!(found(&table, "a.example", &path).as_deref(), Some("rest"));
+    }
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+}
