--- a/crates/rattanarchd/tests/mesh_leaving_notices.rs
+++ b/crates/rattanarchd/tests/mesh_leaving_notices.rs
@@ -72,7 +72,7 @@
     let site = Site::start(2, 0);
     leave(&site.upstreams[0]);
     wait_until("it has said so", || {
-        (0..4).for_each(|key| drop(site.get(1, "/stock/a", "first", key * 16_000)));
+        (0..64).for_each(|key| drop(site.get(1, "/stock/a", "first", key * 1_024)));
         !site.upstreams[0].arrivals().is_empty()
     });
     let told = Instant::now();
